--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Commands for developers; README.md explains them.
+
+GO ?= go
+LINT = $(GO) tool -modfile=tools/go.mod golangci-lint
+SEED ?= 1
+export GOFLAGS += -buildvcs=false
+
+.PHONY: build demo test format-check format lint vet
+
+build:
+	$(GO) build -o bin/comfreythread ./cmd/comfreythread
+
+demo: build
+	./bin/comfreythread demo $(DEMO)
+
+test: format-check lint vet build
+	$(GO) test -race -timeout 9m ./...
+
+format-check:
+	@unformatted=$$($(LINT) fmt --diff); if [ -n "$$unformatted" ]; then echo "$$unformatted"; echo "run make format"; exit 1; fi
+
+format:
+	$(LINT) fmt
+
+lint:
+	$(LINT) run ./...
+
+vet:
+	$(GO) vet ./...
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,151 @@
+// This file exists so that callers reach the coordinator over HTTP.
+
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-faster/errors"
+
+	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
+	"gitlab.com/comfreythread/comfreythread/internal/web"
+	"gitlab.com/comfreythread/comfreythread/pkg/caller"
+	"gitlab.com/comfreythread/comfreythread/pkg/duration"
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
+)
+
+type (
+	// Coordinator serves one request. Exactly one of its results is not nil.
+	Coordinator interface {
+		Run(ctx context.Context, request *caller.Request) (*caller.Answer, *caller.Refusal)
+	}
+
+	// Server answers callers.
+	Server struct {
+		board       *blackboard.Board
+		coordinator Coordinator
+
+		lock    sync.Mutex
+		cancels map[caller.RequestID]context.CancelFunc
+	}
+)
+
+// NewServer returns the server for callers.
+func NewServer(board *blackboard.Board, coordinator Coordinator) *Server {
+	return &Server{board: board, coordinator: coordinator, cancels: map[caller.RequestID]context.CancelFunc{}}
+}
+
+// Register adds the server's routes.
+func (server *Server) Register(engine *gin.Engine) {
+	engine.GET("/v1/entries", server.entries)
+	engine.POST("/v1/requests", server.run)
+	engine.DELETE("/v1/requests/:id", server.cancel)
+}
+
+func (server *Server) entries(ginContext *gin.Context) {
+	ginContext.JSON(http.StatusOK, Addresses(server.board))
+}
+
+func (server *Server) run(ginContext *gin.Context) {
+	request := new(caller.Request)
+	if err := web.Decode(ginContext, request); err != nil {
+		server.refuse(ginContext, badRequest(err))
+		return
+	}
+	ctx, cancel := context.WithCancel(ginContext.Request.Context())
+	defer cancel()
+	if !server.begin(request.ID, cancel) {
+		server.refuse(ginContext, &caller.Refusal{
+			Kind: caller.RefusedRepeat, RequestID: request.ID, Run: caller.MayHaveRun,
+			Message: "a request of this ID is in progress here", Remedy: "wait for its answer, or cancel it",
+			RetryAfter: request.Timeout,
+		})
+		return
+	}
+	defer server.end(request.ID)
+	answer, refusal := server.coordinator.Run(ctx, request)
+	if refusal != nil {
+		server.refuse(ginContext, refusal)
+		return
+	}
+	ginContext.JSON(http.StatusOK, answer)
+}
+
+func (server *Server) cancel(ginContext *gin.Context) {
+	server.lock.Lock()
+	cancel, running := server.cancels[caller.RequestID(ginContext.Param("id"))]
+	server.lock.Unlock()
+	if !running {
+		web.Fail(ginContext, fault.New(fault.NotFound, "no request of this ID is in progress here", "cancel at the entry that has the request"))
+		return
+	}
+	cancel()
+	ginContext.Status(http.StatusNoContent)
+}
+
+func (server *Server) begin(id caller.RequestID, cancel context.CancelFunc) bool {
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	if _, running := server.cancels[id]; running {
+		return false
+	}
+	server.cancels[id] = cancel
+	return true
+}
+
+func (server *Server) end(id caller.RequestID) {
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	delete(server.cancels, id)
+}
+
+func (server *Server) refuse(ginContext *gin.Context, refusal *caller.Refusal) {
+	if refusal.Run == caller.NotRun && (refusal.Kind == caller.RefusedFenced || refusal.Kind == caller.RefusedStopping) {
+		refusal.Entries = Addresses(server.board).Entries
+	}
+	if refusal.RetryAfter > 0 {
+		// The header takes whole seconds; the body has the exact span.
+		seconds := max(1, int(refusal.RetryAfter.Std().Seconds()))
+		ginContext.Header("Retry-After", strconv.Itoa(seconds))
+	}
+	ginContext.JSON(statusOf(refusal.Kind), refusal)
+}
+
+func badRequest(err error) *caller.Refusal {
+	refusal := &caller.Refusal{
+		Kind: caller.RefusedBadRequest, Run: caller.NotRun, Message: err.Error(), Remedy: "mend the request", RetryAfter: duration.Of(0),
+	}
+	var typed *fault.Error
+	if errors.As(err, &typed) {
+		refusal.Message, refusal.Remedy = typed.Message, typed.Remedy
+	}
+	return refusal
+}
+
+func statusOf(kind caller.RefusalKind) int {
+	switch kind {
+	case caller.RefusedBadRequest:
+		return http.StatusBadRequest
+	case caller.RefusedUnknownKind:
+		return http.StatusNotFound
+	case caller.RefusedExpired:
+		return http.StatusGone
+	case caller.RefusedRepeat:
+		return http.StatusConflict
+	case caller.RefusedQuarantined:
+		return http.StatusUnprocessableEntity
+	case caller.RefusedOverloaded:
+		return http.StatusTooManyRequests
+	case caller.RefusedDeadline, caller.RefusedLost:
+		return http.StatusGatewayTimeout
+	case caller.RefusedCancelled:
+		return http.StatusRequestTimeout
+	case caller.RefusedFenced, caller.RefusedStopping, caller.RefusedNoReplica, caller.RefusedCoverage, caller.RefusedUnavailable:
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/internal/demo/demo_test.go
@@ -0,0 +1,29 @@
+package demo_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/verb"
+)
+
+func TestDemo(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "demo")
+}
+
+var _ = ginkgo.DescribeTable("the demo answers rightly at the sizes of", func(deployment string) {
+	var stdout, stderr bytes.Buffer
+	code := verb.Main(context.Background(), []string{"comfreythread", "demo", "--deployment", deployment}, &stdout, &stderr)
+	gomega.Expect(code).To(gomega.Equal(verb.ExitOK), stderr.String())
+	lines := strings.Split(strings.TrimSpace(stdout.String()), "\n")
+	gomega.Expect(lines[len(lines)-1]).To(gomega.ContainSubstring(`"ok":true`))
+},
+	ginkgo.Entry("Atelier", "atelier"),
+	ginkgo.Entry("Banaag", "banaag"),
+)
--- /dev/null
+++ b/internal/entry/coordinator.go
@@ -0,0 +1,178 @@
+// This file exists so that one request becomes attempts at targets, and what
+// comes back becomes one answer or one refusal.
+
+package entry
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
+	"gitlab.com/comfreythread/comfreythread/internal/control"
+	"gitlab.com/comfreythread/comfreythread/internal/metrics"
+	"gitlab.com/comfreythread/comfreythread/pkg/caller"
+	"gitlab.com/comfreythread/comfreythread/pkg/duration"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+	"gitlab.com/comfreythread/comfreythread/pkg/target"
+)
+
+const (
+	tracerName = "gitlab.com/comfreythread/comfreythread/internal/entry"
+	// fencedRetryAfter is the span that a fenced entry names.
+	fencedRetryAfter = time.Second
+	// recordTimeout bounds the recording of a run's outcome.
+	recordTimeout = 2 * time.Second
+)
+
+type (
+	// Ledger grants run rights; control.Client is the one for real use.
+	Ledger interface {
+		Grant(ctx context.Context, request *control.GrantRequest) (*control.Grant, error)
+		Record(ctx context.Context, request *control.RecordRequest) error
+	}
+
+	// Coordinator serves requests.
+	Coordinator struct {
+		self    string
+		board   *blackboard.Board
+		homes   *Homes
+		ledger  Ledger
+		metrics *metrics.Metrics
+	}
+)
+
+// NewCoordinator returns the coordinator of the entry with the given ID.
+func NewCoordinator(self string, board *blackboard.Board, homes *Homes, ledger Ledger, metrics *metrics.Metrics) *Coordinator {
+	return &Coordinator{self: self, board: board, homes: homes, ledger: ledger, metrics: metrics}
+}
+
+// Run serves one request. Exactly one of the two results is not nil.
+func (coordinator *Coordinator) Run(ctx context.Context, request *caller.Request) (*caller.Answer, *caller.Refusal) {
+	start := time.Now()
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "request", trace.WithAttributes(
+		attribute.String("comfreythread.request_id", string(request.ID)),
+		attribute.String("comfreythread.kind", request.Kind)))
+	defer span.End()
+	answer, refusal := coordinator.run(ctx, request)
+	coordinator.metrics.Latency().WithLabelValues(request.Kind).Observe(time.Since(start).Seconds())
+	if refusal != nil {
+		refusal.RequestID = request.ID
+		coordinator.metrics.Refusals().WithLabelValues(string(refusal.Kind)).Inc()
+		span.SetAttributes(attribute.String("comfreythread.refusal", string(refusal.Kind)))
+		return nil, refusal
+	}
+	coordinator.metrics.Coverage().WithLabelValues(request.Kind).Observe(answer.Coverage.Share())
+	return answer, nil
+}
+
+func (coordinator *Coordinator) run(ctx context.Context, request *caller.Request) (*caller.Answer, *caller.Refusal) {
+	deadline := time.Now().Add(request.Timeout.Std())
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	route, refusal := coordinator.admit(request)
+	if refusal != nil {
+		return nil, refusal
+	}
+	fingerprint := blackboard.NewFingerprint(request.Kind, request.Payload)
+	if left := coordinator.board.Verdicts().Quarantined(fingerprint); left > 0 {
+		return nil, refuse(caller.RefusedQuarantined, caller.NotRun, left,
+			"requests of this content have crashed targets", "change the request, or wait until the quarantine ends")
+	}
+	plan, known := coordinator.plan(route, request)
+	if !known {
+		return nil, refuse(caller.RefusedNoReplica, caller.NotRun, fencedRetryAfter,
+			fmt.Sprintf("no target of pool %q is known, so the number of shards isn't either", route.Pool), "start targets of the pool and try again")
+	}
+	once := !request.Idempotent || route.NeverRepeat
+	nonce := rand.Uint64()
+	if once {
+		if refusal := coordinator.takeRunRight(ctx, request, nonce); refusal != nil {
+			return nil, refusal
+		}
+	}
+	fanOut := &fanOut{coordinator: coordinator, request: request, plan: plan, pool: route.Pool, fingerprint: uint64(fingerprint), nonce: nonce, deadline: deadline, once: once}
+	fanOut.run(ctx)
+	if once {
+		coordinator.record(ctx, request, nonce, fanOut.outcome())
+	}
+	return fanOut.conclude(ctx)
+}
+
+// admit refuses what this entry must not or can't serve.
+func (coordinator *Coordinator) admit(request *caller.Request) (operator.Route, *caller.Refusal) {
+	if err := request.Check(); err != nil {
+		return operator.Route{}, refuse(caller.RefusedBadRequest, caller.NotRun, 0, err.Error(), "mend the request")
+	}
+	expiry, _ := request.ID.Expiry()
+	now := time.Now()
+	if now.After(expiry) {
+		return operator.Route{}, refuse(caller.RefusedExpired, caller.NotRun, 0, "the request ID has expired", "find out whether an earlier sending ran, then use a new ID")
+	}
+	if expiry.Sub(now) > caller.MaximumRequestIDLifetime {
+		return operator.Route{}, refuse(caller.RefusedBadRequest, caller.NotRun, 0, "the request ID expires too late", "let it expire within "+caller.MaximumRequestIDLifetime.String())
+	}
+	if coordinator.board.InForce().Fenced() {
+		return operator.Route{}, refuse(caller.RefusedFenced, caller.NotRun, fencedRetryAfter, "this entry holds no lease from control", "use another entry")
+	}
+	tables, _ := coordinator.board.InForce().Tables()
+	route, known := tables.Route(request.Kind)
+	if !known {
+		return operator.Route{}, refuse(caller.RefusedUnknownKind, caller.NotRun, 0, fmt.Sprintf("kind %q has no route", request.Kind), "use a kind of the table of routes")
+	}
+	return route, nil
+}
+
+func (coordinator *Coordinator) plan(route operator.Route, request *caller.Request) (*plan, bool) {
+	tables, _ := coordinator.board.InForce().Tables()
+	view := coordinator.board.Membership().View()
+	self, _ := view.Member(coordinator.self)
+	var usable []target.Announcement
+	for _, announcement := range coordinator.board.Directory().Pool(route.Pool) {
+		if announcement.State != target.Leaving && !tables.Out(announcement.FailureDomain) {
+			usable = append(usable, announcement)
+		}
+	}
+	return newPlan(usable, request.ShardKey, func(a, b *target.Announcement) int {
+		return cmp.Compare(distance(a, self.FailureDomain), distance(b, self.FailureDomain))
+	})
+}
+
+func distance(announcement *target.Announcement, failureDomain string) int {
+	if announcement.FailureDomain == failureDomain {
+		return 0
+	}
+	return 1
+}
+
+func (coordinator *Coordinator) takeRunRight(ctx context.Context, request *caller.Request, nonce uint64) *caller.Refusal {
+	grant, err := coordinator.ledger.Grant(ctx, &control.GrantRequest{RequestID: request.ID, Nonce: nonce})
+	if err != nil {
+		return refuse(caller.RefusedUnavailable, caller.NotRun, fencedRetryAfter, "no run right could be had: "+err.Error(), "send the request again with the same ID")
+	}
+	if grant.Expired {
+		return refuse(caller.RefusedExpired, caller.NotRun, 0, "the request ID has expired", "find out whether an earlier sending ran, then use a new ID")
+	}
+	if !grant.Granted {
+		return refuse(caller.RefusedRepeat, grant.Outcome, 0, "an earlier sending of this ID has the run right", "read its outcome in the field run; don't send it again under a new ID unless it didn't run")
+	}
+	return nil
+}
+
+// record is best effort: without it a resend is told that the request may
+// have run, which is true.
+func (coordinator *Coordinator) record(ctx context.Context, request *caller.Request, nonce uint64, outcome caller.RunOutcome) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	_ = coordinator.ledger.Record(ctx, &control.RecordRequest{RequestID: request.ID, Nonce: nonce, Outcome: outcome})
+}
+
+func refuse(kind caller.RefusalKind, run caller.RunOutcome, retryAfter time.Duration, message, remedy string) *caller.Refusal {
+	return &caller.Refusal{Kind: kind, Run: run, RetryAfter: duration.Of(retryAfter), Message: message, Remedy: remedy}
+}
--- /dev/null
+++ b/internal/frame/call_test.go
@@ -0,0 +1,113 @@
+package frame_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
+)
+
+type (
+	number struct {
+		Value int `msgpack:"v"`
+	}
+)
+
+// serve offers the methods of these specs at 10.0.0.1:1 and returns a client
+// at 10.0.0.2.
+func serve(network *standin.Network) (*frame.Client, func()) {
+	server := new(frame.Server)
+	frame.Handle(server, "double", func(_ context.Context, in *number) (*number, error) {
+		return &number{Value: 2 * in.Value}, nil
+	})
+	frame.Handle(server, "wait", func(ctx context.Context, _ *number) (*number, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	frame.HandleStream(server, "count", func(_ context.Context, in *number, send func(*number) error) error {
+		for value := range in.Value {
+			_ = send(&number{Value: value})
+		}
+		return nil
+	})
+	listener, _ := network.Listen("10.0.0.1:1")
+	go func() { _ = server.Serve(listener) }()
+	client := frame.NewClient("10.0.0.1:1", network.Dialer("10.0.0.2"))
+	return client, func() {
+		client.Close()
+		server.Stop()
+	}
+}
+
+var _ = ginkgo.Describe("a call", func() {
+	ginkgo.It("brings the reply, after the latency both ways", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			network := &standin.Network{}
+			network.SetLatency(func(_, _ string) time.Duration { return 3 * time.Millisecond })
+			client, stop := serve(network)
+			defer stop()
+			_, err := frame.Call[number, number](context.Background(), client, "double", &number{Value: 1})
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			start := time.Now()
+			reply, err := frame.Call[number, number](context.Background(), client, "double", &number{Value: 21})
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			expect.Expect(reply.Value).To(gomega.Equal(42))
+			expect.Expect(time.Since(start)).To(gomega.Equal(6 * time.Millisecond))
+		})
+	})
+
+	ginkgo.It("brings every part of a stream in order", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			client, stop := serve(&standin.Network{})
+			defer stop()
+			var values []int
+			err := frame.Stream(context.Background(), client, "count", &number{Value: 5}, func(part *number) {
+				values = append(values, part.Value)
+			})
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			expect.Expect(values).To(gomega.Equal([]int{0, 1, 2, 3, 4}))
+		})
+	})
+
+	ginkgo.It("names the remedy where the method is unknown", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			client, stop := serve(&standin.Network{})
+			defer stop()
+			_, err := frame.Call[number, number](context.Background(), client, "halve", &number{})
+			var typed *fault.Error
+			expect.Expect(err).To(gomega.BeAssignableToTypeOf(typed))
+		})
+	})
+
+	ginkgo.It("ends with ErrLost within the silence limit when the connection goes silent", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			network := &standin.Network{}
+			client, stop := serve(network)
+			defer stop()
+			_, err := frame.Call[number, number](context.Background(), client, "double", &number{})
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			start := time.Now()
+			time.AfterFunc(time.Second, func() { network.Silence("10.0.0.1") })
+			_, err = frame.Call[number, number](context.Background(), client, "wait", &number{})
+			expect.Expect(err).To(gomega.MatchError(frame.ErrLost))
+			expect.Expect(time.Since(start)).To(gomega.BeNumerically("<=", 3*time.Second))
+			reply, err := frame.Call[number, number](context.Background(), client, "double", &number{Value: 4})
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			expect.Expect(reply.Value).To(gomega.Equal(8))
+		})
+	})
+
+	ginkgo.It("is not sent where the peer can't be reached", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			client := frame.NewClient("10.0.0.9:1", (&standin.Network{}).Dialer("10.0.0.2"))
+			_, err := frame.Call[number, number](context.Background(), client, "double", &number{})
+			expect.Expect(err).To(gomega.MatchError(frame.ErrNotSent))
+		})
+	})
+})
--- /dev/null
+++ b/internal/frame/link.go
@@ -0,0 +1,102 @@
+// This file exists so that client and server share what both do with a
+// connection: the handshake, writes in turn, and heartbeats.
+
+package frame
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
+)
+
+const (
+	heartbeatInterval = 500 * time.Millisecond
+	// silenceLimit is the span without a byte from the peer after which the
+	// connection counts as dead.
+	silenceLimit = 2 * time.Second
+	writeTimeout = 2 * time.Second
+	helloTimeout = 2 * time.Second
+)
+
+type (
+	link struct {
+		connection net.Conn
+		reader     *bufio.Reader
+		writing    sync.Mutex
+		closed     chan struct{}
+		closing    sync.Once
+	}
+)
+
+func newLink(connection net.Conn) *link {
+	return &link{
+		connection: connection,
+		reader:     bufio.NewReader(connection),
+		closed:     make(chan struct{}),
+	}
+}
+
+func (link *link) close() {
+	link.closing.Do(func() {
+		close(link.closed)
+		_ = link.connection.Close()
+	})
+}
+
+func (link *link) write(message *message) error {
+	link.writing.Lock()
+	defer link.writing.Unlock()
+	_ = link.connection.SetWriteDeadline(time.Now().Add(writeTimeout))
+	err := writeMessage(link.connection, message)
+	if err != nil {
+		link.close()
+	}
+	return err
+}
+
+func (link *link) read() (*message, error) {
+	_ = link.connection.SetReadDeadline(time.Now().Add(silenceLimit))
+	return readMessage(link.reader)
+}
+
+// shakeHands sends this side's version and checks the peer's.
+func (link *link) shakeHands() error {
+	_ = link.connection.SetDeadline(time.Now().Add(helloTimeout))
+	failure := make(chan error, 1)
+	go func() {
+		failure <- link.write(&message{Type: typeHello, Version: Version})
+	}()
+	hello, err := readMessage(link.reader)
+	if err != nil {
+		return err
+	}
+	if err := <-failure; err != nil {
+		return err
+	}
+	if hello.Type != typeHello || hello.Version != Version {
+		return fault.New(fault.Unavailable,
+			fmt.Sprintf("the peer speaks protocol version %d, this process %d", hello.Version, Version),
+			"run releases that share a protocol version")
+	}
+	return link.connection.SetDeadline(time.Time{})
+}
+
+// beat sends heartbeats until the connection closes.
+func (link *link) beat() {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-link.closed:
+			return
+		case <-ticker.C:
+			if link.write(&message{Type: typePing}) != nil {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/frame/server.go
@@ -0,0 +1,250 @@
+// This file exists so that a process can offer named methods to its peers.
+
+package frame
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.opentelemetry.io/otel/propagation"
+
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
+)
+
+const (
+	// MaximumCalls bounds the calls in flight on one connection.
+	MaximumCalls = 4096
+	// MaximumConnections bounds the connections that a server holds.
+	MaximumConnections = 8192
+
+	traceParentKey = "traceparent"
+)
+
+type (
+	// Server offers methods to peers. The zero value offers none.
+	Server struct {
+		lock     sync.Mutex
+		methods  map[string]method
+		links    map[*link]bool
+		listener net.Listener
+		stopped  bool
+		running  sync.WaitGroup
+	}
+
+	method func(ctx context.Context, body []byte, send func(part any) error) (reply any, err error)
+
+	// callTable holds the calls in flight on one connection.
+	callTable struct {
+		lock    sync.Mutex
+		cancels map[uint64]context.CancelFunc
+	}
+)
+
+// Handle offers a method that takes one message and returns one.
+func Handle[In, Out any](server *Server, name string, handler func(ctx context.Context, in *In) (*Out, error)) {
+	server.register(name, func(ctx context.Context, body []byte, _ func(any) error) (any, error) {
+		in, err := decode[In](body)
+		if err != nil {
+			return nil, err
+		}
+		return handler(ctx, in)
+	})
+}
+
+// HandleStream offers a method that takes one message and returns many parts.
+func HandleStream[In, Part any](server *Server, name string, handler func(ctx context.Context, in *In, send func(*Part) error) error) {
+	server.register(name, func(ctx context.Context, body []byte, send func(any) error) (any, error) {
+		in, err := decode[In](body)
+		if err != nil {
+			return nil, err
+		}
+		return nil, handler(ctx, in, func(part *Part) error { return send(part) })
+	})
+}
+
+func decode[In any](body []byte) (*In, error) {
+	in := new(In)
+	if err := msgpack.Unmarshal(body, in); err != nil {
+		return nil, fault.New(fault.BadRequest, "the call's message can't be decoded", "check that both processes run the same release")
+	}
+	return in, nil
+}
+
+func (server *Server) register(name string, offered method) {
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	if server.methods == nil {
+		server.methods = map[string]method{}
+	}
+	server.methods[name] = offered
+}
+
+// Serve accepts connections until Stop. It returns nil after Stop.
+func (server *Server) Serve(listener net.Listener) error {
+	server.lock.Lock()
+	server.listener = listener
+	server.lock.Unlock()
+	for {
+		connection, err := listener.Accept()
+		if err != nil {
+			if server.isStopped() {
+				return nil
+			}
+			return errors.Wrap(err, "accept peer connection")
+		}
+		link := newLink(connection)
+		if !server.add(link) {
+			link.close()
+			continue
+		}
+		server.running.Go(func() { server.serve(link) })
+	}
+}
+
+// Stop closes the listener and all connections and waits for calls to end.
+func (server *Server) Stop() {
+	server.lock.Lock()
+	server.stopped = true
+	if server.listener != nil {
+		_ = server.listener.Close()
+	}
+	for link := range server.links {
+		link.close()
+	}
+	server.lock.Unlock()
+	server.running.Wait()
+}
+
+func (server *Server) isStopped() bool {
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	return server.stopped
+}
+
+func (server *Server) add(added *link) bool {
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	if server.stopped || len(server.links) >= MaximumConnections {
+		return false
+	}
+	if server.links == nil {
+		server.links = map[*link]bool{}
+	}
+	server.links[added] = true
+	return true
+}
+
+func (server *Server) remove(removed *link) {
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	delete(server.links, removed)
+}
+
+func (server *Server) serve(link *link) {
+	defer server.remove(link)
+	defer link.close()
+	if link.shakeHands() != nil {
+		return
+	}
+	server.running.Go(link.beat)
+	calls := &callTable{}
+	defer calls.cancelAll()
+	for {
+		message, err := link.read()
+		if err != nil {
+			return
+		}
+		switch message.Type {
+		case typeCall:
+			server.start(link, calls, message)
+		case typeCancel:
+			calls.cancel(message.Call)
+		case typeHello, typePart, typeReply, typePing, typePong:
+		}
+	}
+}
+
+func (server *Server) start(link *link, calls *callTable, call *message) {
+	server.lock.Lock()
+	method, known := server.methods[call.Method]
+	server.lock.Unlock()
+	if !known {
+		_ = link.write(&message{Type: typeReply, Call: call.Call, Fault: fault.New(fault.NotFound, "method "+call.Method+" is unknown", "run the same release on all VMs and give the peer the right role")})
+		return
+	}
+	ctx, admitted := calls.begin(call)
+	if !admitted {
+		_ = link.write(&message{Type: typeReply, Call: call.Call, Fault: fault.New(fault.Unavailable, "too many calls in flight", "wait for earlier calls")})
+		return
+	}
+	server.running.Go(func() {
+		defer calls.cancel(call.Call)
+		send := func(part any) error { return respond(link, typePart, call.Call, part, nil) }
+		reply, err := method(ctx, call.Body, send)
+		_ = respond(link, typeReply, call.Call, reply, err)
+	})
+}
+
+func respond(link *link, messageType messageType, call uint64, body any, failure error) error {
+	response := &message{Type: messageType, Call: call}
+	if failure != nil {
+		response.Fault = asFault(failure)
+		return link.write(response)
+	}
+	encoded, err := msgpack.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode response")
+	}
+	response.Body = encoded
+	return link.write(response)
+}
+
+func asFault(err error) *fault.Error {
+	var typed *fault.Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return fault.New(fault.Unavailable, err.Error(), "try again")
+}
+
+func (callTable *callTable) begin(call *message) (context.Context, bool) {
+	callTable.lock.Lock()
+	defer callTable.lock.Unlock()
+	if len(callTable.cancels) >= MaximumCalls {
+		return nil, false
+	}
+	if callTable.cancels == nil {
+		callTable.cancels = map[uint64]context.CancelFunc{}
+	}
+	ctx := propagation.TraceContext{}.Extract(context.Background(), propagation.MapCarrier{traceParentKey: call.TraceParent})
+	var cancel context.CancelFunc
+	if call.Timeout > 0 {
+		ctx, cancel = context.WithDeadline(ctx, time.Now().Add(call.Timeout))
+	} else {
+		ctx, cancel = context.WithCancel(ctx)
+	}
+	callTable.cancels[call.Call] = cancel
+	return ctx, true
+}
+
+func (callTable *callTable) cancel(call uint64) {
+	callTable.lock.Lock()
+	defer callTable.lock.Unlock()
+	if cancel, running := callTable.cancels[call]; running {
+		cancel()
+		delete(callTable.cancels, call)
+	}
+}
+
+func (callTable *callTable) cancelAll() {
+	callTable.lock.Lock()
+	defer callTable.lock.Unlock()
+	for call, cancel := range callTable.cancels {
+		cancel()
+		delete(callTable.cancels, call)
+	}
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,106 @@
+// Package metrics holds the counters and gauges of a process, in the form
+// that Prometheus scrapes.
+package metrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+const (
+	namespace = "comfreythread"
+)
+
+type (
+	// Metrics holds a process's metrics. Construct it with New.
+	Metrics struct {
+		registry *prometheus.Registry
+		// Attempts counts runs sent to targets, by pool and by why: first,
+		// hedge or retry.
+		attempts *prometheus.CounterVec
+		outcomes *prometheus.CounterVec
+		refusals *prometheus.CounterVec
+		sheds    *prometheus.CounterVec
+		dropped  *prometheus.CounterVec
+		queue    *prometheus.HistogramVec
+		slots    *prometheus.GaugeVec
+		coverage *prometheus.HistogramVec
+		latency  *prometheus.HistogramVec
+		version  prometheus.Gauge
+		view     prometheus.Gauge
+		fenced   prometheus.Gauge
+	}
+)
+
+// New returns metrics in a registry of their own.
+func New() *Metrics {
+	metrics := &Metrics{
+		registry: prometheus.NewRegistry(),
+		attempts: counter("attempts_total", "Runs sent to targets.", "pool", "why"),
+		outcomes: counter("attempt_outcomes_total", "What became of attempts.", "pool", "outcome"),
+		refusals: counter("refusals_total", "Refusals sent to callers.", "kind"),
+		sheds:    counter("sheds_total", "Runs that targets shed.", "pool", "reason"),
+		dropped:  counter("dropped_answers_total", "Late, crossed or damaged answers that were dropped.", "reason"),
+		queue:    histogram("queue_seconds", "Time that runs waited for a slot.", prometheus.ExponentialBuckets(0.0005, 2, 14), "pool"),
+		slots:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "slots_in_use", Help: "Runs in progress at targets."}, []string{"pool"}),
+		coverage: histogram("coverage_ratio", "Covered share of shards in answers.", prometheus.LinearBuckets(0, 0.1, 11), "kind"),
+		latency:  histogram("request_seconds", "Time from a request to its answer or refusal.", prometheus.ExponentialBuckets(0.0005, 2, 16), "kind"),
+		version:  prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "tables_version", Help: "Version of the tables in force."}),
+		view:     prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "view_number", Help: "Number of the view of entries."}),
+		fenced:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "fenced", Help: "1 while the entry holds no lease."}),
+	}
+	metrics.registry.MustRegister(
+		metrics.attempts, metrics.outcomes, metrics.refusals, metrics.sheds, metrics.dropped,
+		metrics.queue, metrics.slots, metrics.coverage, metrics.latency,
+		metrics.version, metrics.view, metrics.fenced,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return metrics
+}
+
+// Registry returns the registry to scrape.
+func (metrics *Metrics) Registry() *prometheus.Registry { return metrics.registry }
+
+// Attempts counts runs sent to targets, by pool and why.
+func (metrics *Metrics) Attempts() *prometheus.CounterVec { return metrics.attempts }
+
+// Outcomes counts what became of attempts, by pool and outcome.
+func (metrics *Metrics) Outcomes() *prometheus.CounterVec { return metrics.outcomes }
+
+// Refusals counts refusals, by kind.
+func (metrics *Metrics) Refusals() *prometheus.CounterVec { return metrics.refusals }
+
+// Sheds counts sheds, by pool and reason.
+func (metrics *Metrics) Sheds() *prometheus.CounterVec { return metrics.sheds }
+
+// Dropped counts answers that were dropped, by reason.
+func (metrics *Metrics) Dropped() *prometheus.CounterVec { return metrics.dropped }
+
+// Queue observes the time that runs waited, by pool, in seconds.
+func (metrics *Metrics) Queue() *prometheus.HistogramVec { return metrics.queue }
+
+// Slots counts runs in progress, by pool.
+func (metrics *Metrics) Slots() *prometheus.GaugeVec { return metrics.slots }
+
+// Coverage observes the covered share, by kind of request.
+func (metrics *Metrics) Coverage() *prometheus.HistogramVec { return metrics.coverage }
+
+// Latency observes the time to the answer, by kind of request, in seconds.
+func (metrics *Metrics) Latency() *prometheus.HistogramVec { return metrics.latency }
+
+// Version is the version of the tables in force.
+func (metrics *Metrics) Version() prometheus.Gauge { return metrics.version }
+
+// View is the number of the view of entries.
+func (metrics *Metrics) View() prometheus.Gauge { return metrics.view }
+
+// Fenced is 1 while the entry holds no lease.
+func (metrics *Metrics) Fenced() prometheus.Gauge { return metrics.fenced }
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,78 @@
+// This file exists so that operators reach control through any process.
+
+package operator
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/gin-gonic/gin"
+
+	"gitlab.com/comfreythread/comfreythread/internal/web"
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+)
+
+type (
+	// Control is the part of control that operators use.
+	Control interface {
+		Change(ctx context.Context, change *operator.Change) (*operator.Accepted, error)
+		Tables(ctx context.Context, version uint64) (*operator.Versioned, error)
+		Status(ctx context.Context) (*operator.Status, error)
+	}
+
+	// Server answers operators.
+	Server struct {
+		control Control
+	}
+)
+
+// NewServer returns the server for operators.
+func NewServer(control Control) *Server {
+	return &Server{control: control}
+}
+
+// Register adds the server's routes.
+func (server *Server) Register(engine *gin.Engine) {
+	engine.PUT("/v1/tables", server.change)
+	engine.GET("/v1/tables", server.tables)
+	engine.GET("/v1/status", server.status)
+}
+
+func (server *Server) change(ginContext *gin.Context) {
+	change := new(operator.Change)
+	if err := web.Decode(ginContext, change); err != nil {
+		web.Fail(ginContext, err)
+		return
+	}
+	accepted, err := server.control.Change(ginContext.Request.Context(), change)
+	respond(ginContext, accepted, err)
+}
+
+func (server *Server) tables(ginContext *gin.Context) {
+	var version uint64
+	if text := ginContext.Query("version"); text != "" {
+		parsed, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			web.Fail(ginContext, fault.New(fault.BadRequest, "the version isn't a whole number", "write it like ?version=7"))
+			return
+		}
+		version = parsed
+	}
+	versioned, err := server.control.Tables(ginContext.Request.Context(), version)
+	respond(ginContext, versioned, err)
+}
+
+func (server *Server) status(ginContext *gin.Context) {
+	status, err := server.control.Status(ginContext.Request.Context())
+	respond(ginContext, status, err)
+}
+
+func respond[Body any](ginContext *gin.Context, body *Body, err error) {
+	if err != nil {
+		web.Fail(ginContext, err)
+		return
+	}
+	ginContext.JSON(http.StatusOK, body)
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,140 @@
+// Package process wires the roles that the settings name into one running
+// process.
+package process
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+
+	callerserver "gitlab.com/comfreythread/comfreythread/internal/caller"
+	"gitlab.com/comfreythread/comfreythread/internal/control"
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/internal/metrics"
+	operatorserver "gitlab.com/comfreythread/comfreythread/internal/operator"
+	"gitlab.com/comfreythread/comfreythread/internal/settings"
+	"gitlab.com/comfreythread/comfreythread/internal/tcp"
+	"gitlab.com/comfreythread/comfreythread/internal/tracing"
+	"gitlab.com/comfreythread/comfreythread/internal/web"
+)
+
+const (
+	// StartTimeout bounds the start of a process.
+	StartTimeout = 15 * time.Second
+	// StopTimeout bounds a graceful shutdown: the addresses' maximum age, the
+	// longest request and some room.
+	StopTimeout = callerserver.AddressMaxAge + time.Minute + 15*time.Second
+)
+
+type (
+	// Listeners are bound before anything starts, so that a port that is
+	// taken is told at once.
+	Listeners struct {
+		http net.Listener
+		peer net.Listener
+	}
+)
+
+// New returns the process that the settings describe, on listeners from
+// Listen.
+func New(settings *settings.Settings, listeners *Listeners, logger *zap.Logger, stdout io.Writer) *fx.App {
+	return fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(StartTimeout),
+		fx.StopTimeout(StopTimeout),
+		fx.Supply(settings, listeners, logger, fx.Annotate(stdout, fx.As(new(io.Writer)))),
+		fx.Provide(newControlClient, metrics.New, web.NewEngine, newPeerServer),
+		fx.Invoke(startTracing, registerCommon),
+		controlModule(settings),
+		entryModule(settings),
+		fx.Invoke(startServers),
+	)
+}
+
+// NewLogger returns a logger that writes JSON lines.
+func NewLogger(settings *settings.Settings, sink io.Writer) (*zap.Logger, error) {
+	level := zap.NewAtomicLevelAt(zap.InfoLevel)
+	if settings.LogLevel != "" {
+		if err := level.UnmarshalText([]byte(settings.LogLevel)); err != nil {
+			return nil, errors.Wrap(err, "read log_level")
+		}
+	}
+	return zap.New(newCore(newEncoder(), sink, level)).With(zap.String("process", settings.Name), zap.String("failure_domain", settings.FailureDomain)), nil
+}
+
+// Listen binds the addresses in the settings. A port 0 is replaced in the
+// settings by the port that was bound.
+func Listen(ctx context.Context, settings *settings.Settings) (*Listeners, error) {
+	http, err := tcp.Listen(ctx, settings.HTTPAddress)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen; choose a free http_address")
+	}
+	peer, err := tcp.Listen(ctx, settings.PeerAddress)
+	if err != nil {
+		_ = http.Close()
+		return nil, errors.Wrap(err, "listen; choose a free peer_address")
+	}
+	settings.HTTPAddress = http.Addr().String()
+	settings.PeerAddress = peer.Addr().String()
+	return &Listeners{http: http, peer: peer}, nil
+}
+
+func newControlClient(settings *settings.Settings, lifecycle fx.Lifecycle) *control.Client {
+	client := control.NewClient(settings.ControlReplicas, tcp.Dial)
+	lifecycle.Append(fx.StopHook(client.Close))
+	return client
+}
+
+func newPeerServer() *frame.Server {
+	return new(frame.Server)
+}
+
+func startTracing(settings *settings.Settings, stdout io.Writer, lifecycle fx.Lifecycle) error {
+	provider, err := tracing.NewProvider(context.Background(), settings.Tracing, stdout)
+	if err != nil {
+		return err
+	}
+	otel.SetTracerProvider(provider)
+	lifecycle.Append(fx.StopHook(provider.Shutdown))
+	return nil
+}
+
+// registerCommon adds the routes that every process serves.
+func registerCommon(engine *gin.Engine, client *control.Client, metrics *metrics.Metrics) {
+	operatorserver.NewServer(client).Register(engine)
+	engine.GET("/metrics", gin.WrapH(promhttp.HandlerFor(metrics.Registry(), promhttp.HandlerOpts{})))
+	engine.GET("/v1/live", func(ginContext *gin.Context) { ginContext.Status(http.StatusNoContent) })
+}
+
+func startServers(listeners *Listeners, engine *gin.Engine, peers *frame.Server, logger *zap.Logger, lifecycle fx.Lifecycle) {
+	server := web.NewServer(engine)
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go report(logger, "HTTP server ended", func() error { return web.Serve(server, listeners.http) })
+			go report(logger, "peer server ended", func() error { return peers.Serve(listeners.peer) })
+			logger.Info("listening", zap.Stringer("http", listeners.http.Addr()), zap.Stringer("peer", listeners.peer.Addr()))
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			err := web.Shutdown(ctx, server)
+			peers.Stop()
+			return err
+		},
+	})
+}
+
+func report(logger *zap.Logger, message string, serve func() error) {
+	if err := serve(); err != nil {
+		logger.Error(message, zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,133 @@
+// Package settings reads and checks the settings of a process.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"gitlab.com/comfreythread/comfreythread/internal/web"
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
+)
+
+// Exporters that spans can go to.
+const (
+	ExportNone   = "none"
+	ExportStdout = "stdout"
+	ExportOTLP   = "otlp"
+)
+
+const (
+	maximumReplicas = 19
+)
+
+type (
+	// Settings are the settings of one process.
+	Settings struct {
+		// Name names the process among all others.
+		Name          string `json:"name"`
+		FailureDomain string `json:"failure_domain"`
+		Region        string `json:"region,omitempty"`
+		// HTTPAddress and PeerAddress are the IP:port to listen on.
+		HTTPAddress string `json:"http_address"`
+		PeerAddress string `json:"peer_address"`
+		// Entry and Control switch the roles on.
+		Entry   bool     `json:"entry,omitempty"`
+		Control *Control `json:"control,omitempty"`
+		// ControlReplicas lists the IP:port peer addresses of all control
+		// replicas.
+		ControlReplicas []string `json:"control_replicas"`
+		LogLevel        string   `json:"log_level,omitempty"`
+		Tracing         Tracing  `json:"tracing,omitzero"`
+	}
+
+	// Control holds the settings of the control role.
+	Control struct {
+		DataFolder string `json:"data_folder"`
+	}
+
+	// Tracing chooses where spans go.
+	Tracing struct {
+		Exporter string `json:"exporter,omitempty"`
+		// Endpoint is the URL of the OTLP/HTTP receiver.
+		Endpoint string `json:"endpoint,omitempty"`
+	}
+
+	check struct {
+		problems []fault.Problem
+	}
+)
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings; name an existing file with --settings")
+	}
+	return Parse(string(data))
+}
+
+// Parse reads and checks the text of a settings file.
+func Parse(text string) (*Settings, error) {
+	settings := new(Settings)
+	if err := web.DecodeStrict(strings.NewReader(text), settings); err != nil {
+		return nil, err
+	}
+	return settings, settings.Check()
+}
+
+// Check lists everything that is wrong with the settings as one fault.Error,
+// or returns nil.
+func (settings *Settings) Check() error {
+	var check check
+	check.require("name", settings.Name)
+	check.require("failure_domain", settings.FailureDomain)
+	check.address("http_address", settings.HTTPAddress)
+	check.address("peer_address", settings.PeerAddress)
+	if !settings.Entry && settings.Control == nil {
+		check.add("entry", "no role is switched on", "set entry to true, or fill in control")
+	}
+	if settings.Control != nil {
+		check.require("control.data_folder", settings.Control.DataFolder)
+	}
+	if len(settings.ControlReplicas) == 0 || len(settings.ControlReplicas) > maximumReplicas {
+		check.add("control_replicas", "the number of replicas is out of range", fmt.Sprintf("list 1 to %d peer addresses", maximumReplicas))
+	}
+	for index, address := range settings.ControlReplicas {
+		check.address(fmt.Sprintf("control_replicas[%d]", index), address)
+	}
+	check.oneOf("log_level", settings.LogLevel, "", "debug", "info", "warn", "error")
+	check.oneOf("tracing.exporter", settings.Tracing.Exporter, "", ExportNone, ExportStdout, ExportOTLP)
+	if settings.Tracing.Exporter == ExportOTLP {
+		check.require("tracing.endpoint", settings.Tracing.Endpoint)
+	}
+	return fault.Document("settings", check.problems)
+}
+
+func (check *check) add(path, message, remedy string) {
+	check.problems = append(check.problems, fault.Problem{Path: path, Message: message, Remedy: remedy})
+}
+
+func (check *check) require(path, value string) {
+	if value == "" {
+		check.add(path, "the value is missing", "fill it in")
+	}
+}
+
+func (check *check) address(path, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		check.add(path, fmt.Sprintf("%q is not IP:port", value), "write it like 10.0.0.7:8080")
+	}
+}
+
+func (check *check) oneOf(path, value string, allowed ...string) {
+	for _, candidate := range allowed {
+		if value == candidate {
+			return
+		}
+	}
+	check.add(path, fmt.Sprintf("%q is unknown", value), "use one of"+strings.Join(allowed, " "))
+}
--- /dev/null
+++ b/internal/standin/target.go
@@ -0,0 +1,324 @@
+// This file exists so that demo, tests and measurements share one target that
+// serves the interface for targets and records what it bore.
+
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"gitlab.com/comfreythread/comfreythread/internal/tcp"
+	"gitlab.com/comfreythread/comfreythread/pkg/target"
+)
+
+const (
+	announceTimeout = time.Second
+	renewalsPerTTL  = 3
+)
+
+type (
+	// Target is a stand-in target. Construct it with NewTarget and change its
+	// behaviour at any time.
+	Target struct {
+		dial tcp.Dialer
+
+		lock         sync.Mutex
+		announcement target.Announcement
+		behaviour    Behaviour
+		server       *http.Server
+		record       Record
+		running      int
+		open         int
+		warm         bool
+		answered     int
+		started      []time.Time
+	}
+
+	// Behaviour says how a target acts. The zero value answers at once and
+	// bears any load.
+	Behaviour struct {
+		// Work is the time that a run takes; nil takes none.
+		Work func(run *target.Run) time.Duration
+		// Crashes says which runs end the target's process; nil names none.
+		Crashes func(run *target.Run) bool
+		// Spoil changes an answer before it is sent; nil changes none.
+		Spoil func(result *target.Result)
+		// ColdSlots and ColdRunsPerSecond are what the target bears in cold
+		// start, and WarmAfterRuns ends it. Zero switches the check off.
+		ColdSlots         int
+		ColdRunsPerSecond int
+		WarmAfterRuns     int
+		// ShedAbove sheds runs above this many at a time; zero sheds none.
+		ShedAbove int
+	}
+
+	// Record is what a target bore.
+	Record struct {
+		// Peak and PeakCold are the most runs at a time, over all and in cold
+		// start.
+		Peak     int
+		PeakCold int
+		// PeakColdPerSecond is the most runs begun within one second of cold
+		// start.
+		PeakColdPerSecond int
+		PeakConnections   int
+		// Runs counts the runs of each request ID, shed ones left out.
+		Runs    map[string]int
+		Crashes int
+		Sheds   int
+		// LastRun is the time at which the newest run began.
+		LastRun time.Time
+	}
+)
+
+// NewTarget returns a target that announces itself as given, over the dialer.
+func NewTarget(announcement target.Announcement, behaviour Behaviour, dial tcp.Dialer) *Target {
+	standin := &Target{
+		dial: dial, announcement: announcement, behaviour: behaviour,
+		warm: announcement.State == target.Warm, record: Record{Runs: map[string]int{}},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+target.RunPath, standin.run)
+	mux.HandleFunc("POST "+target.CancelPath, func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET "+target.HealthPath, func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) })
+	standin.server = &http.Server{Handler: mux, ConnState: standin.track, ReadHeaderTimeout: time.Minute}
+	return standin
+}
+
+// Serve answers runs until Stop.
+func (standin *Target) Serve(listener net.Listener) error {
+	err := standin.server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Stop ends the target at once.
+func (standin *Target) Stop() {
+	_ = standin.server.Close()
+}
+
+// Announcement returns what the target announces at present.
+func (standin *Target) Announcement() target.Announcement {
+	standin.lock.Lock()
+	defer standin.lock.Unlock()
+	return standin.announcement
+}
+
+// Change changes what the target announces; its revision grows.
+func (standin *Target) Change(change func(announcement *target.Announcement)) {
+	standin.lock.Lock()
+	defer standin.lock.Unlock()
+	change(&standin.announcement)
+	standin.announcement.Revision++
+}
+
+// Behave changes how the target acts.
+func (standin *Target) Behave(change func(behaviour *Behaviour)) {
+	standin.lock.Lock()
+	defer standin.lock.Unlock()
+	change(&standin.behaviour)
+}
+
+// TurnCold returns the target to cold start without telling anybody. The
+// caller breaks the target's connections where a restart is meant.
+func (standin *Target) TurnCold() {
+	standin.lock.Lock()
+	defer standin.lock.Unlock()
+	standin.turnCold()
+}
+
+func (standin *Target) turnCold() {
+	standin.warm = false
+	standin.answered = 0
+	standin.announcement.Incarnation++
+	standin.announcement.Revision = 1
+	standin.announcement.State = target.Cold
+}
+
+// Record returns a copy of what the target bore.
+func (standin *Target) Record() Record {
+	standin.lock.Lock()
+	defer standin.lock.Unlock()
+	record := standin.record
+	record.Runs = map[string]int{}
+	for requestID, runs := range standin.record.Runs {
+		record.Runs[requestID] = runs
+	}
+	return record
+}
+
+// Announce announces the target to the entry at an IP:port.
+func (standin *Target) Announce(ctx context.Context, entry string) error {
+	announcement := standin.Announcement()
+	body, err := json.Marshal(&announcement)
+	if err != nil {
+		return errors.Wrap(err, "encode announcement")
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/v1/targets", bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build announcement")
+	}
+	client := http.Client{Transport: &http.Transport{DialContext: standin.dial, DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "announce")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("announce: the entry answered with status %d", response.StatusCode)
+	}
+	return nil
+}
+
+// Renew announces the target to the entry until ctx ends.
+func (standin *Target) Renew(ctx context.Context, entry string) {
+	ticker := time.NewTicker(standin.Announcement().TTL.Std() / renewalsPerTTL)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			_ = standin.Announce(ctx, entry)
+		}
+	}
+}
+
+func (standin *Target) track(_ net.Conn, state http.ConnState) {
+	standin.lock.Lock()
+	defer standin.lock.Unlock()
+	switch state {
+	case http.StateNew:
+		standin.open++
+		standin.record.PeakConnections = max(standin.record.PeakConnections, standin.open)
+	case http.StateClosed, http.StateHijacked:
+		standin.open--
+	case http.StateActive, http.StateIdle:
+	}
+}
+
+func (standin *Target) run(writer http.ResponseWriter, request *http.Request) {
+	var run target.Run
+	if err := json.NewDecoder(request.Body).Decode(&run); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	behaviour, shed := standin.begin(&run)
+	if shed != nil {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(writer).Encode(shed)
+		return
+	}
+	defer standin.end()
+	if behaviour.Crashes != nil && behaviour.Crashes(&run) {
+		standin.crash(writer)
+		return
+	}
+	if behaviour.Work != nil && sleep(request.Context(), behaviour.Work(&run)) != nil {
+		return
+	}
+	result := standin.result(&run)
+	if behaviour.Spoil != nil {
+		behaviour.Spoil(result)
+	}
+	_ = json.NewEncoder(writer).Encode(result)
+}
+
+func (standin *Target) result(run *target.Run) *target.Result {
+	standin.lock.Lock()
+	defer standin.lock.Unlock()
+	standin.answered++
+	if standin.answered >= standin.behaviour.WarmAfterRuns {
+		standin.warm = true
+	}
+	indexVersion := run.IndexVersion
+	if indexVersion == 0 && len(standin.announcement.IndexVersions) > 0 {
+		indexVersion = standin.announcement.IndexVersions[len(standin.announcement.IndexVersions)-1]
+	}
+	payload, _ := json.Marshal(map[string]string{
+		"lines": fmt.Sprintf("%s from shard %d at version %d of %s", run.Kind, run.Shard, indexVersion, standin.announcement.Layout),
+	})
+	return &target.Result{
+		RequestID: run.RequestID, AttemptID: run.AttemptID, IndexVersion: indexVersion,
+		Layout: standin.announcement.Layout, Shard: run.Shard, Payload: payload, Checksum: xxhash.Sum64(payload),
+		Incarnation: standin.announcement.Incarnation, Leaving: standin.announcement.State == target.Leaving,
+	}
+}
+
+// begin admits a run and records it, or sheds it.
+func (standin *Target) begin(run *target.Run) (Behaviour, *target.Shed) {
+	standin.lock.Lock()
+	defer standin.lock.Unlock()
+	if reason := standin.shedReason(run); reason != "" {
+		standin.record.Sheds++
+		return Behaviour{}, &target.Shed{RequestID: run.RequestID, AttemptID: run.AttemptID, Reason: reason, Incarnation: standin.announcement.Incarnation}
+	}
+	standin.running++
+	standin.record.Peak = max(standin.record.Peak, standin.running)
+	if !standin.warm {
+		standin.record.PeakCold = max(standin.record.PeakCold, standin.running)
+		standin.recordColdRate()
+	}
+	standin.record.Runs[run.RequestID]++
+	standin.record.LastRun = time.Now()
+	return standin.behaviour, nil
+}
+
+func (standin *Target) shedReason(run *target.Run) target.ShedReason {
+	announcement := &standin.announcement
+	switch {
+	case announcement.State == target.Leaving:
+		return target.ShedLeaving
+	case run.Layout != announcement.Layout || run.Shard != announcement.Shard || run.IndexVersion != 0 && !announcement.Serves(run.IndexVersion):
+		return target.ShedVersion
+	case standin.behaviour.ShedAbove > 0 && standin.running >= standin.behaviour.ShedAbove:
+		return target.ShedOverloaded
+	}
+	return ""
+}
+
+func (standin *Target) recordColdRate() {
+	now := time.Now()
+	standin.started = append(standin.started, now)
+	for now.Sub(standin.started[0]) >= time.Second {
+		standin.started = standin.started[1:]
+	}
+	standin.record.PeakColdPerSecond = max(standin.record.PeakColdPerSecond, len(standin.started))
+}
+
+func (standin *Target) end() {
+	standin.lock.Lock()
+	defer standin.lock.Unlock()
+	standin.running--
+}
+
+// crash ends the process that the target stands for: this connection breaks
+// and the target is cold again. Other connections are broken by the crash
+// hook of the test, which knows the network.
+func (standin *Target) crash(writer http.ResponseWriter) {
+	standin.lock.Lock()
+	standin.record.Crashes++
+	standin.turnCold()
+	standin.lock.Unlock()
+	hijacker, possible := writer.(http.Hijacker)
+	if !possible {
+		return
+	}
+	connection, _, err := hijacker.Hijack()
+	if err == nil {
+		_ = connection.Close()
+	}
+}
--- /dev/null
+++ b/internal/verb/demo.go
@@ -0,0 +1,138 @@
+// This file exists so that a newcomer sees the whole system at work with one
+// command.
+
+package verb
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"gitlab.com/comfreythread/comfreythread/internal/demo"
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+	"gitlab.com/comfreythread/comfreythread/pkg/caller"
+	"gitlab.com/comfreythread/comfreythread/pkg/duration"
+)
+
+const (
+	demoTimeout = 5 * time.Second
+)
+
+type (
+	demoSummary struct {
+		Deployment    string            `json:"deployment"`
+		Version       uint64            `json:"version"`
+		Targets       int               `json:"targets"`
+		Entries       []string          `json:"entries"`
+		QueryComplete bool              `json:"query_complete"`
+		QueryShards   int               `json:"query_shards"`
+		FileOutcome   caller.RunOutcome `json:"file_outcome"`
+		FileRuns      int               `json:"file_runs"`
+		ResendRefused bool              `json:"resend_refused"`
+		OK            bool              `json:"ok"`
+	}
+)
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "demo",
+		Usage:       "run a whole system in one process on loopback",
+		Description: "Example: comfreythread demo --deployment banaag --keep",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "deployment", Value: standin.Atelier.Name, Usage: "whose sizes to use: atelier or banaag"},
+			&cli.BoolFlag{Name: "keep", Usage: "leave it running until a signal and print addresses to try"},
+			outputFlag(),
+		},
+		Action: runDemo,
+	}
+}
+
+func runDemo(ctx context.Context, command *cli.Command) error {
+	deployment, known := standin.DeploymentOf(command.String("deployment"))
+	if !known {
+		return errors.Wrapf(errUsage, "deployment %q is unknown; use atelier or banaag", command.String("deployment"))
+	}
+	system, err := demo.Start(ctx, deployment, command.Root().ErrWriter)
+	if err != nil {
+		return err
+	}
+	summary, err := tryDemo(ctx, command, system, deployment)
+	if err == nil && command.Bool("keep") {
+		keepDemo(ctx, command.Root().Writer, system, deployment)
+	}
+	stopError := system.Stop(context.WithoutCancel(ctx))
+	if err != nil {
+		return err
+	}
+	if stopError != nil {
+		return errors.Wrap(stopError, "stop")
+	}
+	if err := json.NewEncoder(command.Root().Writer).Encode(summary); err != nil {
+		return err
+	}
+	if !summary.OK {
+		return errors.New("an answer was wrong; see the summary")
+	}
+	return nil
+}
+
+// tryDemo asks for addresses as a caller does, then sends a query and a
+// request that may not be repeated, twice.
+func tryDemo(ctx context.Context, command *cli.Command, system *demo.System, deployment standin.Deployment) (*demoSummary, error) {
+	addresses, err := system.Addresses(ctx)
+	if err != nil {
+		return nil, err
+	}
+	address := addresses.Entries[0]
+	pool := deployment.Pools[0]
+	answer, err := caller.NewEntryClient(address).Send(ctx, &caller.Request{
+		ID: newDemoID(), Kind: pool.Name + ".search", Payload: json.RawMessage(`{"text":"spare part"}`),
+		Timeout: duration.Of(demoTimeout), Idempotent: true, RunsPerShard: 3, MinimumCoverage: 1,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "query")
+	}
+	file := &caller.Request{
+		ID: newDemoID(), Kind: pool.Name + ".file", Payload: json.RawMessage(`{"card":17}`),
+		Timeout: duration.Of(demoTimeout), ShardKey: "card-17",
+	}
+	filed, err := caller.NewEntryClient(address).Send(ctx, file)
+	if err != nil {
+		return nil, errors.Wrap(err, "request that may not be repeated")
+	}
+	_, resendError := caller.NewEntryClient(addresses.Entries[len(addresses.Entries)-1]).Send(ctx, file)
+	var refusal *caller.Refusal
+	resendRefused := errors.As(resendError, &refusal) && refusal.Kind == caller.RefusedRepeat && refusal.Run == caller.DidRun
+	err = print(command, []*caller.Answer{answer, filed}, func(writer io.Writer) {
+		printAnswer(writer, answer)
+		printAnswer(writer, filed)
+		_, _ = fmt.Fprintf(writer, "resend of %s: %v\n", file.ID, resendError)
+	})
+	summary := &demoSummary{
+		Deployment: deployment.Name, Version: system.Version(), Targets: len(system.Targets()), Entries: addresses.Entries,
+		QueryComplete: answer.Coverage.Complete, QueryShards: answer.Coverage.Answered,
+		FileOutcome: filed.Run, FileRuns: system.Runs(file.ID), ResendRefused: resendRefused,
+	}
+	summary.OK = summary.QueryComplete && summary.QueryShards == pool.Shards &&
+		summary.FileOutcome == caller.DidRun && summary.FileRuns == 1 && summary.ResendRefused
+	return summary, err
+}
+
+func newDemoID() caller.RequestID {
+	return caller.NewRequestID(time.Now().Add(defaultIDLifetime))
+}
+
+func keepDemo(ctx context.Context, writer io.Writer, system *demo.System, deployment standin.Deployment) {
+	for _, address := range system.Entries() {
+		_, _ = fmt.Fprintf(writer, "entry http://%s\n", address)
+	}
+	_, _ = fmt.Fprintf(writer, "try:\n  curl http://%s/v1/entries\n  curl http://%s/v1/status\n", system.Entries()[0], system.Entries()[0])
+	_, _ = fmt.Fprintf(writer, "  curl http://%s/v1/requests -d '{\"id\":\"%s\",\"kind\":\"%s.search\",\"timeout\":\"1s\",\"idempotent\":true}'\n",
+		system.Entries()[0], caller.NewRequestID(time.Now().Add(time.Hour)), deployment.Pools[0].Name)
+	<-ctx.Done()
+}
--- /dev/null
+++ b/internal/verb/diff.go
@@ -0,0 +1,102 @@
+// This file exists so that operators see what a change would change.
+
+package verb
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+
+	"github.com/urfave/cli/v3"
+
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+)
+
+type (
+	// difference is one row that differs; an empty side lacks the row.
+	difference struct {
+		Row  string `json:"row"`
+		From string `json:"from,omitempty"`
+		To   string `json:"to,omitempty"`
+	}
+)
+
+func diffCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "diff",
+		Usage:       "compare a file with the tables in force",
+		Description: "Example: comfreythread diff --tables tables.json",
+		Flags: []cli.Flag{
+			tablesFlag(),
+			&cli.Uint64Flag{Name: "version", Usage: "version to compare with; 0 for the newest"},
+			addressFlag(), outputFlag(),
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			tables, err := loadTables(command.String("tables"))
+			if err != nil {
+				return err
+			}
+			versioned, err := getTables(ctx, command, command.Uint64("version"))
+			if err != nil {
+				return err
+			}
+			differences := compareTables(&versioned.Tables, tables)
+			return print(command, differences, func(writer io.Writer) {
+				for _, difference := range differences {
+					printDifference(writer, difference)
+				}
+			})
+		},
+	}
+}
+
+func printDifference(writer io.Writer, difference difference) {
+	if difference.From != "" {
+		_, _ = fmt.Fprintf(writer, "- %s %s\n", difference.Row, difference.From)
+	}
+	if difference.To != "" {
+		_, _ = fmt.Fprintf(writer, "+ %s %s\n", difference.Row, difference.To)
+	}
+}
+
+func compareTables(from, to *operator.Tables) []difference {
+	differences := []difference{}
+	if !reflect.DeepEqual(from.FailureDomainsOut, to.FailureDomainsOut) {
+		differences = append(differences, difference{Row: "failure_domains_out", From: asJSON(from.FailureDomainsOut), To: asJSON(to.FailureDomainsOut)})
+	}
+	differences = append(differences, compareRows("pool", from.Pools, to.Pools, func(pool operator.Pool) string { return pool.Name })...)
+	return append(differences, compareRows("route", from.Routes, to.Routes, func(route operator.Route) string { return route.Kind })...)
+}
+
+func compareRows[Row comparable](table string, from, to []Row, name func(Row) string) []difference {
+	var differences []difference
+	old := map[string]Row{}
+	for _, row := range from {
+		old[name(row)] = row
+	}
+	for _, row := range to {
+		before, existed := old[name(row)]
+		delete(old, name(row))
+		if existed && before == row {
+			continue
+		}
+		changed := difference{Row: table + " " + name(row), To: asJSON(row)}
+		if existed {
+			changed.From = asJSON(before)
+		}
+		differences = append(differences, changed)
+	}
+	for _, row := range from {
+		if _, removed := old[name(row)]; removed {
+			differences = append(differences, difference{Row: table + " " + name(row), From: asJSON(row)})
+		}
+	}
+	return differences
+}
+
+func asJSON(value any) string {
+	encoded, _ := json.Marshal(value)
+	return string(encoded)
+}
--- /dev/null
+++ b/internal/verb/get.go
@@ -0,0 +1,42 @@
+// This file exists so that operators read the tables back.
+
+package verb
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/urfave/cli/v3"
+
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+)
+
+func getCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "get",
+		Usage:       "print a version of the tables",
+		Description: "Example: comfreythread get --version 7 > tables.json",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "version", Usage: "version to print; 0 for the newest"},
+			addressFlag(), outputFlag(),
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			versioned, err := getTables(ctx, command, command.Uint64("version"))
+			if err != nil {
+				return err
+			}
+			return print(command, versioned, func(writer io.Writer) {
+				encoder := json.NewEncoder(writer)
+				encoder.SetIndent("", "  ")
+				_ = encoder.Encode(&versioned.Tables)
+			})
+		},
+	}
+}
+
+func getTables(ctx context.Context, command *cli.Command, version uint64) (*operator.Versioned, error) {
+	return exchange[operator.Versioned](ctx, command, http.MethodGet, fmt.Sprintf("/v1/tables?version=%d", version), nil)
+}
--- /dev/null
+++ b/internal/web/web.go
@@ -0,0 +1,174 @@
+// Package web holds what the HTTP interfaces of all peers share: limits on
+// what a peer may send, strict decoding, and typed errors.
+package web
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/propagation"
+
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
+)
+
+const (
+	// MaximumBodyBytes bounds the body of a request.
+	MaximumBodyBytes = 4 << 20
+	// MaximumHeaderBytes bounds the headers of a request.
+	MaximumHeaderBytes = 16 << 10
+	// MaximumConnections bounds the connections of one listener.
+	MaximumConnections = 4096
+
+	readHeaderTimeout = 2 * time.Second
+	readTimeout       = 10 * time.Second
+	writeTimeout      = 75 * time.Second
+	idleTimeout       = 90 * time.Second
+)
+
+type (
+	// limitedListener accepts a bounded number of connections at a time.
+	limitedListener struct {
+		net.Listener
+		slots chan struct{}
+	}
+
+	limitedConnection struct {
+		net.Conn
+		release func()
+	}
+)
+
+// NewEngine returns a router without routes that turns a panic into a typed
+// error and honours the peer's trace.
+func NewEngine() *gin.Engine {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.HandleMethodNotAllowed = true
+	engine.Use(gin.CustomRecoveryWithWriter(io.Discard, func(ginContext *gin.Context, _ any) {
+		Fail(ginContext, fault.New(fault.Internal, "the request hit a defect", "report it with the request"))
+	}))
+	engine.Use(func(ginContext *gin.Context) {
+		carrier := propagation.HeaderCarrier(ginContext.Request.Header)
+		ctx := propagation.TraceContext{}.Extract(ginContext.Request.Context(), carrier)
+		ginContext.Request = ginContext.Request.WithContext(ctx)
+	})
+	engine.NoRoute(func(ginContext *gin.Context) {
+		Fail(ginContext, fault.New(fault.NotFound, "the path is unknown", "see docs/INTERFACES.md for the paths"))
+	})
+	engine.NoMethod(func(ginContext *gin.Context) {
+		ginContext.JSON(http.StatusMethodNotAllowed, fault.New(fault.BadRequest, "the path doesn't take this method", "see docs/INTERFACES.md for the methods"))
+	})
+	return engine
+}
+
+// NewServer returns an HTTP server with limits on what a peer may send and on
+// how long it may take.
+func NewServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    MaximumHeaderBytes,
+	}
+}
+
+// Serve serves until the server is shut down.
+func Serve(server *http.Server, listener net.Listener) error {
+	err := server.Serve(&limitedListener{Listener: listener, slots: make(chan struct{}, MaximumConnections)})
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Decode reads a JSON body strictly: unknown fields, a second value and
+// bodies over the limit are refused.
+func Decode(ginContext *gin.Context, into any) error {
+	body := http.MaxBytesReader(ginContext.Writer, ginContext.Request.Body, MaximumBodyBytes)
+	return DecodeStrict(body, into)
+}
+
+// DecodeStrict reads one JSON value and nothing else.
+func DecodeStrict(reader io.Reader, into any) error {
+	decoder := json.NewDecoder(reader)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return decodeFault(err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return fault.New(fault.BadRequest, "more than one JSON value was sent", "send exactly one")
+	}
+	return nil
+}
+
+func decodeFault(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return fault.New(fault.TooLarge, "the body is too large", "send less at a time")
+	}
+	return fault.New(fault.BadRequest, "the JSON can't be read: "+err.Error(), "see docs/INTERFACES.md for the shape")
+}
+
+// Fail sends a typed error.
+func Fail(ginContext *gin.Context, err error) {
+	var typed *fault.Error
+	if !errors.As(err, &typed) {
+		typed = fault.New(fault.Unavailable, err.Error(), "try again")
+	}
+	ginContext.AbortWithStatusJSON(statusOf(typed.Kind), typed)
+}
+
+func statusOf(kind fault.Kind) int {
+	switch kind {
+	case fault.BadRequest:
+		return http.StatusBadRequest
+	case fault.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case fault.NotFound:
+		return http.StatusNotFound
+	case fault.Conflict:
+		return http.StatusConflict
+	case fault.Unavailable:
+		return http.StatusServiceUnavailable
+	case fault.Internal:
+		return http.StatusInternalServerError
+	}
+	return http.StatusInternalServerError
+}
+
+// Shutdown stops a server once its requests have ended, or at once when ctx
+// ends.
+func Shutdown(ctx context.Context, server *http.Server) error {
+	err := server.Shutdown(ctx)
+	if err != nil {
+		_ = server.Close()
+	}
+	return err
+}
+
+// Accept waits for room and then for a connection.
+func (limitedListener *limitedListener) Accept() (net.Conn, error) {
+	limitedListener.slots <- struct{}{}
+	connection, err := limitedListener.Listener.Accept()
+	if err != nil {
+		<-limitedListener.slots
+		return nil, err
+	}
+	release := sync.OnceFunc(func() { <-limitedListener.slots })
+	return &limitedConnection{Conn: connection, release: release}, nil
+}
+
+// Close closes the connection and makes room for another.
+func (limitedConnection *limitedConnection) Close() error {
+	limitedConnection.release()
+	return limitedConnection.Conn.Close()
+}
--- /dev/null
+++ b/pkg/caller/entry_client.go
@@ -0,0 +1,86 @@
+// This file exists so that Go programs send requests to one entry without
+// writing HTTP.
+
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
+)
+
+const (
+	maximumAnswerBytes = 256 << 20
+)
+
+type (
+	// EntryClient sends requests to one entry. Construct it with
+	// NewEntryClient.
+	EntryClient struct {
+		address string
+		client  http.Client
+	}
+)
+
+// NewEntryClient returns a client for the entry at an IP:port.
+func NewEntryClient(address string) *EntryClient {
+	return &EntryClient{address: address}
+}
+
+// Send sends one request, once. The error is a *Refusal where the entry
+// refused. Any other error means that the request may have run.
+func (entryClient *EntryClient) Send(ctx context.Context, request *Request) (*Answer, error) {
+	answer := new(Answer)
+	err := entryClient.exchange(ctx, http.MethodPost, "/v1/requests", request, answer, new(Refusal))
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// Addresses asks the entry which entries to use.
+func (entryClient *EntryClient) Addresses(ctx context.Context) (*Addresses, error) {
+	addresses := new(Addresses)
+	if err := entryClient.exchange(ctx, http.MethodGet, "/v1/entries", nil, addresses, new(fault.Error)); err != nil {
+		return nil, err
+	}
+	return addresses, nil
+}
+
+func (entryClient *EntryClient) exchange(ctx context.Context, method, path string, body, into any, refused error) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+entryClient.address+path, bytes.NewReader(encoded))
+	if err != nil {
+		return errors.Wrap(err, "build request; check the address")
+	}
+	// Without GetBody the HTTP client can't send the request again on its own.
+	request.GetBody = nil
+	response, err := entryClient.client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "send request")
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswerBytes))
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	if response.StatusCode == http.StatusOK {
+		if err := json.Unmarshal(data, into); err != nil {
+			return errors.Wrap(err, "decode answer")
+		}
+		return nil
+	}
+	if err := json.Unmarshal(data, refused); err != nil {
+		return errors.Errorf("the entry answered with status %d; check the address", response.StatusCode)
+	}
+	return refused
+}
--- /dev/null
+++ b/pkg/caller/request.go
@@ -0,0 +1,122 @@
+// This file exists so that callers and entries agree on one shape for a
+// request and its identity.
+
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"gitlab.com/comfreythread/comfreythread/pkg/duration"
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
+)
+
+const (
+	// MaximumPayloadBytes bounds the payload of one request.
+	MaximumPayloadBytes = 1 << 20
+	// MaximumRequestIDBytes bounds the text of a request ID.
+	MaximumRequestIDBytes = 128
+	// MaximumRunsPerShard bounds what a caller can allow.
+	MaximumRunsPerShard = 16
+	// MaximumRequestIDLifetime bounds how far ahead a request ID may expire.
+	MaximumRequestIDLifetime = 24 * time.Hour
+	// MaximumTimeout bounds how long a request may take.
+	MaximumTimeout = time.Minute
+)
+
+type (
+	// RequestID names a request across resends. It ends with a dot and the
+	// Unix second at which it expires, so that the record of it is bounded.
+	RequestID string
+
+	// Request asks for one run of a kind of work over the shards of a pool.
+	Request struct {
+		ID   RequestID `json:"id"`
+		Kind string    `json:"kind"`
+		// Payload is handed to targets unchanged.
+		Payload json.RawMessage `json:"payload,omitempty"`
+		// Timeout is the time until the answer is of no more use.
+		Timeout duration.Duration `json:"timeout"`
+		// RunsPerShard is the number of runs that the caller allows on each
+		// shard, hedges and retries included. Zero means one.
+		RunsPerShard int `json:"runs_per_shard,omitempty"`
+		// Idempotent states that more than one run does no harm.
+		Idempotent bool `json:"idempotent,omitempty"`
+		// MinimumCoverage is the share of shards, from 0 to 1, under which
+		// the caller wants a refusal in place of an answer.
+		MinimumCoverage float64 `json:"minimum_coverage,omitempty"`
+		// ShardKey narrows the request to the one shard that owns the key.
+		// Empty means all shards.
+		ShardKey string `json:"shard_key,omitempty"`
+	}
+)
+
+// NewRequestID returns a random ID that expires at the given time.
+func NewRequestID(expiry time.Time) RequestID {
+	return RequestID(fmt.Sprintf("%016x%016x.%d", rand.Uint64(), rand.Uint64(), expiry.Unix()))
+}
+
+// Expiry returns the time after which the ID is refused.
+func (requestID RequestID) Expiry() (time.Time, error) {
+	text := string(requestID)
+	dot := strings.LastIndexByte(text, '.')
+	if dot <= 0 {
+		return time.Time{}, badRequestID(requestID)
+	}
+	second, err := strconv.ParseInt(text[dot+1:], 10, 64)
+	if err != nil || second <= 0 {
+		return time.Time{}, badRequestID(requestID)
+	}
+	return time.Unix(second, 0), nil
+}
+
+// AllowedRuns returns the number of runs allowed on each shard, at least one.
+func (request *Request) AllowedRuns() int {
+	if !request.Idempotent || request.RunsPerShard < 1 {
+		return 1
+	}
+	return request.RunsPerShard
+}
+
+// Check lists everything that is wrong with the request as one fault.Error,
+// or returns nil.
+func (request *Request) Check() error {
+	var problems []fault.Problem
+	add := func(path, message, remedy string) {
+		problems = append(problems, fault.Problem{Path: path, Message: message, Remedy: remedy})
+	}
+	if len(request.ID) > MaximumRequestIDBytes {
+		add("id", "the ID is too long", fmt.Sprintf("use at most %d bytes", MaximumRequestIDBytes))
+	} else if _, err := request.ID.Expiry(); err != nil {
+		add("id", "the ID has no expiry", "write it as NAME.UNIXSECOND, such as order-17.1893456000")
+	}
+	if request.Kind == "" {
+		add("kind", "the kind is missing", "name a kind of the table of routes")
+	}
+	if len(request.Payload) > MaximumPayloadBytes {
+		add("payload", "the payload is too large", fmt.Sprintf("send at most %d bytes", MaximumPayloadBytes))
+	}
+	if request.Timeout <= 0 || request.Timeout.Std() > MaximumTimeout {
+		add("timeout", "the timeout is out of range", "use a span above 0s and up to "+MaximumTimeout.String())
+	}
+	if request.RunsPerShard < 0 || request.RunsPerShard > MaximumRunsPerShard {
+		add("runs_per_shard", "the number of runs is out of range", fmt.Sprintf("use 0 to %d", MaximumRunsPerShard))
+	}
+	if !request.Idempotent && request.RunsPerShard > 1 {
+		add("runs_per_shard", "a request that isn't idempotent can't run twice", "leave the field out, or set idempotent")
+	}
+	if !(request.MinimumCoverage >= 0 && request.MinimumCoverage <= 1) {
+		add("minimum_coverage", "the share is out of range", "use 0 to 1")
+	}
+	return fault.Document("request", problems)
+}
+
+func badRequestID(requestID RequestID) error {
+	return fault.New(fault.BadRequest,
+		fmt.Sprintf("request ID %q has no expiry", string(requestID)),
+		"write it as NAME.UNIXSECOND, such as order-17.1893456000")
+}
--- /dev/null
+++ b/pkg/operator/tables.go
@@ -0,0 +1,120 @@
+// This file exists so that operators, control and entries agree on one shape
+// for the two tables.
+
+package operator
+
+import (
+	"time"
+
+	"gitlab.com/comfreythread/comfreythread/pkg/duration"
+)
+
+const (
+	// DefaultHedgePercent is the extra load that hedges may add.
+	DefaultHedgePercent = 5
+	// DefaultRetryPercent is the extra load that retries may add.
+	DefaultRetryPercent = 10
+	// DefaultQueueLimit bounds the runs that wait for one target.
+	DefaultQueueLimit = 64
+	// DefaultWarmAfterRuns is the number of answered runs after which a
+	// target counts as warm.
+	DefaultWarmAfterRuns = 50
+	// DefaultColdRunsPerSecond is the rate that a cold target bears.
+	DefaultColdRunsPerSecond = 20
+	// DefaultConnectTimeout bounds the opening of a connection.
+	DefaultConnectTimeout = 250 * time.Millisecond
+)
+
+type (
+	// Tables are the table of routes and the table of pools, which change
+	// together.
+	Tables struct {
+		// FailureDomainsOut lists failure domains that get no new work.
+		FailureDomainsOut []string `json:"failure_domains_out,omitempty"`
+		Routes            []Route  `json:"routes"`
+		Pools             []Pool   `json:"pools"`
+	}
+
+	// Route says where a kind of request belongs.
+	Route struct {
+		Kind string `json:"kind"`
+		// Pool is the name of the pool that runs the kind.
+		Pool string `json:"pool"`
+		// NeverRepeat forces at most one run, whatever the caller allows.
+		NeverRepeat bool `json:"never_repeat,omitempty"`
+	}
+
+	// Pool describes a group of targets. A zero in an optional field stands
+	// for its default.
+	Pool struct {
+		Name string `json:"name"`
+		// Slots is the number of runs that one target bears at a time.
+		Slots int `json:"slots"`
+		// Connections is the number of connections that one target bears.
+		Connections int  `json:"connections"`
+		Cold        Cold `json:"cold"`
+		// HedgePercent and RetryPercent bound the extra load.
+		HedgePercent int `json:"hedge_percent,omitempty"`
+		RetryPercent int `json:"retry_percent,omitempty"`
+		// QueueLimit bounds the runs that wait for one target.
+		QueueLimit     int               `json:"queue_limit,omitempty"`
+		ConnectTimeout duration.Duration `json:"connect_timeout,omitempty"`
+	}
+
+	// Cold holds the limits of a target in cold start.
+	Cold struct {
+		Slots         int `json:"slots"`
+		RunsPerSecond int `json:"runs_per_second,omitempty"`
+		// WarmAfterRuns is the number of answered runs that end cold start.
+		WarmAfterRuns int `json:"warm_after_runs,omitempty"`
+	}
+)
+
+// Route returns the route of a kind.
+func (tables *Tables) Route(kind string) (Route, bool) {
+	for _, route := range tables.Routes {
+		if route.Kind == kind {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+// Pool returns the pool of a name.
+func (tables *Tables) Pool(name string) (Pool, bool) {
+	for _, pool := range tables.Pools {
+		if pool.Name == name {
+			return pool.withDefaults(), true
+		}
+	}
+	return Pool{}, false
+}
+
+// Out reports whether a failure domain is taken out.
+func (tables *Tables) Out(failureDomain string) bool {
+	for _, out := range tables.FailureDomainsOut {
+		if out == failureDomain {
+			return true
+		}
+	}
+	return false
+}
+
+func (pool Pool) withDefaults() Pool {
+	pool.HedgePercent = orDefault(pool.HedgePercent, DefaultHedgePercent)
+	pool.RetryPercent = orDefault(pool.RetryPercent, DefaultRetryPercent)
+	pool.QueueLimit = orDefault(pool.QueueLimit, DefaultQueueLimit)
+	pool.ConnectTimeout = orDefault(pool.ConnectTimeout, duration.Of(DefaultConnectTimeout))
+	pool.Cold.Slots = orDefault(pool.Cold.Slots, 1)
+	pool.Cold.RunsPerSecond = orDefault(pool.Cold.RunsPerSecond, DefaultColdRunsPerSecond)
+	pool.Cold.WarmAfterRuns = orDefault(pool.Cold.WarmAfterRuns, DefaultWarmAfterRuns)
+	return pool
+}
+
+func orDefault[T comparable](value, byDefault T) T {
+	var zero T
+	if value == zero {
+		return byDefault
+	}
+	return value
+}
