Run the whole tier on a network in memory, under the paused clock

The demo's wiring becomes package tier, whose network is loopback sockets or connections in memory with latency, cuts and silence, so that one set-up serves the demo, focused failure tests and measurements.

--- a/internal/bubble/bubble.go
+++ b/internal/bubble/bubble.go
@@ -6,11 +6,18 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 )
 
+const (
+	// settleSpan lets goroutines that end by a timeout do so. Time stands
+	// still for good once the body has returned.
+	settleSpan = 10 * time.Minute
+)
+
 type (
 	// failure carries a failed expectation out of the bubble, because
 	// ginkgo's Fail may not be called in it.
@@ -35,6 +42,7 @@
 				panic(recovered)
 			}
 		}()
+		defer time.Sleep(settleSpan)
 		body(gomega.NewGomega(func(message string, _ ...int) {
 			panic(failure{message: message})
 		}))
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -19,7 +19,6 @@
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
 	"gitlab.com/comfreythread/comfreythread/internal/settings"
 	targetserver "gitlab.com/comfreythread/comfreythread/internal/target"
-	"gitlab.com/comfreythread/comfreythread/internal/tcp"
 )
 
 func entryModule(settings *settings.Settings) fx.Option {
@@ -36,12 +35,12 @@
 	return new(blackboard.Board)
 }
 
-func newHome(settings *settings.Settings, board *blackboard.Board) *targetserver.Home {
-	return targetserver.NewHome(settings.Name, board, tcp.Dial)
+func newHome(settings *settings.Settings, board *blackboard.Board, network Network) *targetserver.Home {
+	return targetserver.NewHome(settings.Name, board, network.Dial)
 }
 
-func newPeers() *entry.Peers {
-	return entry.NewPeers(tcp.Dial)
+func newPeers(network Network) *entry.Peers {
+	return entry.NewPeers(network.Dial)
 }
 
 func newHomes(settings *settings.Settings, home *targetserver.Home, peers *entry.Peers) *entry.Homes {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -37,6 +37,13 @@
 )
 
 type (
+	// Network is how a process reaches others. The zero value uses sockets.
+	Network struct {
+		// Listen accepts connections at an IP:port.
+		Listen func(ctx context.Context, address string) (net.Listener, error)
+		Dial   tcp.Dialer
+	}
+
 	// Listeners are bound before anything starts, so that a port that is
 	// taken is told at once.
 	Listeners struct {
@@ -47,12 +54,12 @@
 
 // New returns the process that the settings describe, on listeners from
 // Listen.
-func New(settings *settings.Settings, listeners *Listeners, logger *zap.Logger, stdout io.Writer) *fx.App {
+func New(settings *settings.Settings, listeners *Listeners, network Network, logger *zap.Logger, stdout io.Writer) *fx.App {
 	return fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(StartTimeout),
 		fx.StopTimeout(StopTimeout),
-		fx.Supply(settings, listeners, logger, fx.Annotate(stdout, fx.As(new(io.Writer)))),
+		fx.Supply(settings, listeners, network.withDefaults(), logger, fx.Annotate(stdout, fx.As(new(io.Writer)))),
 		fx.Provide(newControlClient, metrics.New, web.NewEngine, newPeerServer),
 		fx.Invoke(startTracing, registerCommon),
 		controlModule(settings),
@@ -74,12 +81,13 @@
 
 // Listen binds the addresses in the settings. A port 0 is replaced in the
 // settings by the port that was bound.
-func Listen(ctx context.Context, settings *settings.Settings) (*Listeners, error) {
-	http, err := tcp.Listen(ctx, settings.HTTPAddress)
+func Listen(ctx context.Context, settings *settings.Settings, network Network) (*Listeners, error) {
+	network = network.withDefaults()
+	http, err := network.Listen(ctx, settings.HTTPAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen; choose a free http_address")
 	}
-	peer, err := tcp.Listen(ctx, settings.PeerAddress)
+	peer, err := network.Listen(ctx, settings.PeerAddress)
 	if err != nil {
 		_ = http.Close()
 		return nil, errors.Wrap(err, "listen; choose a free peer_address")
@@ -89,8 +97,23 @@
 	return &Listeners{http: http, peer: peer}, nil
 }
 
-func newControlClient(settings *settings.Settings, lifecycle fx.Lifecycle) *control.Client {
-	client := control.NewClient(settings.ControlReplicas, tcp.Dial)
+// Sockets returns the network of real sockets.
+func Sockets() Network {
+	return Network{}.withDefaults()
+}
+
+func (network Network) withDefaults() Network {
+	if network.Listen == nil {
+		network.Listen = tcp.Listen
+	}
+	if network.Dial == nil {
+		network.Dial = tcp.Dial
+	}
+	return network
+}
+
+func newControlClient(settings *settings.Settings, network Network, lifecycle fx.Lifecycle) *control.Client {
+	client := control.NewClient(settings.ControlReplicas, network.Dial)
 	lifecycle.Append(fx.StopHook(client.Close))
 	return client
 }
--- a/internal/verb/demo.go
+++ b/internal/verb/demo.go
@@ -13,14 +13,16 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
-	"gitlab.com/comfreythread/comfreythread/internal/demo"
 	"gitlab.com/comfreythread/comfreythread/internal/standin"
+	"gitlab.com/comfreythread/comfreythread/internal/tier"
 	"gitlab.com/comfreythread/comfreythread/pkg/caller"
 	"gitlab.com/comfreythread/comfreythread/pkg/duration"
+	"gitlab.com/comfreythread/comfreythread/pkg/target"
 )
 
 const (
 	demoTimeout = 5 * time.Second
+	demoWork    = 3 * time.Millisecond
 )
 
 type (
@@ -57,7 +59,7 @@
 	if !known {
 		return errors.Wrapf(errUsage, "deployment %q is unknown; use atelier or banaag", command.String("deployment"))
 	}
-	system, err := demo.Start(ctx, deployment, command.Root().ErrWriter)
+	system, err := tier.Start(ctx, tier.Options{Deployment: deployment, Behave: demoBehaviour, Logs: command.Root().ErrWriter})
 	if err != nil {
 		return err
 	}
@@ -83,14 +85,14 @@
 
 // tryDemo asks for addresses as a caller does, then sends a query and a
 // request that may not be repeated, twice.
-func tryDemo(ctx context.Context, command *cli.Command, system *demo.System, deployment standin.Deployment) (*demoSummary, error) {
-	addresses, err := system.Addresses(ctx)
+func tryDemo(ctx context.Context, command *cli.Command, system *tier.Tier, deployment standin.Deployment) (*demoSummary, error) {
+	addresses, err := system.Client(system.Entries()[0]).Addresses(ctx)
 	if err != nil {
 		return nil, err
 	}
 	address := addresses.Entries[0]
 	pool := deployment.Pools[0]
-	answer, err := caller.NewEntryClient(address).Send(ctx, &caller.Request{
+	answer, err := caller.NewEntryClient(address, nil).Send(ctx, &caller.Request{
 		ID: newDemoID(), Kind: pool.Name + ".search", Payload: json.RawMessage(`{"text":"spare part"}`),
 		Timeout: duration.Of(demoTimeout), Idempotent: true, RunsPerShard: 3, MinimumCoverage: 1,
 	})
@@ -101,11 +103,11 @@
 		ID: newDemoID(), Kind: pool.Name + ".file", Payload: json.RawMessage(`{"card":17}`),
 		Timeout: duration.Of(demoTimeout), ShardKey: "card-17",
 	}
-	filed, err := caller.NewEntryClient(address).Send(ctx, file)
+	filed, err := caller.NewEntryClient(address, nil).Send(ctx, file)
 	if err != nil {
 		return nil, errors.Wrap(err, "request that may not be repeated")
 	}
-	_, resendError := caller.NewEntryClient(addresses.Entries[len(addresses.Entries)-1]).Send(ctx, file)
+	_, resendError := caller.NewEntryClient(addresses.Entries[len(addresses.Entries)-1], nil).Send(ctx, file)
 	var refusal *caller.Refusal
 	resendRefused := errors.As(resendError, &refusal) && refusal.Kind == caller.RefusedRepeat && refusal.Run == caller.DidRun
 	err = print(command, []*caller.Answer{answer, filed}, func(writer io.Writer) {
@@ -123,16 +125,21 @@
 	return summary, err
 }
 
+func demoBehaviour(*target.Announcement) standin.Behaviour {
+	return standin.Behaviour{Work: func(*target.Run) time.Duration { return demoWork }}
+}
+
 func newDemoID() caller.RequestID {
 	return caller.NewRequestID(time.Now().Add(defaultIDLifetime))
 }
 
-func keepDemo(ctx context.Context, writer io.Writer, system *demo.System, deployment standin.Deployment) {
-	for _, address := range system.Entries() {
-		_, _ = fmt.Fprintf(writer, "entry http://%s\n", address)
+func keepDemo(ctx context.Context, writer io.Writer, system *tier.Tier, deployment standin.Deployment) {
+	for _, entry := range system.Entries() {
+		_, _ = fmt.Fprintf(writer, "entry http://%s\n", entry.Settings().HTTPAddress)
 	}
-	_, _ = fmt.Fprintf(writer, "try:\n  curl http://%s/v1/entries\n  curl http://%s/v1/status\n", system.Entries()[0], system.Entries()[0])
+	address := system.Entries()[0].Settings().HTTPAddress
+	_, _ = fmt.Fprintf(writer, "try:\n  curl http://%s/v1/entries\n  curl http://%s/v1/status\n", address, address)
 	_, _ = fmt.Fprintf(writer, "  curl http://%s/v1/requests -d '{\"id\":\"%s\",\"kind\":\"%s.search\",\"timeout\":\"1s\",\"idempotent\":true}'\n",
-		system.Entries()[0], caller.NewRequestID(time.Now().Add(time.Hour)), deployment.Pools[0].Name)
+		address, caller.NewRequestID(time.Now().Add(time.Hour)), deployment.Pools[0].Name)
 	<-ctx.Done()
 }
--- a/internal/demo/demo_test.go
+++ b/internal/verb/demo_test.go
@@ -1,4 +1,4 @@
-package demo_test
+package verb_test
 
 import (
 	"bytes"
@@ -12,9 +12,9 @@
 	"gitlab.com/comfreythread/comfreythread/internal/verb"
 )
 
-func TestDemo(t *testing.T) {
+func TestVerb(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "demo")
+	ginkgo.RunSpecs(t, "verb")
 }
 
 var _ = ginkgo.DescribeTable("the demo answers rightly at the sizes of", func(deployment string) {
--- a/internal/verb/query.go
+++ b/internal/verb/query.go
@@ -57,7 +57,7 @@
 	if !json.Valid(request.Payload) {
 		return errors.Wrap(errUsage, "the payload isn't JSON; quote it for the shell")
 	}
-	answer, err := caller.NewEntryClient(command.String("address")).Send(ctx, request)
+	answer, err := caller.NewEntryClient(command.String("address"), nil).Send(ctx, request)
 	if err != nil {
 		return err
 	}
--- a/internal/verb/serve.go
+++ b/internal/verb/serve.go
@@ -29,11 +29,11 @@
 			if err != nil {
 				return err
 			}
-			listeners, err := process.Listen(ctx, loaded)
+			listeners, err := process.Listen(ctx, loaded, process.Network{})
 			if err != nil {
 				return err
 			}
-			app := process.New(loaded, listeners, logger, command.Root().Writer)
+			app := process.New(loaded, listeners, process.Network{}, logger, command.Root().Writer)
 			startContext, cancel := context.WithTimeout(ctx, process.StartTimeout)
 			defer cancel()
 			if err := app.Start(startContext); err != nil {
--- a/pkg/caller/entry_client.go
+++ b/pkg/caller/entry_client.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/go-faster/errors"
@@ -17,6 +18,7 @@
 
 const (
 	maximumAnswerBytes = 256 << 20
+	idleConnections    = 64
 )
 
 type (
@@ -28,9 +30,15 @@
 	}
 )
 
-// NewEntryClient returns a client for the entry at an IP:port.
-func NewEntryClient(address string) *EntryClient {
-	return &EntryClient{address: address}
+// NewEntryClient returns a client for the entry at an IP:port. A nil dial uses
+// the HTTP library's own.
+func NewEntryClient(address string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *EntryClient {
+	return &EntryClient{address: address, client: http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idleConnections}}}
+}
+
+// Close closes idle connections.
+func (entryClient *EntryClient) Close() {
+	entryClient.client.CloseIdleConnections()
 }
 
 // Send sends one request, once. The error is a *Refusal where the entry
