--- a/internal/blackboard/verdicts.go
+++ b/internal/blackboard/verdicts.go
@@ -1,5 +1,5 @@
 // This file exists so that a request that crashes targets is kept from the
-// remaining ones.
+// remaining ones, and requests that ran beside it are not.
 
 package blackboard
 
@@ -14,23 +14,56 @@
 	// StrikesToQuarantine is the number of targets lost under one request
 	// after which it is kept from all targets.
 	StrikesToQuarantine = 2
-	// QuarantineSpan is how long a request stays quarantined.
-	QuarantineSpan = 5 * time.Minute
+	// QuarantineSpan is how long a request stays quarantined the first time.
+	QuarantineSpan = time.Minute
+	// MaximumQuarantineSpan bounds how long, each time being longer than the
+	// one before.
+	MaximumQuarantineSpan = time.Hour
+	// quarantineGrowth is by how much each time is longer.
+	quarantineGrowth = 4
+	// strikeSpan is how long a strike counts.
+	strikeSpan = 5 * time.Minute
+	// offenceSpan is how long a quarantine that has ended is remembered.
+	offenceSpan = 2 * MaximumQuarantineSpan
+	// innocenceSpan is how long an answered run clears a request.
+	innocenceSpan = time.Minute
+	// maximumVerdicts bounds the table.
+	maximumVerdicts = 1 << 16
 )
 
 type (
 	// Fingerprint identifies the content of a request, whatever its ID.
 	Fingerprint uint64
 
-	// Verdicts holds the requests under which targets were lost.
+	// Verdict is what one entry tells the others of a request's content.
+	Verdict struct {
+		Fingerprint Fingerprint `msgpack:"f"`
+		// TargetID names a target that was lost under the request.
+		TargetID string `msgpack:"t"`
+		// Innocent states that a target has answered the request, in place of
+		// a loss.
+		Innocent bool `msgpack:"i"`
+	}
+
+	// Verdicts holds the requests under which targets were lost. A request
+	// that any target has answered of late is innocent, because one that
+	// crashes targets crashes each that runs it.
 	Verdicts struct {
-		lock    sync.Mutex
-		strikes map[Fingerprint]strikes
+		lock     sync.Mutex
+		suspects map[Fingerprint]*suspect
+		// answered holds the requests answered in this span of innocence and
+		// the one before.
+		answered, before map[Fingerprint]bool
+		turnedAt         time.Time
+		tell             func(Verdict)
 	}
 
-	strikes struct {
-		targets map[string]bool
-		until   time.Time
+	suspect struct {
+		targets  map[string]bool
+		struckAt time.Time
+		until    time.Time
+		// offences counts the quarantines so far.
+		offences int
 	}
 )
 
@@ -43,21 +76,92 @@
 	return Fingerprint(digest.Sum64())
 }
 
-// Strike records that a target was lost while it ran the request.
-func (verdicts *Verdicts) Strike(fingerprint Fingerprint, targetID string) {
+// Tell sets what spreads a verdict to the other entries. It is called without
+// a lock held and must not block.
+func (verdicts *Verdicts) Tell(tell func(Verdict)) {
 	verdicts.lock.Lock()
 	defer verdicts.lock.Unlock()
-	if verdicts.strikes == nil {
-		verdicts.strikes = map[Fingerprint]strikes{}
+	verdicts.tell = tell
+}
+
+// Strike records that a target was lost while it ran the request, and tells
+// the other entries.
+func (verdicts *Verdicts) Strike(fingerprint Fingerprint, targetID string) {
+	if verdicts.Take(Verdict{Fingerprint: fingerprint, TargetID: targetID}) {
+		verdicts.spread(Verdict{Fingerprint: fingerprint, TargetID: targetID})
+	}
+}
+
+// Answered records that a target has answered the request.
+func (verdicts *Verdicts) Answered(fingerprint Fingerprint) {
+	verdicts.lock.Lock()
+	verdicts.turn(time.Now())
+	verdicts.answered[fingerprint] = true
+	_, suspected := verdicts.suspects[fingerprint]
+	delete(verdicts.suspects, fingerprint)
+	verdicts.lock.Unlock()
+	if suspected {
+		verdicts.spread(Verdict{Fingerprint: fingerprint, Innocent: true})
+	}
+}
+
+// Take takes a verdict. It reports whether the verdict stands; one against a
+// request that is known to be innocent doesn't, and the others are told so.
+func (verdicts *Verdicts) Take(verdict Verdict) bool {
+	if verdict.Innocent {
+		verdicts.lock.Lock()
+		defer verdicts.lock.Unlock()
+		delete(verdicts.suspects, verdict.Fingerprint)
+		return true
+	}
+	if verdicts.strike(verdict) {
+		return true
 	}
+	verdicts.spread(Verdict{Fingerprint: verdict.Fingerprint, Innocent: true})
+	return false
+}
+
+func (verdicts *Verdicts) strike(verdict Verdict) bool {
+	verdicts.lock.Lock()
+	defer verdicts.lock.Unlock()
 	now := time.Now()
-	struck := verdicts.strikes[fingerprint]
-	if struck.targets == nil || !now.Before(struck.until) {
-		struck.targets = map[string]bool{}
+	verdicts.turn(now)
+	if verdicts.answered[verdict.Fingerprint] || verdicts.before[verdict.Fingerprint] {
+		return false
+	}
+	struck, known := verdicts.suspects[verdict.Fingerprint]
+	if !known {
+		verdicts.forget(now)
+		struck = &suspect{targets: map[string]bool{}}
+		if verdicts.suspects == nil {
+			verdicts.suspects = map[Fingerprint]*suspect{}
+		}
+		verdicts.suspects[verdict.Fingerprint] = struck
+	}
+	struck.add(verdict.TargetID, now)
+	return true
+}
+
+// add counts a strike. After a quarantine a single strike is enough.
+func (suspect *suspect) add(targetID string, now time.Time) {
+	if now.Before(suspect.until) {
+		return
+	}
+	if now.Sub(suspect.struckAt) > strikeSpan {
+		suspect.targets = map[string]bool{}
+	}
+	suspect.targets[targetID] = true
+	suspect.struckAt = now
+	if suspect.offences == 0 && len(suspect.targets) < StrikesToQuarantine {
+		return
 	}
-	struck.targets[targetID] = true
-	struck.until = now.Add(QuarantineSpan)
-	verdicts.strikes[fingerprint] = struck
+	span := QuarantineSpan
+	for range suspect.offences {
+		span = min(span*quarantineGrowth, MaximumQuarantineSpan)
+	}
+	suspect.offences++
+	suspect.until = now.Add(span)
+	suspect.targets = map[string]bool{}
 }
 
 // Quarantined returns for how long the request is kept from all targets, or
@@ -65,17 +169,55 @@
 func (verdicts *Verdicts) Quarantined(fingerprint Fingerprint) time.Duration {
 	verdicts.lock.Lock()
 	defer verdicts.lock.Unlock()
-	struck, known := verdicts.strikes[fingerprint]
+	struck, known := verdicts.suspects[fingerprint]
 	if !known {
 		return 0
 	}
-	left := time.Until(struck.until)
-	if left <= 0 {
-		delete(verdicts.strikes, fingerprint)
-		return 0
+	return max(0, time.Until(struck.until))
+}
+
+// Suspected reports whether a target was lost under the request of late and
+// none has answered it since, so that it must run at one target at a time.
+func (verdicts *Verdicts) Suspected(fingerprint Fingerprint) bool {
+	verdicts.lock.Lock()
+	defer verdicts.lock.Unlock()
+	struck, known := verdicts.suspects[fingerprint]
+	return known && !struck.stale(time.Now())
+}
+
+// stale reports whether nothing is held against the request any more.
+func (suspect *suspect) stale(now time.Time) bool {
+	if suspect.offences > 0 {
+		return now.Sub(suspect.until) > offenceSpan
 	}
-	if len(struck.targets) < StrikesToQuarantine {
-		return 0
+	return now.Sub(suspect.struckAt) > strikeSpan
+}
+
+// forget bounds the table. The lock is held.
+func (verdicts *Verdicts) forget(now time.Time) {
+	if len(verdicts.suspects) < maximumVerdicts {
+		return
+	}
+	for fingerprint, suspect := range verdicts.suspects {
+		if suspect.stale(now) || len(verdicts.suspects) >= maximumVerdicts {
+			delete(verdicts.suspects, fingerprint)
+		}
+	}
+}
+
+// turn begins a new span of innocence where the present one is over. The lock
+// is held.
+func (verdicts *Verdicts) turn(now time.Time) {
+	if verdicts.answered == nil || now.Sub(verdicts.turnedAt) > innocenceSpan || len(verdicts.answered) >= maximumVerdicts {
+		verdicts.before, verdicts.answered, verdicts.turnedAt = verdicts.answered, map[Fingerprint]bool{}, now
+	}
+}
+
+func (verdicts *Verdicts) spread(verdict Verdict) {
+	verdicts.lock.Lock()
+	tell := verdicts.tell
+	verdicts.lock.Unlock()
+	if tell != nil {
+		tell(verdict)
 	}
-	return left
 }
--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -4,10 +4,10 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -45,6 +45,8 @@
 		homes   *Homes
 		ledger  Ledger
 		metrics *metrics.Metrics
+
+		estimates Estimates
 	}
 )
 
@@ -85,10 +87,14 @@
 		return nil, refuse(caller.RefusedQuarantined, caller.NotRun, left,
 			"requests of this content have crashed targets", "change the request, or wait until the quarantine ends")
 	}
-	plan, known := coordinator.plan(route, request)
+	tables, _ := coordinator.board.InForce().Tables()
+	pool, _ := tables.Pool(route.Pool)
+	plan, known := coordinator.newPlan(coordinator.usable(route.Pool), request.ShardKey)
 	if !known {
-		return nil, refuse(caller.RefusedNoReplica, caller.NotRun, fencedRetryAfter,
+		refusal := refuse(caller.RefusedNoReplica, caller.NotRun, fencedRetryAfter,
 			fmt.Sprintf("no target of pool %q is known, so the number of shards isn't either", route.Pool), "start targets of the pool and try again")
+		refusal.Coverage = &caller.Coverage{}
+		return nil, refusal
 	}
 	once := !request.Idempotent || route.NeverRepeat
 	nonce := rand.Uint64()
@@ -97,7 +103,7 @@
 			return nil, refusal
 		}
 	}
-	fanOut := &fanOut{coordinator: coordinator, request: request, plan: plan, pool: route.Pool, fingerprint: uint64(fingerprint), nonce: nonce, deadline: deadline, once: once}
+	fanOut := &fanOut{coordinator: coordinator, request: request, plan: plan, pool: pool, fingerprint: fingerprint, nonce: nonce, deadline: deadline, once: once}
 	fanOut.run(ctx)
 	if once {
 		coordinator.record(ctx, request, nonce, fanOut.outcome())
@@ -129,26 +135,23 @@
 	return route, nil
 }
 
-func (coordinator *Coordinator) plan(route operator.Route, request *caller.Request) (*plan, bool) {
+// usable returns the announcements of a pool's targets that may get new work.
+func (coordinator *Coordinator) usable(pool string) []target.Announcement {
 	tables, _ := coordinator.board.InForce().Tables()
-	view := coordinator.board.Membership().View()
-	self, _ := view.Member(coordinator.self)
-	var usable []target.Announcement
-	for _, announcement := range coordinator.board.Directory().Pool(route.Pool) {
-		if announcement.State != target.Leaving && !tables.Out(announcement.FailureDomain) {
-			usable = append(usable, announcement)
-		}
-	}
-	return newPlan(usable, request.ShardKey, func(a, b *target.Announcement) int {
-		return cmp.Compare(distance(a, self.FailureDomain), distance(b, self.FailureDomain))
+	announcements := coordinator.board.Directory().Pool(pool)
+	return slices.DeleteFunc(announcements, func(announcement target.Announcement) bool {
+		return announcement.State == target.Leaving || tables.Out(announcement.FailureDomain)
 	})
 }
 
-func distance(announcement *target.Announcement, failureDomain string) int {
-	if announcement.FailureDomain == failureDomain {
-		return 0
+func (coordinator *Coordinator) newPlan(usable []target.Announcement, shardKey string) (*plan, bool) {
+	view := coordinator.board.Membership().View()
+	self, _ := view.Member(coordinator.self)
+	made, known := newPlan(usable, shardKey)
+	if known {
+		made.failureDomain = self.FailureDomain
 	}
-	return 1
+	return made, known
 }
 
 func (coordinator *Coordinator) takeRunRight(ctx context.Context, request *caller.Request, nonce uint64) *caller.Refusal {
--- a/internal/entry/fan_out.go
+++ b/internal/entry/fan_out.go
@@ -4,25 +4,22 @@
 package entry
 
 import (
+	"container/heap"
 	"context"
-	"fmt"
-	"slices"
+	"strconv"
 	"time"
 
-	"github.com/go-faster/errors"
-
+	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
 	"gitlab.com/comfreythread/comfreythread/internal/membership"
 	"gitlab.com/comfreythread/comfreythread/internal/target"
 	"gitlab.com/comfreythread/comfreythread/pkg/caller"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
 const (
-	// hedgeDelay is the span after which a shard without an answer gets a
-	// hedge.
-	hedgeDelay = 20 * time.Millisecond
-	// refusalRetryAfter is the span that a refusal names where no target
-	// named one.
-	refusalRetryAfter = 200 * time.Millisecond
+	// movingPause is the span after which a target that was moving between
+	// homes is tried again; it doubles each time.
+	movingPause = 20 * time.Millisecond
 )
 
 type (
@@ -31,8 +28,8 @@
 		coordinator *Coordinator
 		request     *caller.Request
 		plan        *plan
-		pool        string
-		fingerprint uint64
+		pool        operator.Pool
+		fingerprint blackboard.Fingerprint
 		nonce       uint64
 		deadline    time.Time
 		// once states that each shard is attempted at most once.
@@ -41,25 +38,43 @@
 		shards   []*shardProgress
 		attempts map[string]*attemptProgress
 		reports  chan *Report
-		sent     int
+		// timers holds when something is due, the earliest first.
+		timers timerQueue
+		// held holds the shards that wait until the request is cleared of the
+		// loss of a target.
+		held []*shardProgress
+		// inFlight counts the attempts without a report, and unfinished the
+		// shards that may still get an answer.
+		inFlight, unfinished int
+		sent                 int
+		hedgeDelay           time.Duration
+		cleared              bool
+		// givenUp counts the shards that get no answer.
+		givenUp int
+		// ran states that a target answered or may have run an attempt of any
+		// snapshot.
+		ran       bool
+		replanned int
+		// unserved holds the targets that shed the present snapshot.
+		unserved map[snapshotOf]bool
 	}
 
-	// shardProgress is the progress of one shard.
-	shardProgress struct {
-		plan    shardPlan
-		next    int
-		pending int
-		// runs counts the attempts that ran or may have run.
-		runs   int
-		part   *caller.Part
-		reason caller.MissingReason
-		lost   bool
-		retry  time.Duration
+	attemptProgress struct {
+		id     string
+		shard  *shardProgress
+		target string
+		home   membership.Member
+		why    target.Why
+		sentAt time.Time
+		// generation is that of the shard when the attempt was sent.
+		generation int
+		resolved   bool
 	}
 
-	attemptProgress struct {
-		shard    *shardProgress
-		targetID string
+	// outgoing gathers the attempts that are sent together.
+	outgoing struct {
+		batches map[string]*Batch
+		homes   map[string]membership.Member
 	}
 )
 
@@ -68,63 +83,48 @@
 func (fanOut *fanOut) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	fanOut.attempts = map[string]*attemptProgress{}
-	fanOut.reports = make(chan *Report, len(fanOut.plan.shards))
-	for _, shardPlan := range fanOut.plan.shards {
-		fanOut.shards = append(fanOut.shards, &shardProgress{plan: shardPlan, reason: caller.MissingNoReplica})
-	}
-	fanOut.send(ctx, fanOut.shards, false)
-	hedge := time.NewTimer(hedgeDelay)
-	defer hedge.Stop()
-	for fanOut.pending() > 0 {
+	defer fanOut.abandonAll()
+	fanOut.start(ctx)
+	timer := time.NewTimer(time.Until(fanOut.deadline))
+	defer timer.Stop()
+	for fanOut.unfinished > 0 && !fanOut.hopeless() {
+		timer.Reset(fanOut.untilDue())
 		select {
 		case <-ctx.Done():
-			fanOut.abandon()
 			return
 		case report := <-fanOut.reports:
 			fanOut.take(ctx, report)
-		case <-hedge.C:
-			fanOut.hedge(ctx)
+		case <-timer.C:
+			fanOut.due(ctx)
 		}
 	}
 }
 
-// pending counts the attempts whose shard still lacks an answer.
-func (fanOut *fanOut) pending() int {
-	pending := 0
-	for _, shard := range fanOut.shards {
-		if shard.part == nil {
-			pending += shard.pending
-		}
+// start sends the first attempts: one for each shard, or a single one where a
+// target was lost under an earlier sending of the same content.
+func (fanOut *fanOut) start(ctx context.Context) {
+	fanOut.attempts = make(map[string]*attemptProgress, len(fanOut.plan.shards))
+	fanOut.reports = make(chan *Report, len(fanOut.plan.shards))
+	fanOut.unserved = map[snapshotOf]bool{}
+	for _, shardPlan := range fanOut.plan.shards {
+		fanOut.shards = append(fanOut.shards, &shardProgress{plan: shardPlan, reason: caller.MissingNoReplica})
 	}
-	return pending
+	fanOut.unfinished = len(fanOut.shards)
+	estimates := &fanOut.coordinator.estimates
+	estimates.earn(&fanOut.pool, len(fanOut.shards))
+	fanOut.hedgeDelay = estimates.hedgeDelay(&fanOut.pool)
+	fanOut.advanceAll(ctx, fanOut.shards, target.First)
 }
 
-// send gives each of the shards one more attempt, in one batch for each home.
-func (fanOut *fanOut) send(ctx context.Context, shards []*shardProgress, hedge bool) {
-	batches := map[string]*Batch{}
-	homes := map[string]membership.Member{}
+// advanceAll gives each of the shards one more attempt, in one batch for each
+// home.
+func (fanOut *fanOut) advanceAll(ctx context.Context, shards []*shardProgress, why target.Why) {
+	gathered := &outgoing{batches: map[string]*Batch{}, homes: map[string]membership.Member{}}
 	for _, shard := range shards {
-		announcement, home, found := fanOut.nextCandidate(shard)
-		if !found {
-			continue
-		}
-		batch, known := batches[home.ID]
-		if !known {
-			batch = fanOut.newBatch()
-			batches[home.ID], homes[home.ID] = batch, home
-		}
-		fanOut.sent++
-		attemptID := fmt.Sprintf("%016x-%d-%d", fanOut.nonce, shard.plan.shard, fanOut.sent)
-		shard.pending++
-		fanOut.attempts[attemptID] = &attemptProgress{shard: shard, targetID: announcement}
-		batch.Attempts = append(batch.Attempts, BatchItem{
-			AttemptID: attemptID, TargetID: announcement, Shard: shard.plan.shard,
-			IndexVersion: fanOut.plan.snapshot.IndexVersion, Hedge: hedge,
-		})
+		fanOut.advance(gathered, shard, why)
 	}
-	for id, batch := range batches {
-		go fanOut.coordinator.homes.Run(ctx, homes[id], batch, func(report *Report) {
+	for id, batch := range gathered.batches {
+		go fanOut.coordinator.homes.Run(ctx, gathered.homes[id], batch, func(report *Report) {
 			select {
 			case fanOut.reports <- report:
 			case <-ctx.Done():
@@ -133,27 +133,84 @@
 	}
 }
 
-// nextCandidate returns the shard's next target that has a home, if the
-// allowed runs permit one more.
-func (fanOut *fanOut) nextCandidate(shard *shardProgress) (string, membership.Member, bool) {
-	if shard.runs+shard.pending >= fanOut.request.AllowedRuns() || fanOut.once && shard.pending > 0 {
-		return "", membership.Member{}, false
-	}
-	for shard.next < len(shard.plan.candidates) {
-		announcement := shard.plan.candidates[shard.next]
-		shard.next++
-		home, found := fanOut.coordinator.board.HomeOf(&announcement)
-		if found {
-			return announcement.ID, home, true
-		}
+// advance gives a shard one more attempt, or gives it up where it can get
+// none and waits for none.
+func (fanOut *fanOut) advance(gathered *outgoing, shard *shardProgress, why target.Why) {
+	if shard.done {
+		return
+	}
+	if fanOut.mustHold(shard) {
+		return
 	}
-	return "", membership.Member{}, false
+	if fanOut.quarantined() {
+		shard.reason = caller.MissingQuarantined
+		fanOut.giveUpIdle(shard)
+		return
+	}
+	candidate, found := fanOut.choose(shard, why)
+	if !found {
+		fanOut.giveUpIdle(shard)
+		return
+	}
+	if !fanOut.coordinator.estimates.spend(fanOut.pool.Name, why) {
+		fanOut.giveUpIdle(shard)
+		return
+	}
+	fanOut.add(gathered, shard, candidate, why)
+}
+
+// mustHold holds a shard back while the request is suspected of crashing
+// targets and one of its attempts may still clear it.
+func (fanOut *fanOut) mustHold(shard *shardProgress) bool {
+	if fanOut.cleared || fanOut.inFlight == 0 || !fanOut.coordinator.board.Verdicts().Suspected(fanOut.fingerprint) {
+		return false
+	}
+	if shard.pending == 0 && !shard.held {
+		shard.held = true
+		fanOut.held = append(fanOut.held, shard)
+	}
+	return true
 }
 
-func (fanOut *fanOut) newBatch() *Batch {
+func (fanOut *fanOut) quarantined() bool {
+	return fanOut.coordinator.board.Verdicts().Quarantined(fanOut.fingerprint) > 0
+}
+
+func (fanOut *fanOut) add(gathered *outgoing, shard *shardProgress, chosen candidate, why target.Why) {
+	batch, known := gathered.batches[chosen.home.ID]
+	if !known {
+		batch = fanOut.newBatch(chosen.home.ID)
+		gathered.batches[chosen.home.ID], gathered.homes[chosen.home.ID] = batch, chosen.home
+	}
+	fanOut.sent++
+	fanOut.inFlight++
+	shard.pending++
+	shard.tried[chosen.target] = true
+	attempt := &attemptProgress{
+		id:    strconv.FormatUint(fanOut.nonce, 16) + "-" + strconv.Itoa(shard.plan.shard) + "-" + strconv.Itoa(fanOut.sent),
+		shard: shard, target: chosen.target, home: chosen.home, why: why, sentAt: time.Now(), generation: shard.generation,
+	}
+	fanOut.attempts[attempt.id] = attempt
+	shard.latest = attempt
+	fanOut.coordinator.estimates.sent(attempt.target, attempt.home.ID)
+	if !fanOut.once {
+		late := attempt.sentAt.Add(fanOut.hedgeDelay + fanOut.coordinator.estimates.roundTrip(attempt.home.ID))
+		heap.Push(&fanOut.timers, dueTimer{at: late, attempt: attempt})
+	}
+	batch.Attempts = append(batch.Attempts, BatchItem{
+		AttemptID: attempt.id, TargetID: chosen.target, Shard: shard.plan.shard,
+		IndexVersion: fanOut.plan.snapshot.IndexVersion, Why: why, Fresh: chosen.fresh,
+	})
+}
+
+// newBatch leaves the time of the way to the home and back out of the time
+// that the home has.
+func (fanOut *fanOut) newBatch(homeID string) *Batch {
+	remaining := time.Until(fanOut.deadline) - fanOut.coordinator.estimates.roundTrip(homeID)
 	return &Batch{
 		RequestID: string(fanOut.request.ID), Kind: fanOut.request.Kind, Payload: fanOut.request.Payload,
-		Fingerprint: fanOut.fingerprint, Timeout: time.Until(fanOut.deadline), Layout: fanOut.plan.snapshot.Layout,
+		Fingerprint: uint64(fanOut.fingerprint), Timeout: max(0, remaining), Layout: fanOut.plan.snapshot.Layout,
+		SuspectAfter: fanOut.hedgeDelay,
 	}
 }
 
@@ -163,119 +220,166 @@
 		return
 	}
 	delete(fanOut.attempts, report.AttemptID)
+	attempt.resolved = true
+	fanOut.inFlight--
 	shard := attempt.shard
 	shard.pending--
+	fanOut.coordinator.estimates.reported(fanOut.pool.Name, attempt.target, attempt.home.ID, attempt.sentAt, report)
 	switch outcome := report.outcome().(type) {
 	case target.Answered:
 		shard.runs++
-		fanOut.answer(shard, attempt.targetID, &outcome)
+		fanOut.ran = true
+		fanOut.answer(attempt, &outcome)
 	case target.NotRun:
-		shard.reason, shard.retry = outcome.Reason, outcome.RetryAfter
-		fanOut.send(ctx, []*shardProgress{shard}, false)
+		fanOut.notRun(ctx, attempt, &outcome)
 	case target.Lost:
 		shard.runs++
-		shard.reason, shard.lost = outcome.Reason, true
-		if !fanOut.once {
-			fanOut.send(ctx, []*shardProgress{shard}, false)
-		}
+		fanOut.ran = true
+		fanOut.lost(ctx, attempt, &outcome)
 	}
+	if shard.idle() {
+		fanOut.advanceAll(ctx, []*shardProgress{shard}, target.First)
+	}
+	fanOut.releaseHeld(ctx)
 }
 
-func (fanOut *fanOut) answer(shard *shardProgress, targetID string, answered *target.Answered) {
+func (fanOut *fanOut) answer(attempt *attemptProgress, answered *target.Answered) {
+	if !fanOut.cleared {
+		fanOut.cleared = true
+		fanOut.coordinator.board.Verdicts().Answered(fanOut.fingerprint)
+	}
+	shard := attempt.shard
 	if shard.part != nil || answered.Result.IndexVersion != fanOut.plan.snapshot.IndexVersion || answered.Result.Layout != fanOut.plan.snapshot.Layout {
 		return
 	}
-	shard.part = &caller.Part{Shard: shard.plan.shard, Target: targetID, Payload: answered.Result.Payload}
+	shard.part = &caller.Part{Shard: shard.plan.shard, Target: attempt.target, Payload: answered.Result.Payload}
+	if !shard.done {
+		shard.done = true
+		fanOut.unfinished--
+	}
+	fanOut.cancelLosers(shard)
 }
 
-func (fanOut *fanOut) hedge(ctx context.Context) {
-	if fanOut.once {
+// cancelLosers drops the attempts that lost against an answer. The answer's
+// own attempt is no longer among them.
+func (fanOut *fanOut) cancelLosers(shard *shardProgress) {
+	if shard.pending == 0 {
 		return
 	}
-	var late []*shardProgress
-	for _, shard := range fanOut.shards {
-		if shard.part == nil && shard.pending > 0 {
-			late = append(late, shard)
+	for id, attempt := range fanOut.attempts {
+		if attempt.shard == shard {
+			fanOut.coordinator.homes.Cancel(attempt.home, &Cancellation{AttemptIDs: []string{id}})
 		}
 	}
-	fanOut.send(ctx, late, true)
 }
 
-// abandon gives up on all attempts in progress; each may have run.
-func (fanOut *fanOut) abandon() {
-	for _, shard := range fanOut.shards {
-		if shard.part == nil && shard.pending > 0 {
-			shard.lost, shard.reason = true, caller.MissingDeadline
-		}
+func (fanOut *fanOut) notRun(ctx context.Context, attempt *attemptProgress, outcome *target.NotRun) {
+	shard := attempt.shard
+	if shard.done || attempt.generation != shard.generation {
+		return
+	}
+	shard.reason, shard.retry = outcome.Reason, outcome.RetryAfter
+	switch {
+	case outcome.Reason == caller.MissingVersion:
+		fanOut.unserved[snapshotOf{attempt.target, fanOut.plan.snapshot}] = true
+		fanOut.replan(ctx)
+		fanOut.advanceAll(ctx, []*shardProgress{shard}, target.First)
+	case outcome.Moving:
+		fanOut.park(attempt)
+	case outcome.Reason == caller.MissingOverloaded:
+		fanOut.advanceAll(ctx, []*shardProgress{shard}, target.Retry)
+	default:
+		fanOut.advanceAll(ctx, []*shardProgress{shard}, target.First)
 	}
 }
 
-// outcome says what is certain about the run of the whole request.
-func (fanOut *fanOut) outcome() caller.RunOutcome {
-	outcome := caller.NotRun
-	for _, shard := range fanOut.shards {
-		if shard.part == nil && shard.lost {
-			return caller.MayHaveRun
-		}
-		if shard.part != nil {
-			outcome = caller.DidRun
-		}
+// park tries a shard again soon, because its target is moving between homes.
+func (fanOut *fanOut) park(attempt *attemptProgress) {
+	shard := attempt.shard
+	pause := movingPause << min(shard.parked, 6)
+	shard.parked++
+	shard.waits = true
+	heap.Push(&fanOut.timers, dueTimer{at: time.Now().Add(pause), again: attempt})
+}
+
+func (fanOut *fanOut) lost(ctx context.Context, attempt *attemptProgress, outcome *target.Lost) {
+	shard := attempt.shard
+	shard.lost = true
+	if outcome.Broken {
+		shard.losses++
+		fanOut.coordinator.board.Verdicts().Take(blackboard.Verdict{Fingerprint: fanOut.fingerprint, TargetID: attempt.target})
+	}
+	if shard.done || attempt.generation != shard.generation {
+		return
 	}
-	return outcome
+	shard.reason = outcome.Reason
+	fanOut.advanceAll(ctx, []*shardProgress{shard}, target.Retry)
 }
 
-// conclude makes the answer, or the refusal where there is none to give.
-func (fanOut *fanOut) conclude(ctx context.Context) (*caller.Answer, *caller.Refusal) {
-	answer := &caller.Answer{
-		RequestID: fanOut.request.ID, Snapshot: fanOut.plan.snapshot, Run: fanOut.outcome(), Attempts: fanOut.sent, Parts: []caller.Part{},
-	}
-	answer.Coverage = caller.Coverage{Known: true, Total: len(fanOut.shards)}
-	for _, shard := range fanOut.shards {
-		if shard.part != nil {
-			answer.Coverage.Answered++
-			answer.Parts = append(answer.Parts, *shard.part)
-			continue
-		}
-		answer.Coverage.Missing = append(answer.Coverage.Missing, caller.MissingShard{Shard: shard.plan.shard, Reason: shard.reason})
+// releaseHeld lets held shards go on once the request is cleared, or one of
+// them alone where nothing else is left that could clear it.
+func (fanOut *fanOut) releaseHeld(ctx context.Context) {
+	if len(fanOut.held) == 0 || !fanOut.cleared && fanOut.inFlight > 0 {
+		return
 	}
-	answer.Coverage.Complete = answer.Coverage.Answered == answer.Coverage.Total
-	if answer.Coverage.Answered > 0 && answer.Coverage.Share() >= fanOut.request.MinimumCoverage {
-		return answer, nil
+	held := fanOut.held
+	fanOut.held = nil
+	for _, shard := range held {
+		shard.held = false
+	}
+	for _, shard := range held {
+		why := target.Retry
+		if shard.runs == 0 {
+			why = target.First
+		}
+		fanOut.advanceAll(ctx, []*shardProgress{shard}, why)
 	}
-	return nil, fanOut.refusal(ctx, answer)
 }
 
-func (fanOut *fanOut) refusal(ctx context.Context, answer *caller.Answer) *caller.Refusal {
-	kind := caller.RefusedCoverage
-	if answer.Coverage.Answered == 0 {
-		kind = refusalKind(ctx, answer.Coverage.Missing)
-	}
-	retryAfter := refusalRetryAfter
-	for _, shard := range fanOut.shards {
-		retryAfter = max(retryAfter, shard.retry)
-	}
-	refusal := refuse(kind, answer.Run, retryAfter, "too few shards answered", "send the request again after the named span, or ask for less coverage")
-	refusal.Coverage = &answer.Coverage
-	return refusal
+// untilDue returns the span until something is due.
+func (fanOut *fanOut) untilDue() time.Duration {
+	if len(fanOut.timers) == 0 {
+		return time.Until(fanOut.deadline)
+	}
+	return time.Until(fanOut.timers[0].at)
 }
 
-// refusalKind names the reason that most missing shards share.
-func refusalKind(ctx context.Context, missing []caller.MissingShard) caller.RefusalKind {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return caller.RefusedCancelled
+// due hedges attempts that are late and tries parked shards again.
+func (fanOut *fanOut) due(ctx context.Context) {
+	now := time.Now()
+	var late []*shardProgress
+	for len(fanOut.timers) > 0 && !fanOut.timers[0].at.After(now) {
+		timer, _ := heap.Pop(&fanOut.timers).(dueTimer)
+		if again := timer.again; again != nil {
+			delete(again.shard.tried, again.target)
+			again.shard.waits = false
+			fanOut.advanceAll(ctx, []*shardProgress{again.shard}, target.First)
+			continue
+		}
+		attempt := timer.attempt
+		if !attempt.resolved && !attempt.shard.done && attempt == attempt.shard.latest {
+			late = append(late, attempt.shard)
+		}
 	}
-	has := func(reason caller.MissingReason) bool {
-		return slices.ContainsFunc(missing, func(missingShard caller.MissingShard) bool { return missingShard.Reason == reason })
+	if len(late) == 0 {
+		return
+	}
+	fanOut.advanceAll(ctx, late, target.Hedge)
+	for _, shard := range late {
+		if !shard.done && shard.latest.sentAt.Before(now) && shard.pending > 0 {
+			// The budget had nothing left; it may have later.
+			heap.Push(&fanOut.timers, dueTimer{at: now.Add(fanOut.hedgeDelay), attempt: shard.latest})
+		}
+	}
+}
+
+// abandonAll ends the wait for all attempts in progress; each may have run.
+func (fanOut *fanOut) abandonAll() {
+	for _, attempt := range fanOut.attempts {
+		fanOut.ran = true
+		fanOut.coordinator.estimates.abandoned(fanOut.pool.Name, attempt.target, attempt.home.ID, attempt.sentAt)
+		if shard := attempt.shard; shard.part == nil {
+			shard.lost, shard.reason = true, caller.MissingDeadline
+		}
 	}
-	switch {
-	case has(caller.MissingQuarantined):
-		return caller.RefusedQuarantined
-	case has(caller.MissingLost):
-		return caller.RefusedLost
-	case has(caller.MissingDeadline):
-		return caller.RefusedDeadline
-	case has(caller.MissingOverloaded):
-		return caller.RefusedOverloaded
-	}
-	return caller.RefusedNoReplica
 }
--- a/internal/entry/homes.go
+++ b/internal/entry/homes.go
@@ -9,12 +9,22 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
+	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
 	"gitlab.com/comfreythread/comfreythread/internal/membership"
 	"gitlab.com/comfreythread/comfreythread/internal/target"
 	"gitlab.com/comfreythread/comfreythread/internal/tcp"
 	"gitlab.com/comfreythread/comfreythread/pkg/caller"
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
+)
+
+const (
+	// cancelTimeout bounds the sending of a cancellation.
+	cancelTimeout = time.Second
 )
 
 type (
@@ -27,9 +37,11 @@
 
 	// Homes sends batches to the homes of their targets.
 	Homes struct {
-		self  string
-		home  *target.Home
-		peers *Peers
+		self     string
+		board    *blackboard.Board
+		home     *target.Home
+		peers    *Peers
+		inFlight inFlight
 	}
 )
 
@@ -60,8 +72,8 @@
 }
 
 // NewHomes returns the sender of the entry with the given ID.
-func NewHomes(self string, home *target.Home, peers *Peers) *Homes {
-	return &Homes{self: self, home: home, peers: peers}
+func NewHomes(self string, board *blackboard.Board, home *target.Home, peers *Peers) *Homes {
+	return &Homes{self: self, board: board, home: home, peers: peers}
 }
 
 // Register offers this entry's home role to other entries.
@@ -70,6 +82,17 @@
 		homes.runHere(ctx, batch, func(report *Report) { _ = send(report) })
 		return nil
 	})
+	frame.Handle(server, MethodCancel, func(_ context.Context, cancellation *Cancellation) (*Empty, error) {
+		homes.cancelHere(cancellation)
+		return &Empty{}, nil
+	})
+	homes.registerVerdicts(server)
+}
+
+// Reachable reports whether a batch can be sent to a home without waiting for
+// a connection that has failed.
+func (homes *Homes) Reachable(home *membership.Member) bool {
+	return home.ID == homes.self || homes.peers.Client(home.PeerAddress).Reachable()
 }
 
 // Run sends a batch to a home and hands on a report for each attempt. It
@@ -79,7 +102,7 @@
 		homes.runHere(ctx, batch, receive)
 		return
 	}
-	waiting := map[string]bool{}
+	waiting := make(map[string]bool, len(batch.Attempts))
 	for _, item := range batch.Attempts {
 		waiting[item.AttemptID] = true
 	}
@@ -90,33 +113,71 @@
 		}
 	})
 	for attemptID := range waiting {
-		receive(newReport(attemptID, unreported(err)))
+		report := newReport(attemptID, unreported(err))
+		report.unreachable = true
+		receive(report)
 	}
 }
 
-// unreported says what became of an attempt whose home sent no report.
+// Cancel drops attempts at a home. It doesn't wait for the home.
+func (homes *Homes) Cancel(home membership.Member, cancellation *Cancellation) {
+	if home.ID == homes.self {
+		homes.cancelHere(cancellation)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_, _ = frame.Call[Cancellation, Empty](ctx, homes.peers.Client(home.PeerAddress), MethodCancel, cancellation)
+	}()
+}
+
+// unreported says what became of an attempt whose home sent no report. A
+// fault in place of a report states that the batch was not taken.
 func unreported(err error) target.Outcome {
-	if errors.Is(err, frame.ErrNotSent) {
+	var refused *fault.Error
+	if errors.Is(err, frame.ErrNotSent) || errors.As(err, &refused) {
 		return target.NotRun{Reason: caller.MissingNoReplica}
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
 		return target.Lost{Reason: caller.MissingDeadline}
 	}
 	return target.Lost{Reason: caller.MissingLost}
 }
 
+func (homes *Homes) cancelHere(cancellation *Cancellation) {
+	for _, attemptID := range cancellation.AttemptIDs {
+		homes.inFlight.cancel(attemptID)
+	}
+}
+
 func (homes *Homes) runHere(ctx context.Context, batch *Batch, receive func(*Report)) {
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "home batch", trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(attribute.Int("comfreythread.attempts", len(batch.Attempts))))
+	defer span.End()
 	deadline := time.Now().Add(batch.Timeout)
 	var lock sync.Mutex
 	var running sync.WaitGroup
 	for index := range batch.Attempts {
-		item := &batch.Attempts[index]
 		running.Go(func() {
-			outcome := homes.home.Run(ctx, batch.attempt(item, deadline))
+			report := homes.runOne(ctx, batch, &batch.Attempts[index], deadline)
 			lock.Lock()
 			defer lock.Unlock()
-			receive(newReport(item.AttemptID, outcome))
+			receive(report)
 		})
 	}
 	running.Wait()
 }
+
+func (homes *Homes) runOne(ctx context.Context, batch *Batch, item *BatchItem, deadline time.Time) *Report {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !homes.inFlight.begin(item.AttemptID, deadline, cancel) {
+		return newReport(item.AttemptID, target.Lost{Reason: caller.MissingLost})
+	}
+	start := time.Now()
+	report := newReport(item.AttemptID, homes.home.Run(ctx, batch.attempt(item, deadline)))
+	report.Elapsed = time.Since(start)
+	report.Load = homes.home.Load(item.TargetID)
+	return report
+}
--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -14,9 +14,11 @@
 const (
 	// MethodRun runs a batch of attempts at the targets of one home.
 	MethodRun = "entry.run"
+	// MethodCancel drops attempts of a batch.
+	MethodCancel = "entry.cancel"
 	// MethodAnnounce spreads announcements to another entry.
 	MethodAnnounce = "entry.announce"
-	// MethodStrike spreads the loss of a target to another entry.
+	// MethodStrike spreads verdicts on requests to another entry.
 	MethodStrike = "entry.strike"
 
 	reportAnswered reportKind = "answered"
@@ -36,16 +38,26 @@
 		Fingerprint uint64        `msgpack:"f"`
 		Timeout     time.Duration `msgpack:"d"`
 		Layout      string        `msgpack:"l"`
-		Attempts    []BatchItem   `msgpack:"a"`
+		// SuspectAfter is the span without a byte from a target after which
+		// the connection to it counts as suspect.
+		SuspectAfter time.Duration `msgpack:"s"`
+		Attempts     []BatchItem   `msgpack:"a"`
 	}
 
 	// BatchItem is one attempt of a Batch.
 	BatchItem struct {
-		AttemptID    string `msgpack:"a"`
-		TargetID     string `msgpack:"t"`
-		Shard        int    `msgpack:"s"`
-		IndexVersion uint64 `msgpack:"v"`
-		Hedge        bool   `msgpack:"h"`
+		AttemptID    string     `msgpack:"a"`
+		TargetID     string     `msgpack:"t"`
+		Shard        int        `msgpack:"s"`
+		IndexVersion uint64     `msgpack:"v"`
+		Why          target.Why `msgpack:"h"`
+		// Fresh asks for a new connection to the target.
+		Fresh bool `msgpack:"f,omitempty"`
+	}
+
+	// Cancellation drops attempts that are no longer waited for.
+	Cancellation struct {
+		AttemptIDs []string `msgpack:"a"`
 	}
 
 	// Report says what became of one attempt.
@@ -55,6 +67,16 @@
 		Result     *targetapi.Result    `msgpack:"r,omitempty"`
 		Reason     caller.MissingReason `msgpack:"w,omitempty"`
 		RetryAfter time.Duration        `msgpack:"t,omitempty"`
+		// Moving states that the target is moving between homes.
+		Moving bool `msgpack:"m,omitempty"`
+		// Broken states that the target's connection broke under the run.
+		Broken bool `msgpack:"b,omitempty"`
+		// Elapsed is the time that the attempt spent at its home.
+		Elapsed time.Duration `msgpack:"e"`
+		Load    target.Load   `msgpack:"o"`
+
+		// unreachable states that the home didn't report at all.
+		unreachable bool
 	}
 
 	// Announcements spreads what targets announced.
@@ -62,12 +84,6 @@
 		Announcements []targetapi.Announcement `msgpack:"a"`
 	}
 
-	// Strike tells that a target was lost under a request.
-	Strike struct {
-		Fingerprint uint64 `msgpack:"f"`
-		TargetID    string `msgpack:"t"`
-	}
-
 	// Empty is a message without content.
 	Empty struct{}
 )
@@ -77,7 +93,10 @@
 	return &target.Attempt{
 		TargetID:    item.TargetID,
 		Fingerprint: batch.Fingerprint,
-		Hedge:       item.Hedge,
+		Why:         item.Why,
+		Fresh:       item.Fresh,
+
+		SuspectAfter: batch.SuspectAfter,
 		Run: targetapi.Run{
 			RequestID:    batch.RequestID,
 			AttemptID:    item.AttemptID,
@@ -102,9 +121,11 @@
 		report.Kind = reportNotRun
 		report.Reason = outcome.Reason
 		report.RetryAfter = outcome.RetryAfter
+		report.Moving = outcome.Moving
 	case target.Lost:
 		report.Kind = reportLost
 		report.Reason = outcome.Reason
+		report.Broken = outcome.Broken
 	}
 	return report
 }
@@ -118,9 +139,9 @@
 			return target.Answered{Result: *report.Result}
 		}
 	case reportNotRun:
-		return target.NotRun{Reason: report.Reason, RetryAfter: report.RetryAfter}
+		return target.NotRun{Reason: report.Reason, RetryAfter: report.RetryAfter, Moving: report.Moving}
 	case reportLost:
-		return target.Lost{Reason: report.Reason}
+		return target.Lost{Reason: report.Reason, Broken: report.Broken}
 	}
 	return target.Lost{Reason: caller.MissingLost}
 }
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -21,6 +21,8 @@
 		// total is the number of shards in the layout.
 		total  int
 		shards []shardPlan
+		// failureDomain is that of this entry.
+		failureDomain string
 	}
 
 	shardPlan struct {
@@ -32,26 +34,30 @@
 	snapshotTally struct {
 		snapshot caller.Snapshot
 		total    int
-		shards   map[int]bool
+		// replicas counts the targets that serve each shard.
+		replicas map[int]int
 	}
 )
 
-// newPlan chooses the snapshot that covers the most shards, the newest of
-// equals, and lists the candidates for each shard. It returns false where no
+// newPlan chooses the snapshot that covers the most shards; of equals the one
+// that most shards hold twice, so that an index version that is only just
+// arriving doesn't get all the load, and then the newest. It lists the
+// candidates for each shard. It returns false where no
 // target is known, so that the number of shards is unknown too.
-func newPlan(announcements []target.Announcement, shardKey string, prefer func(a, b *target.Announcement) int) (*plan, bool) {
+func newPlan(announcements []target.Announcement, shardKey string) (*plan, bool) {
 	tally, found := bestSnapshot(announcements)
 	if !found {
 		return nil, false
 	}
 	chosen := &plan{snapshot: tally.snapshot, total: tally.total}
+	candidates := candidatesOf(announcements, tally.snapshot)
 	for shard := range tally.total {
 		if shardKey != "" && shard != shardOf(shardKey, tally.total) {
 			continue
 		}
 		chosen.shards = append(chosen.shards, shardPlan{
 			shard:      shard,
-			candidates: candidates(announcements, tally.snapshot, shard, prefer),
+			candidates: candidates[shard],
 		})
 	}
 	return chosen, true
@@ -70,10 +76,10 @@
 			snapshot := caller.Snapshot{IndexVersion: indexVersion, Layout: announcement.Layout}
 			tally, known := tallies[snapshot]
 			if !known {
-				tally = &snapshotTally{snapshot: snapshot, total: announcement.Shards, shards: map[int]bool{}}
+				tally = &snapshotTally{snapshot: snapshot, total: announcement.Shards, replicas: map[int]int{}}
 				tallies[snapshot] = tally
 			}
-			tally.shards[announcement.Shard] = true
+			tally.replicas[announcement.Shard]++
 		}
 	}
 	var best *snapshotTally
@@ -86,25 +92,37 @@
 }
 
 func (snapshotTally *snapshotTally) better(other *snapshotTally) bool {
-	share := len(snapshotTally.shards) * other.total
-	otherShare := len(other.shards) * snapshotTally.total
 	return cmp.Or(
-		cmp.Compare(share, otherShare),
+		cmp.Compare(snapshotTally.share(1), other.share(1)),
+		cmp.Compare(snapshotTally.share(2), other.share(2)),
 		cmp.Compare(snapshotTally.snapshot.IndexVersion, other.snapshot.IndexVersion),
 		cmp.Compare(snapshotTally.snapshot.Layout, other.snapshot.Layout),
 	) > 0
 }
 
-func candidates(announcements []target.Announcement, snapshot caller.Snapshot, shard int, prefer func(a, b *target.Announcement) int) []target.Announcement {
-	var found []target.Announcement
+// share returns the share of shards that at least so many targets serve.
+func (snapshotTally *snapshotTally) share(replicas int) float64 {
+	served := 0
+	for _, count := range snapshotTally.replicas {
+		if count >= replicas {
+			served++
+		}
+	}
+	return float64(served) / float64(snapshotTally.total)
+}
+
+// candidatesOf returns the replicas of each shard that serve a snapshot, in
+// an order that doesn't depend on the directory's.
+func candidatesOf(announcements []target.Announcement, snapshot caller.Snapshot) map[int][]target.Announcement {
+	found := map[int][]target.Announcement{}
 	for index := range announcements {
 		announcement := &announcements[index]
-		if announcement.Layout == snapshot.Layout && announcement.Shard == shard && announcement.Serves(snapshot.IndexVersion) {
-			found = append(found, *announcement)
+		if announcement.Layout == snapshot.Layout && announcement.Serves(snapshot.IndexVersion) {
+			found[announcement.Shard] = append(found[announcement.Shard], *announcement)
 		}
 	}
-	slices.SortFunc(found, func(a, b target.Announcement) int {
-		return cmp.Or(prefer(&a, &b), cmp.Compare(a.ID, b.ID))
-	})
+	for _, replicas := range found {
+		slices.SortFunc(replicas, func(a, b target.Announcement) int { return cmp.Compare(a.ID, b.ID) })
+	}
 	return found
 }
--- /dev/null
+++ b/internal/entry/verdicts.go
@@ -0,0 +1,51 @@
+// This file exists so that a request that crashes targets is quarantined at
+// all entries within a second.
+
+package entry
+
+import (
+	"context"
+	"time"
+
+	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/internal/membership"
+)
+
+const (
+	verdictTimeout = 300 * time.Millisecond
+	verdictPause   = 50 * time.Millisecond
+	// verdictTries bounds how often a verdict is sent to one entry.
+	verdictTries = 20
+)
+
+// registerVerdicts takes verdicts from other entries and spreads this one's.
+func (homes *Homes) registerVerdicts(server *frame.Server) {
+	verdicts := homes.board.Verdicts()
+	frame.Handle(server, MethodStrike, func(_ context.Context, verdict *blackboard.Verdict) (*Empty, error) {
+		verdicts.Take(*verdict)
+		return &Empty{}, nil
+	})
+	verdicts.Tell(homes.spreadVerdict)
+}
+
+func (homes *Homes) spreadVerdict(verdict blackboard.Verdict) {
+	for _, member := range homes.board.Membership().View().Members {
+		if member.ID != homes.self {
+			go homes.sendVerdict(member, &verdict)
+		}
+	}
+}
+
+// sendVerdict sends a verdict until the other entry has taken it.
+func (homes *Homes) sendVerdict(member membership.Member, verdict *blackboard.Verdict) {
+	for range verdictTries {
+		ctx, cancel := context.WithTimeout(context.Background(), verdictTimeout)
+		_, err := frame.Call[blackboard.Verdict, Empty](ctx, homes.peers.Client(member.PeerAddress), MethodStrike, verdict)
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(verdictPause)
+	}
+}
--- a/internal/frame/client.go
+++ b/internal/frame/client.go
@@ -71,6 +71,22 @@
 	return client.address
 }
 
+// Reachable reports whether there is a connection to the peer, or none was
+// tried yet. Where there was one, it is dialed anew in the background.
+func (client *Client) Reachable() bool {
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	tried := client.session != nil || client.lastError != nil
+	if client.closed || !tried || client.session != nil && client.session.alive() {
+		return !client.closed
+	}
+	if client.dialing == nil && time.Since(client.failedAt) >= redialDelay {
+		client.dialing = make(chan struct{})
+		go client.connect(context.Background(), client.dialing)
+	}
+	return false
+}
+
 // Close ends the connection; calls in flight return ErrLost.
 func (client *Client) Close() {
 	client.lock.Lock()
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -35,16 +35,16 @@
 	return new(blackboard.Board)
 }
 
-func newHome(settings *settings.Settings, board *blackboard.Board, network Network) *targetserver.Home {
-	return targetserver.NewHome(settings.Name, board, network.Dial)
+func newHome(settings *settings.Settings, board *blackboard.Board, network Network, metrics *metrics.Metrics) *targetserver.Home {
+	return targetserver.NewHome(settings.Name, board, network.Dial, metrics)
 }
 
 func newPeers(network Network) *entry.Peers {
 	return entry.NewPeers(network.Dial)
 }
 
-func newHomes(settings *settings.Settings, home *targetserver.Home, peers *entry.Peers) *entry.Homes {
-	return entry.NewHomes(settings.Name, home, peers)
+func newHomes(settings *settings.Settings, board *blackboard.Board, home *targetserver.Home, peers *entry.Peers) *entry.Homes {
+	return entry.NewHomes(settings.Name, board, home, peers)
 }
 
 func newCoordinator(settings *settings.Settings, board *blackboard.Board, homes *entry.Homes, client *control.Client, metrics *metrics.Metrics) *entry.Coordinator {
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -41,6 +41,11 @@
 		warm         bool
 		answered     int
 		started      []time.Time
+		// cancels ends the runs in progress, by attempt ID; nil marks an
+		// attempt that was cancelled before it came.
+		cancels map[string]context.CancelFunc
+		// ended is closed and replaced when a run ends.
+		ended chan struct{}
 	}
 
 	// Behaviour says how a target acts. The zero value answers at once and
@@ -75,6 +80,7 @@
 		Runs    map[string]int
 		Crashes int
 		Sheds   int
+		Cancels int
 		// LastRun is the time at which the newest run began.
 		LastRun time.Time
 	}
@@ -85,10 +91,11 @@
 	standin := &Target{
 		dial: dial, announcement: announcement, behaviour: behaviour,
 		warm: announcement.State == target.Warm, record: Record{Runs: map[string]int{}},
+		cancels: map[string]context.CancelFunc{}, ended: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+target.RunPath, standin.run)
-	mux.HandleFunc("POST "+target.CancelPath, func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("POST "+target.CancelPath, standin.cancel)
 	mux.HandleFunc("GET "+target.HealthPath, func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) })
 	standin.server = &http.Server{Handler: mux, ConnState: standin.track, ReadHeaderTimeout: time.Minute}
 	return standin
@@ -222,12 +229,19 @@
 		_ = json.NewEncoder(writer).Encode(shed)
 		return
 	}
-	defer standin.end()
+	// A target need not notice that a connection has closed, so that only a
+	// cancel or the deadline ends a run early.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(request.Context()), run.Deadline)
+	defer cancel()
+	defer standin.end(&run)
+	standin.register(&run, cancel)
 	if behaviour.Crashes != nil && behaviour.Crashes(&run) {
 		standin.crash(writer)
 		return
 	}
-	if behaviour.Work != nil && sleep(request.Context(), behaviour.Work(&run)) != nil {
+	if behaviour.Work != nil && sleep(ctx, behaviour.Work(&run)) != nil {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(writer).Encode(&target.Shed{RequestID: run.RequestID, AttemptID: run.AttemptID, Reason: target.ShedCancelled, Ran: true})
 		return
 	}
 	result := standin.result(&run)
@@ -279,7 +293,10 @@
 
 func (standin *Target) shedReason(run *target.Run) target.ShedReason {
 	announcement := &standin.announcement
+	cancel, known := standin.cancels[run.AttemptID]
 	switch {
+	case known && cancel == nil:
+		return target.ShedCancelled
 	case announcement.State == target.Leaving:
 		return target.ShedLeaving
 	case run.Layout != announcement.Layout || run.Shard != announcement.Shard || run.IndexVersion != 0 && !announcement.Serves(run.IndexVersion):
@@ -299,10 +316,46 @@
 	standin.record.PeakColdPerSecond = max(standin.record.PeakColdPerSecond, len(standin.started))
 }
 
-func (standin *Target) end() {
+func (standin *Target) register(run *target.Run, cancel context.CancelFunc) {
+	standin.lock.Lock()
+	defer standin.lock.Unlock()
+	standin.cancels[run.AttemptID] = cancel
+}
+
+func (standin *Target) end(run *target.Run) {
 	standin.lock.Lock()
 	defer standin.lock.Unlock()
 	standin.running--
+	delete(standin.cancels, run.AttemptID)
+	close(standin.ended)
+	standin.ended = make(chan struct{})
+}
+
+// cancel drops a run and replies once it occupies no slot.
+func (standin *Target) cancel(writer http.ResponseWriter, request *http.Request) {
+	var cancelled target.Cancel
+	if err := json.NewDecoder(request.Body).Decode(&cancelled); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	standin.lock.Lock()
+	standin.record.Cancels++
+	for {
+		cancel, known := standin.cancels[cancelled.AttemptID]
+		if cancel == nil {
+			if !known {
+				standin.cancels[cancelled.AttemptID] = nil
+			}
+			break
+		}
+		cancel()
+		ended := standin.ended
+		standin.lock.Unlock()
+		<-ended
+		standin.lock.Lock()
+	}
+	standin.lock.Unlock()
+	writer.WriteHeader(http.StatusNoContent)
 }
 
 // crash ends the process that the target stands for: this connection breaks
--- a/internal/target/connection.go
+++ b/internal/target/connection.go
@@ -1,142 +1,147 @@
-// This file exists so that each connection to a target carries one run at a
-// time, and it is known whether a byte of the run was written. The HTTP
-// client's transport is not used, because it may send a request again on its
-// own.
+// This file exists so that each connection to a target carries one message at
+// a time, and it is known whether a byte of it was written. The HTTP client's
+// transport is not used, because it may send a request again on its own.
 
 package target
 
 import (
 	"bufio"
-	"bytes"
-	"context"
-	"encoding/json"
-	"io"
 	"net"
-	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-	"github.com/go-faster/errors"
-
-	"gitlab.com/comfreythread/comfreythread/pkg/target"
-)
-
-const (
-	// maximumResultBytes bounds the body of a target's answer.
-	maximumResultBytes = 4 << 20
-)
-
-var (
-	errCrossed = errors.New("the answer belongs to another attempt; the connection was closed")
 )
 
 type (
-	// connection is one open connection to a target.
+	// connection is one open connection to a target. One goroutine reads it
+	// for as long as it is open, so that a connection that breaks while idle
+	// is noticed before it is used again.
 	connection struct {
 		net.Conn
 		reader *bufio.Reader
-		// written counts the bytes of the present run that were written.
-		written int64
-	}
 
-	countingWriter struct {
-		connection *connection
+		lock    sync.Mutex
+		present *exchange
+		// provenAt is the time of the newest byte from the target, or that of
+		// the opening.
+		provenAt time.Time
+		// closedHere states that this side closed the connection.
+		closedHere bool
+		// finished states that nobody reads the connection any more.
+		finished bool
 	}
 
-	// reply is what a target sent back: a result or a shed.
-	reply struct {
-		result *target.Result
-		shed   *target.Shed
-		// reusable states that the connection can carry another run.
-		reusable bool
+	// exchange is one message to a target and its response.
+	exchange struct {
+		connection *connection
+		begunAt    time.Time
+		written    atomic.Int64
+		// end takes the response, or the error of a connection that broke.
+		end func(*response, error)
 	}
 )
 
 func newConnection(opened net.Conn) *connection {
-	return &connection{Conn: opened, reader: bufio.NewReader(opened)}
+	return &connection{Conn: opened, reader: bufio.NewReader(opened), provenAt: time.Now()}
 }
 
-// Write counts what reaches the socket.
-func (countingWriter countingWriter) Write(data []byte) (int, error) {
-	written, err := countingWriter.connection.Write(data)
-	countingWriter.connection.written += int64(written)
-	return written, err
+// receive hands each response to the exchange that waits for it. It returns
+// once the connection is closed, or when a response comes that nobody waits
+// for, after a call to unexpected.
+func (connection *connection) receive(unexpected func(err error)) {
+	for {
+		_, err := connection.reader.Peek(1)
+		if err == nil {
+			connection.prove()
+		}
+		var received *response
+		if err == nil {
+			received, err = readResponse(connection.reader)
+		}
+		ended := connection.takePresent(err)
+		if ended == nil {
+			unexpected(err)
+			return
+		}
+		ended.end(received, err)
+		if err != nil {
+			return
+		}
+	}
 }
 
-// exchange sends one run and reads its reply. The end of ctx ends it at once
-// and leaves the connection unusable.
-func (connection *connection) exchange(ctx context.Context, run *target.Run) (*reply, error) {
-	connection.written = 0
-	stop := context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := connection.send(ctx, run); err != nil {
-		return nil, err
-	}
-	return connection.receive(run)
+// newExchange returns an exchange that has not begun.
+func newExchange(connection *connection, end func(*response, error)) *exchange {
+	return &exchange{connection: connection, begunAt: time.Now(), end: end}
 }
 
-func (connection *connection) send(ctx context.Context, run *target.Run) error {
-	body, err := json.Marshal(run)
-	if err != nil {
-		return errors.Wrap(err, "encode run")
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+connection.RemoteAddr().String()+target.RunPath, bytes.NewReader(body))
-	if err != nil {
-		return errors.Wrap(err, "build run")
-	}
-	request.Header.Set("Content-Type", "application/json")
-	// One buffered write for head and body, so that the run arrives whole.
-	buffered := bufio.NewWriterSize(countingWriter{connection}, len(body)+1024)
-	if err := request.Write(buffered); err != nil {
-		return err
-	}
-	return buffered.Flush()
+// begin makes the connection wait for the response to a message, which the
+// caller then writes. It returns false where the connection has broken.
+func (exchange *exchange) begin() bool {
+	connection := exchange.connection
+	connection.lock.Lock()
+	defer connection.lock.Unlock()
+	if connection.finished {
+		return false
+	}
+	connection.present = exchange
+	return true
 }
 
-func (connection *connection) receive(run *target.Run) (*reply, error) {
-	response, err := http.ReadResponse(connection.reader, nil)
-	if err != nil {
-		return nil, err
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maximumResultBytes+1))
-	_ = response.Body.Close()
+// waiting reports whether no response has come yet.
+func (exchange *exchange) waiting() bool {
+	exchange.connection.lock.Lock()
+	defer exchange.connection.lock.Unlock()
+	return exchange.connection.present == exchange
+}
+
+// write writes a message. Where it fails, the connection is closed, which
+// ends the exchange.
+func (exchange *exchange) write(message []byte, deadline time.Time) {
+	_ = exchange.connection.SetWriteDeadline(deadline)
+	// Until the write has returned it may have written something.
+	exchange.written.Store(1)
+	written, err := exchange.connection.Write(message)
+	exchange.written.Store(int64(written))
 	if err != nil {
-		return nil, err
-	}
-	if len(body) > maximumResultBytes {
-		return nil, errors.New("the target's answer is too large")
-	}
-	received := &reply{reusable: !response.Close}
-	if response.StatusCode == http.StatusServiceUnavailable {
-		received.shed = new(target.Shed)
-		if err := json.Unmarshal(body, received.shed); err != nil {
-			return nil, errors.Wrap(err, "decode shed")
-		}
-		if received.shed.AttemptID != run.AttemptID || received.shed.RequestID != run.RequestID {
-			return nil, errCrossed
-		}
-		return received, nil
-	}
-	if response.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("the target answered with status %d", response.StatusCode)
+		_ = exchange.connection.Close()
 	}
-	received.result = new(target.Result)
-	if err := json.Unmarshal(body, received.result); err != nil {
-		return nil, errors.Wrap(err, "decode result")
-	}
-	return received, checkResult(run, received.result)
 }
 
-// checkResult refuses an answer that isn't the whole answer to this run.
-func checkResult(run *target.Run, result *target.Result) error {
-	if result.RequestID != run.RequestID || result.AttemptID != run.AttemptID || result.Shard != run.Shard {
-		return errCrossed
-	}
-	if result.Layout != run.Layout || (run.IndexVersion != 0 && result.IndexVersion != run.IndexVersion) {
-		return errors.New("the answer is from another snapshot than the one asked for")
-	}
-	if xxhash.Sum64(result.Payload) != result.Checksum {
-		return errors.New("the answer's checksum is wrong")
-	}
-	return nil
+func (connection *connection) takePresent(err error) *exchange {
+	connection.lock.Lock()
+	defer connection.lock.Unlock()
+	taken := connection.present
+	connection.present = nil
+	connection.finished = err != nil || taken == nil
+	return taken
+}
+
+func (connection *connection) prove() {
+	connection.lock.Lock()
+	defer connection.lock.Unlock()
+	connection.provenAt = time.Now()
+}
+
+func (connection *connection) proven() time.Time {
+	connection.lock.Lock()
+	defer connection.lock.Unlock()
+	return connection.provenAt
+}
+
+// closeHere closes the connection; it returns false where that was done
+// before.
+func (connection *connection) closeHere() bool {
+	connection.lock.Lock()
+	before := connection.closedHere
+	connection.closedHere = true
+	connection.lock.Unlock()
+	_ = connection.Close()
+	return !before
+}
+
+func (connection *connection) isClosedHere() bool {
+	connection.lock.Lock()
+	defer connection.lock.Unlock()
+	return connection.closedHere
 }
--- a/internal/target/gate.go
+++ b/internal/target/gate.go
@@ -14,37 +14,49 @@
 )
 
 const (
-	// overloadRetryAfter is the span that a refusal for want of room names.
+	// overloadRetryAfter is the least span that a refusal for want of room
+	// names.
 	overloadRetryAfter = 200 * time.Millisecond
+	// typicalStep is the share by which one observed run moves the typical
+	// span of a run.
+	typicalStep = 16
 )
 
 type (
 	// gate admits runs to one target. The zero value is cold and, until
 	// limit is called, admits nothing.
 	gate struct {
-		lock    sync.Mutex
-		limits  operator.Pool
+		lock   sync.Mutex
+		limits operator.Pool
+		// running counts the runs that occupy a slot, or may still do so.
 		running int
 		waiting waitQueue
 		warm    bool
 		// answered counts the answered runs since the target turned cold.
 		answered int
-		// allowance is the number of runs that a cold target may be sent now.
-		allowance  float64
-		allowedAt  time.Time
+		// epoch grows each time the target turns cold, so that runs begun
+		// earlier don't count as signs of warmth.
+		epoch  uint64
+		starts startLog
+		// typical is the median span of a run.
+		typical    time.Duration
 		wakeTimer  *time.Timer
 		lastWaiter uint64
 	}
 
-	waiter struct {
-		deadline time.Time
-		hedge    bool
-		order    uint64
-		admitted chan struct{}
-		index    int
+	// admission is the right to one run, to be given back with release.
+	admission struct {
+		epoch uint64
+		at    time.Time
 	}
 
-	waitQueue []*waiter
+	// Load is what a home tells of a target, for the choice of replicas.
+	Load struct {
+		Waiting int           `msgpack:"w"`
+		Running int           `msgpack:"r"`
+		Slots   int           `msgpack:"s"`
+		Typical time.Duration `msgpack:"t"`
+	}
 )
 
 // limit sets the limits that the table of pools gives.
@@ -52,67 +64,120 @@
 	gate.lock.Lock()
 	defer gate.lock.Unlock()
 	gate.limits = pool
+	gate.starts.resize(pool.Cold.RunsPerSecond)
 	gate.dispatch()
 }
 
+// assumeFull makes the gate act as if the cold rate had been used up at the
+// given time, because an earlier home may have done so.
+func (gate *gate) assumeFull(at time.Time) {
+	gate.lock.Lock()
+	defer gate.lock.Unlock()
+	gate.starts.fill(at)
+}
+
 // turnCold applies the cold limits until enough runs have been answered.
+// Runs in progress go on and keep their slots.
 func (gate *gate) turnCold() {
 	gate.lock.Lock()
 	defer gate.lock.Unlock()
 	gate.warm = false
 	gate.answered = 0
-	gate.allowance = 0
-	gate.allowedAt = time.Now()
+	gate.epoch++
 }
 
-// acquire waits for a slot. It returns nil once the run is admitted, and
-// otherwise the outcome of a run that was never sent.
-func (gate *gate) acquire(ctx context.Context, deadline time.Time, hedge bool) Outcome {
-	admitted, refusal := gate.enqueue(deadline, hedge)
+// load returns what the home tells of the target.
+func (gate *gate) load() Load {
+	gate.lock.Lock()
+	defer gate.lock.Unlock()
+	return Load{Waiting: len(gate.waiting), Running: gate.running, Slots: gate.slots(), Typical: gate.typical}
+}
+
+// acquire waits for a slot. The outcome is nil once the run is admitted, and
+// otherwise that of a run that was never sent.
+func (gate *gate) acquire(ctx context.Context, deadline time.Time, extra bool) (admission, Outcome) {
+	added, refusal := gate.enqueue(deadline, extra)
 	if refusal != nil {
-		return refusal
+		return admission{}, refusal
 	}
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
-	case <-admitted.admitted:
-		return nil
+	case <-added.decided:
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	if gate.withdraw(admitted) {
-		return NotRun{Reason: caller.MissingDeadline, RetryAfter: overloadRetryAfter}
+	if gate.withdraw(added) {
+		return admission{}, NotRun{Reason: caller.MissingDeadline, RetryAfter: overloadRetryAfter}
+	}
+	if added.dropped {
+		return admission{}, NotRun{Reason: caller.MissingOverloaded, RetryAfter: max(overloadRetryAfter, gate.load().wait())}
 	}
-	gate.release(false)
-	return NotRun{Reason: caller.MissingDeadline, RetryAfter: overloadRetryAfter}
+	return added.admission, nil
 }
 
 // release gives a slot back and says whether the target answered.
-func (gate *gate) release(answered bool) {
+func (gate *gate) release(admitted admission, answered bool) {
 	gate.lock.Lock()
 	defer gate.lock.Unlock()
 	gate.running--
-	if answered && !gate.warm {
+	if answered {
+		gate.observe(time.Since(admitted.at))
+	}
+	if answered && !gate.warm && admitted.epoch == gate.epoch {
 		gate.answered++
 		gate.warm = gate.answered >= gate.limits.Cold.WarmAfterRuns
 	}
 	gate.dispatch()
 }
 
-func (gate *gate) enqueue(deadline time.Time, hedge bool) (*waiter, Outcome) {
+// observe moves the typical span towards the median. The lock is held.
+func (gate *gate) observe(span time.Duration) {
+	switch {
+	case gate.typical == 0:
+		gate.typical = span
+	case span > gate.typical:
+		gate.typical = min(span, gate.typical+gate.typical/typicalStep+1)
+	case span < gate.typical:
+		gate.typical = max(span, gate.typical-gate.typical/typicalStep)
+	}
+}
+
+func (gate *gate) enqueue(deadline time.Time, extra bool) (*waiter, Outcome) {
 	gate.lock.Lock()
 	defer gate.lock.Unlock()
-	if len(gate.waiting) >= gate.limits.QueueLimit {
-		return nil, NotRun{Reason: caller.MissingOverloaded, RetryAfter: overloadRetryAfter}
+	if refusal := gate.refuse(deadline); refusal != nil {
+		return nil, refusal
 	}
 	gate.lastWaiter++
-	added := &waiter{deadline: deadline, hedge: hedge, order: gate.lastWaiter, admitted: make(chan struct{})}
+	added := &waiter{deadline: deadline, extra: extra, order: gate.lastWaiter, decided: make(chan struct{})}
 	heap.Push(&gate.waiting, added)
 	gate.dispatch()
 	return added, nil
 }
 
-// withdraw removes a waiter; it returns false where the waiter was admitted.
+// refuse refuses a run that would find the queue full, or could no longer
+// meet its deadline after the queue. The lock is held.
+func (gate *gate) refuse(deadline time.Time) Outcome {
+	wait := Load{Waiting: len(gate.waiting), Running: gate.running, Slots: gate.slots(), Typical: gate.typical}.wait()
+	full := len(gate.waiting) >= gate.limits.QueueLimit
+	late := wait > 0 && time.Until(deadline) < wait+gate.typical
+	if full || late {
+		return NotRun{Reason: caller.MissingOverloaded, RetryAfter: max(overloadRetryAfter, wait)}
+	}
+	return nil
+}
+
+// wait returns how long a further run would wait for a slot.
+func (load Load) wait() time.Duration {
+	if load.Slots <= 0 || load.Running+load.Waiting < load.Slots {
+		return 0
+	}
+	return time.Duration(load.Running+load.Waiting-load.Slots+1) * load.Typical / time.Duration(load.Slots)
+}
+
+// withdraw removes a waiter; it returns false where the waiter was admitted
+// or dropped before.
 func (gate *gate) withdraw(withdrawn *waiter) bool {
 	gate.lock.Lock()
 	defer gate.lock.Unlock()
@@ -127,41 +192,50 @@
 func (gate *gate) dispatch() {
 	for len(gate.waiting) > 0 && gate.hasRoom() {
 		next, _ := heap.Pop(&gate.waiting).(*waiter)
+		now := time.Now()
+		if next.deadline.Sub(now) < gate.typical/2 {
+			// The run can't meet its deadline. The typical span shrinks, so
+			// that a span observed long ago can't keep all runs out.
+			gate.typical -= gate.typical / typicalStep
+			next.dropped = true
+			close(next.decided)
+			continue
+		}
 		gate.running++
-		close(next.admitted)
+		gate.starts.add(now)
+		next.admission = admission{epoch: gate.epoch, at: now}
+		close(next.decided)
 	}
 }
 
-func (gate *gate) hasRoom() bool {
+// slots returns the slots that may be used at present. The lock is held.
+func (gate *gate) slots() int {
 	if gate.warm {
-		return gate.running < gate.limits.Slots
-	}
-	if gate.running >= gate.limits.Cold.Slots {
-		return false
+		return gate.limits.Slots
 	}
-	return gate.takeAllowance()
+	return min(gate.limits.Slots, gate.limits.Cold.Slots)
 }
 
-// takeAllowance spends one run of a cold target's rate, or arranges to look
-// again when there is one.
-func (gate *gate) takeAllowance() bool {
-	rate := float64(gate.limits.Cold.RunsPerSecond)
-	if rate <= 0 {
+func (gate *gate) hasRoom() bool {
+	if gate.running >= gate.slots() {
 		return false
 	}
-	now := time.Now()
-	gate.allowance = min(1, gate.allowance+now.Sub(gate.allowedAt).Seconds()*rate)
-	gate.allowedAt = now
-	if gate.allowance >= 1 {
-		gate.allowance--
+	if gate.warm {
 		return true
 	}
-	wait := time.Duration((1 - gate.allowance) / rate * float64(time.Second))
+	wait := gate.starts.wait(time.Now())
+	if wait > 0 {
+		gate.wakeAfter(wait)
+	}
+	return wait <= 0
+}
+
+// wakeAfter looks again at the waiters after a span. The lock is held.
+func (gate *gate) wakeAfter(span time.Duration) {
 	if gate.wakeTimer != nil {
 		gate.wakeTimer.Stop()
 	}
-	gate.wakeTimer = time.AfterFunc(wait+time.Microsecond, gate.wake)
-	return false
+	gate.wakeTimer = time.AfterFunc(span, gate.wake)
 }
 
 func (gate *gate) wake() {
@@ -169,37 +243,3 @@
 	defer gate.lock.Unlock()
 	gate.dispatch()
 }
-
-// Len, Less, Swap, Push and Pop implement heap.Interface: first attempts
-// before hedges, then by deadline.
-func (queue waitQueue) Len() int { return len(queue) }
-
-func (queue waitQueue) Less(left, right int) bool {
-	if queue[left].hedge != queue[right].hedge {
-		return !queue[left].hedge
-	}
-	if !queue[left].deadline.Equal(queue[right].deadline) {
-		return queue[left].deadline.Before(queue[right].deadline)
-	}
-	return queue[left].order < queue[right].order
-}
-
-func (queue waitQueue) Swap(left, right int) {
-	queue[left], queue[right] = queue[right], queue[left]
-	queue[left].index, queue[right].index = left, right
-}
-
-func (queue *waitQueue) Push(pushed any) {
-	added, _ := pushed.(*waiter)
-	added.index = len(*queue)
-	*queue = append(*queue, added)
-}
-
-func (queue *waitQueue) Pop() any {
-	last := len(*queue) - 1
-	popped := (*queue)[last]
-	popped.index = -1
-	(*queue)[last] = nil
-	*queue = (*queue)[:last]
-	return popped
-}
--- a/internal/target/home.go
+++ b/internal/target/home.go
@@ -5,18 +5,24 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
+	"gitlab.com/comfreythread/comfreythread/internal/metrics"
 	"gitlab.com/comfreythread/comfreythread/internal/tcp"
 	"gitlab.com/comfreythread/comfreythread/pkg/caller"
 	"gitlab.com/comfreythread/comfreythread/pkg/target"
 )
 
 const (
+	tracerName = "gitlab.com/comfreythread/comfreythread/internal/target"
 	// notHomeRetryAfter is the span that a refusal names while a target
 	// moves between homes.
 	notHomeRetryAfter = 500 * time.Millisecond
@@ -25,49 +31,91 @@
 type (
 	// Home runs attempts at the targets that this entry is home to.
 	Home struct {
-		self  string
-		board *blackboard.Board
-		dial  tcp.Dialer
+		self    string
+		board   *blackboard.Board
+		dial    tcp.Dialer
+		metrics *metrics.Metrics
 
 		lock  sync.Mutex
 		lanes map[string]*lane
-	}
-
-	// lane is the home's state of one target.
-	lane struct {
-		gate gate
-
-		lock        sync.Mutex
-		incarnation uint64
-		idle        []*connection
-		open        int
+		// view is the newest settled view that was seen, since seenAt.
+		view   uint64
+		seenAt time.Time
 	}
 )
 
 // NewHome returns the home role of the entry with the given ID.
-func NewHome(self string, board *blackboard.Board, dial tcp.Dialer) *Home {
-	return &Home{self: self, board: board, dial: dial, lanes: map[string]*lane{}}
+func NewHome(self string, board *blackboard.Board, dial tcp.Dialer, metrics *metrics.Metrics) *Home {
+	return &Home{self: self, board: board, dial: dial, metrics: metrics, lanes: map[string]*lane{}}
 }
 
 // Run runs an attempt and says what became of it.
 func (home *Home) Run(ctx context.Context, attempt *Attempt) Outcome {
+	ctx, cancel := context.WithDeadline(ctx, attempt.Run.Deadline)
+	defer cancel()
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "target attempt", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
 	announcement, refusal := home.admit(attempt)
 	if refusal != nil {
 		return refusal
 	}
+	outcome := home.run(ctx, &announcement, attempt)
+	home.metrics.Outcomes().WithLabelValues(announcement.Pool, name(outcome)).Inc()
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("comfreythread.target", attempt.TargetID),
+			attribute.String("comfreythread.why", string(attempt.Why)), attribute.String("comfreythread.outcome", name(outcome)))
+	}
+	return outcome
+}
+
+// Load returns what this home knows of a target's load.
+func (home *Home) Load(targetID string) Load {
+	home.lock.Lock()
+	found, known := home.lanes[targetID]
+	home.lock.Unlock()
+	if !known {
+		return Load{}
+	}
+	return found.gate.load()
+}
+
+func (home *Home) run(ctx context.Context, announcement *target.Announcement, attempt *Attempt) Outcome {
 	lane := home.lane(announcement)
-	if refusal := lane.gate.acquire(ctx, attempt.Run.Deadline, attempt.Hedge); refusal != nil {
+	queuedAt := time.Now()
+	admission, refusal := lane.gate.acquire(ctx, attempt.Run.Deadline, attempt.Why != First)
+	home.metrics.Queue().WithLabelValues(announcement.Pool).Observe(time.Since(queuedAt).Seconds())
+	if refusal != nil {
 		return refusal
 	}
-	answered := false
-	defer func() { lane.gate.release(answered) }()
+	home.metrics.Slots().WithLabelValues(announcement.Pool).Inc()
+	admitted := &run{home: home, lane: lane, pool: announcement.Pool, attempt: attempt, admission: admission, outcomes: make(chan Outcome, 1), ended: make(chan struct{})}
 	// The wait may have been long: what allowed the run may have ended.
 	if _, refusal := home.admit(attempt); refusal != nil {
+		admitted.release(false)
 		return refusal
 	}
-	outcome := home.send(ctx, lane, announcement.Address, attempt)
-	_, answered = outcome.(Answered)
-	return outcome
+	message, err := encode(ctx, http.MethodPost, announcement.Address, target.RunPath, &attempt.Run)
+	if err != nil {
+		admitted.release(false)
+		return NotRun{Reason: caller.MissingLost}
+	}
+	if err := admitted.connect(ctx); err != nil {
+		return home.unconnected(ctx, admitted, err)
+	}
+	home.metrics.Attempts().WithLabelValues(announcement.Pool, string(attempt.Why)).Inc()
+	return admitted.do(ctx, message)
+}
+
+// unconnected ends a run for which no connection could be had.
+func (home *Home) unconnected(ctx context.Context, unsent *run, err error) Outcome {
+	if !errors.Is(err, errNoConnection) && ctx.Err() == nil {
+		unsent.lane.gate.turnCold()
+	}
+	unsent.release(false)
+	if ctx.Err() != nil {
+		return NotRun{Reason: caller.MissingDeadline, RetryAfter: overloadRetryAfter}
+	}
+	return NotRun{Reason: caller.MissingNoReplica, RetryAfter: notHomeRetryAfter}
 }
 
 // admit says whether the attempt may go to its target at present.
@@ -91,124 +139,47 @@
 	}
 	member, found := home.board.HomeOf(&announcement)
 	if !found || member.ID != home.self || !home.board.Membership().Settled() {
-		return refuse(caller.MissingNoReplica)
+		return target.Announcement{}, NotRun{Reason: caller.MissingNoReplica, RetryAfter: notHomeRetryAfter, Moving: true}
 	}
 	return announcement, nil
 }
 
-func (home *Home) lane(announcement target.Announcement) *lane {
+// lane returns the state of a target. A target that is new here is cold, and
+// an earlier home may have used up its cold rate until the view settled.
+func (home *Home) lane(announcement *target.Announcement) *lane {
+	tables, _ := home.board.InForce().Tables()
+	pool, _ := tables.Pool(announcement.Pool)
 	home.lock.Lock()
 	defer home.lock.Unlock()
+	if view := home.board.Membership().View().Number; view != home.view {
+		home.view, home.seenAt = view, time.Now()
+	}
 	found, known := home.lanes[announcement.ID]
 	if !known {
-		found = &lane{}
+		found = &lane{dial: home.dial}
 		home.lanes[announcement.ID] = found
 	}
-	tables, _ := home.board.InForce().Tables()
-	pool, _ := tables.Pool(announcement.Pool)
-	found.gate.limit(pool)
-	found.observe(announcement.Incarnation)
-	return found
-}
-
-// observe turns the target cold where its incarnation is new.
-func (lane *lane) observe(incarnation uint64) {
-	lane.lock.Lock()
-	defer lane.lock.Unlock()
-	if incarnation > lane.incarnation {
-		lane.incarnation = incarnation
-		lane.gate.turnCold()
-	}
-}
-
-func (home *Home) send(ctx context.Context, lane *lane, address string, attempt *Attempt) Outcome {
-	tables, _ := home.board.InForce().Tables()
-	announcement, _ := home.board.Directory().Get(attempt.TargetID)
-	pool, _ := tables.Pool(announcement.Pool)
-	connection, err := lane.take(ctx, home.dial, address, pool.Connections, pool.ConnectTimeout.Std())
-	if err != nil {
-		lane.gate.turnCold()
-		return NotRun{Reason: caller.MissingNoReplica, RetryAfter: notHomeRetryAfter}
-	}
-	reply, err := connection.exchange(ctx, &attempt.Run)
-	if err != nil {
-		lane.discard(connection)
-		return home.failed(ctx, lane, connection, attempt, err)
-	}
-	if !reply.reusable {
-		lane.discard(connection)
-	} else {
-		lane.put(connection)
-	}
-	if reply.shed != nil {
-		return lane.shed(reply.shed)
-	}
-	return Answered{Result: *reply.result}
-}
-
-func (home *Home) failed(ctx context.Context, lane *lane, connection *connection, attempt *Attempt, err error) Outcome {
-	if ctx.Err() == nil && !errors.Is(err, errCrossed) {
-		// A restart breaks every connection, so a broken one may mean one.
-		lane.gate.turnCold()
-		home.board.Verdicts().Strike(blackboard.Fingerprint(attempt.Fingerprint), attempt.TargetID)
-	}
-	if connection.written == 0 {
-		return NotRun{Reason: caller.MissingLost, RetryAfter: notHomeRetryAfter}
-	}
-	if ctx.Err() != nil {
-		return Lost{Reason: caller.MissingDeadline}
-	}
-	return Lost{Reason: caller.MissingLost}
-}
-
-func (lane *lane) shed(shed *target.Shed) Outcome {
-	if shed.Reason == target.ShedCold || shed.Reason == target.ShedOverloaded {
-		lane.gate.turnCold()
-	}
-	if shed.Ran {
-		return Lost{Reason: caller.MissingLost}
+	found.update(announcement, pool)
+	if !known {
+		found.gate.assumeFull(home.seenAt)
 	}
-	return NotRun{Reason: caller.MissingOverloaded, RetryAfter: shed.RetryAfter.Std()}
+	return found
 }
 
-// take returns an idle connection or opens one within the limit.
-func (lane *lane) take(ctx context.Context, dial tcp.Dialer, address string, limit int, timeout time.Duration) (*connection, error) {
-	lane.lock.Lock()
-	if last := len(lane.idle) - 1; last >= 0 {
-		taken := lane.idle[last]
-		lane.idle = lane.idle[:last]
-		lane.lock.Unlock()
-		return taken, nil
-	}
-	if lane.open >= limit {
-		lane.lock.Unlock()
-		return nil, errors.New("all of the target's connections are in use; raise the pool's connections")
-	}
-	lane.open++
-	lane.lock.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	opened, err := dial(ctx, "tcp", address)
-	if err != nil {
-		lane.lock.Lock()
-		lane.open--
-		lane.lock.Unlock()
-		return nil, errors.Wrap(err, "connect to target")
+// leaving stops new work for a target that says that it leaves, before its
+// announcement does.
+func (home *Home) leaving(targetID string, incarnation uint64) {
+	announcement, known := home.board.Directory().Get(targetID)
+	if known && announcement.Incarnation == incarnation && announcement.State != target.Leaving {
+		announcement.State = target.Leaving
+		announcement.Revision++
+		_, _ = home.board.Directory().Put(announcement)
 	}
-	return newConnection(opened), nil
-}
-
-func (lane *lane) put(connection *connection) {
-	lane.lock.Lock()
-	defer lane.lock.Unlock()
-	lane.idle = append(lane.idle, connection)
 }
 
-func (lane *lane) discard(connection *connection) {
-	_ = connection.Close()
-	lane.lock.Lock()
-	defer lane.lock.Unlock()
-	lane.open--
+// strike records that a target was lost while it ran the attempt's request.
+func (home *Home) strike(attempt *Attempt) {
+	home.board.Verdicts().Strike(blackboard.Fingerprint(attempt.Fingerprint), attempt.TargetID)
 }
 
 // Close closes the idle connections to all targets.
@@ -216,12 +187,6 @@
 	home.lock.Lock()
 	defer home.lock.Unlock()
 	for _, lane := range home.lanes {
-		lane.lock.Lock()
-		for _, connection := range lane.idle {
-			_ = connection.Close()
-			lane.open--
-		}
-		lane.idle = nil
-		lane.lock.Unlock()
+		lane.closeIdle()
 	}
 }
--- /dev/null
+++ b/internal/target/lane.go
@@ -0,0 +1,258 @@
+// This file exists so that a target never bears more connections than its
+// pool allows, also while some of them have gone silent.
+
+package target
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"gitlab.com/comfreythread/comfreythread/internal/tcp"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+	"gitlab.com/comfreythread/comfreythread/pkg/target"
+)
+
+const (
+	// closingSpan is how long a connection that this side closed counts as
+	// open at the target.
+	closingSpan = time.Second
+	// silentSpan is how long a connection that went silent counts as open
+	// after its close, because the target may not have heard of the close.
+	silentSpan = time.Minute
+)
+
+var (
+	errNoConnection = errors.New("no connection to the target was free in time; raise the pool's connections")
+	errBroken       = errors.New("the connection to the target broke; another one is opened")
+)
+
+type (
+	// lane is the home's state of one target. Lock order: lane, gate.
+	lane struct {
+		gate gate
+		dial tcp.Dialer
+
+		lock        sync.Mutex
+		address     string
+		pool        operator.Pool
+		incarnation uint64
+		// idle holds the unused connections, the newest used last.
+		idle []*connection
+		// open counts the connections that the target may hold open.
+		open int
+		// freed is closed when a connection becomes idle or certainly closed.
+		freed chan struct{}
+	}
+)
+
+// update takes the target's announcement and its pool's limits. A new
+// incarnation turns the target cold.
+func (lane *lane) update(announcement *target.Announcement, pool operator.Pool) {
+	lane.lock.Lock()
+	lane.address = announcement.Address
+	changed := lane.pool != pool
+	lane.pool = pool
+	lane.lock.Unlock()
+	if changed {
+		lane.gate.limit(pool)
+	}
+	lane.observe(announcement.Incarnation)
+}
+
+// observe turns the target cold where its incarnation is new, and reports
+// whether the incarnation is the present one.
+func (lane *lane) observe(incarnation uint64) bool {
+	lane.lock.Lock()
+	defer lane.lock.Unlock()
+	if incarnation > lane.incarnation {
+		lane.incarnation = incarnation
+		lane.gate.turnCold()
+	}
+	return incarnation == lane.incarnation
+}
+
+// take returns an idle connection that the target has answered on since the
+// given time, or opens one within the limit. It waits until ctx ends.
+func (lane *lane) take(ctx context.Context, since time.Time) (*connection, error) {
+	for {
+		lane.lock.Lock()
+		if last := len(lane.idle) - 1; last >= 0 && !lane.idle[last].proven().Before(since) {
+			taken := lane.idle[last]
+			lane.idle = lane.idle[:last]
+			lane.lock.Unlock()
+			return taken, nil
+		}
+		if lane.open < lane.pool.Connections {
+			lane.open++
+			address, timeout := lane.address, lane.pool.ConnectTimeout.Std()
+			lane.lock.Unlock()
+			return lane.connect(ctx, address, timeout)
+		}
+		if lane.freed == nil {
+			lane.freed = make(chan struct{})
+		}
+		freed := lane.freed
+		lane.lock.Unlock()
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return nil, errNoConnection
+		}
+	}
+}
+
+func (lane *lane) connect(ctx context.Context, address string, timeout time.Duration) (*connection, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	opened, err := lane.dial(ctx, "tcp", address)
+	if err != nil {
+		// The target may have accepted what this side gave up on.
+		lane.forgetAfter(closingSpan)
+		return nil, errors.Wrap(err, "connect to target")
+	}
+	connection := newConnection(opened)
+	go connection.receive(func(err error) { lane.unexpected(connection, err) })
+	return connection, nil
+}
+
+// put makes a connection idle. The newest used is taken first.
+func (lane *lane) put(connection *connection) {
+	lane.lock.Lock()
+	defer lane.lock.Unlock()
+	lane.idle = append(lane.idle, connection)
+	lane.signal()
+}
+
+// unexpected deals with an idle connection that broke, which is a sign of a
+// restart, or that brought an answer that nobody waits for.
+func (lane *lane) unexpected(connection *connection, err error) {
+	lane.lock.Lock()
+	if at := slices.Index(lane.idle, connection); at >= 0 {
+		lane.idle = slices.Delete(lane.idle, at, at+1)
+	}
+	lane.lock.Unlock()
+	if connection.isClosedHere() {
+		return
+	}
+	if err == nil {
+		lane.close(connection, closingSpan)
+		return
+	}
+	lane.gate.turnCold()
+	lane.broken(connection)
+}
+
+// broken closes a connection that the target's side has ended.
+func (lane *lane) broken(connection *connection) {
+	if connection.closeHere() {
+		lane.forgetAfter(0)
+	}
+}
+
+// close closes a connection that counts as open for a further span.
+func (lane *lane) close(connection *connection, span time.Duration) {
+	if connection.closeHere() {
+		lane.forgetAfter(span)
+	}
+}
+
+func (lane *lane) forgetAfter(span time.Duration) {
+	if span > 0 {
+		time.AfterFunc(span, func() { lane.forgetAfter(0) })
+		return
+	}
+	lane.lock.Lock()
+	defer lane.lock.Unlock()
+	lane.open--
+	lane.signal()
+}
+
+// signal wakes those who wait for a connection. The lock is held.
+func (lane *lane) signal() {
+	if lane.freed != nil {
+		close(lane.freed)
+		lane.freed = nil
+	}
+}
+
+// suspect checks the idle connections on which the target hasn't answered
+// since the given time, because one of their age has gone silent.
+func (lane *lane) suspect(since time.Time) {
+	lane.lock.Lock()
+	var suspects []*connection
+	lane.idle = slices.DeleteFunc(lane.idle, func(idle *connection) bool {
+		if idle.proven().Before(since) {
+			suspects = append(suspects, idle)
+			return true
+		}
+		return false
+	})
+	lane.lock.Unlock()
+	for _, connection := range suspects {
+		go lane.check(connection)
+	}
+}
+
+// check asks for a sign of life on a connection and closes it where none
+// comes. What the target says of its health doesn't matter.
+func (lane *lane) check(connection *connection) {
+	lane.lock.Lock()
+	address, timeout := lane.address, lane.pool.ConnectTimeout.Std()
+	lane.lock.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	_, _ = lane.ask(ctx, connection, http.MethodGet, address, target.HealthPath, struct{}{})
+}
+
+// ask sends one message on a connection that the caller has taken and puts
+// the connection back, or closes it where no response came before ctx ended.
+func (lane *lane) ask(ctx context.Context, connection *connection, method, address, path string, message any) (*response, error) {
+	encoded, err := encode(ctx, method, address, path, message)
+	if err != nil {
+		lane.put(connection)
+		return nil, err
+	}
+	replies := make(chan *response, 1)
+	exchange := newExchange(connection, func(received *response, err error) {
+		switch {
+		case err != nil:
+			lane.broken(connection)
+		case received.last:
+			lane.close(connection, closingSpan)
+		default:
+			lane.put(connection)
+		}
+		replies <- received
+	})
+	if !exchange.begin() {
+		return nil, errBroken
+	}
+	deadline, _ := ctx.Deadline()
+	exchange.write(encoded, deadline)
+	select {
+	case received := <-replies:
+		if received == nil {
+			return nil, errBroken
+		}
+		return received, nil
+	case <-ctx.Done():
+		lane.close(connection, silentSpan)
+		return nil, ctx.Err()
+	}
+}
+
+// closeIdle closes the connections that no run uses.
+func (lane *lane) closeIdle() {
+	lane.lock.Lock()
+	idle := lane.idle
+	lane.idle = nil
+	lane.lock.Unlock()
+	for _, connection := range idle {
+		lane.close(connection, closingSpan)
+	}
+}
--- a/internal/target/outcome.go
+++ b/internal/target/outcome.go
@@ -10,13 +10,31 @@
 	"gitlab.com/comfreythread/comfreythread/pkg/target"
 )
 
+// Reasons for which an attempt is sent.
+const (
+	// First is the first attempt at a shard.
+	First Why = "first"
+	// Hedge is an attempt beside one that is late.
+	Hedge Why = "hedge"
+	// Retry is an attempt after one that failed.
+	Retry Why = "retry"
+)
+
 type (
+	// Why says why an attempt is sent.
+	Why string
+
 	// Attempt is one run of a request that an entry asks a target for.
 	Attempt struct {
 		TargetID    string
 		Fingerprint uint64
-		Hedge       bool
-		Run         target.Run
+		Why         Why
+		// SuspectAfter is the span without a byte from the target after
+		// which the connection counts as suspect; zero means never.
+		SuspectAfter time.Duration
+		// Fresh asks for a new connection.
+		Fresh bool
+		Run   target.Run
 	}
 
 	// Outcome says what became of an attempt. It is Answered, NotRun or Lost.
@@ -33,14 +51,31 @@
 	NotRun struct {
 		Reason     caller.MissingReason
 		RetryAfter time.Duration
+		// Moving states that the target is moving between homes, so that
+		// another try soon makes sense.
+		Moving bool
 	}
 
 	// Lost is the outcome of an attempt that may have run.
 	Lost struct {
 		Reason caller.MissingReason
+		// Broken states that the target's connection broke under the run,
+		// which may mean that the run crashed the target.
+		Broken bool
 	}
 )
 
 func (Answered) isOutcome() {}
 func (NotRun) isOutcome()   {}
 func (Lost) isOutcome()     {}
+
+// name returns the outcome's name in metrics.
+func name(outcome Outcome) string {
+	switch outcome.(type) {
+	case Answered:
+		return "answered"
+	case NotRun:
+		return "not_run"
+	}
+	return "lost"
+}
--- a/pkg/target/run.go
+++ b/pkg/target/run.go
@@ -24,6 +24,9 @@
 	ShedLeaving    ShedReason = "leaving"
 	ShedCold       ShedReason = "cold"
 	ShedVersion    ShedReason = "version"
+	// ShedCancelled answers a run that was cancelled, or whose deadline has
+	// passed.
+	ShedCancelled ShedReason = "cancelled"
 )
 
 type (
@@ -71,9 +74,13 @@
 		RetryAfter  duration.Duration `json:"retry_after" msgpack:"t"`
 	}
 
-	// Cancel asks a target to drop a run.
+	// Cancel asks a target to drop a run. A reply with a status of 2xx states
+	// that the attempt occupies no slot and will occupy none: also where the
+	// run itself arrives later than its cancel.
 	Cancel struct {
 		RequestID string `json:"request_id"`
 		AttemptID string `json:"attempt_id"`
+		// Deadline is that of the run; after it the cancel can be forgotten.
+		Deadline time.Time `json:"deadline"`
 	}
 )
