Refuse bad documents with every problem at once

Settings and tables were read by encoding/json alone, which stops at the first unknown field and lets a field stand twice: an operator mended a file one error at a time. Package document walks the value by the struct's fields and lists unknown, repeated and mistyped fields together with what the check finds, each with path and remedy.

A test starts three control and six entry processes on loopback addresses of their own and queries them while one entry is killed.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,11 +5,12 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/go-faster/errors"
 
-	"gitlab.com/comfreythread/comfreythread/internal/web"
+	"gitlab.com/comfreythread/comfreythread/internal/document"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 )
 
@@ -67,16 +68,16 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read settings; name an existing file with --settings")
 	}
-	return Parse(string(data))
+	return Parse(data)
 }
 
-// Parse reads and checks the text of a settings file.
-func Parse(text string) (*Settings, error) {
+// Parse reads and checks the content of a settings file.
+func Parse(data []byte) (*Settings, error) {
 	settings := new(Settings)
-	if err := web.DecodeStrict(strings.NewReader(text), settings); err != nil {
+	if err := document.DecodeAndCheck(data, settings); err != nil {
 		return nil, err
 	}
-	return settings, settings.Check()
+	return settings, nil
 }
 
 // Check lists everything that is wrong with the settings as one fault.Error,
@@ -99,8 +100,8 @@
 	for index, address := range settings.ControlReplicas {
 		check.address(fmt.Sprintf("control_replicas[%d]", index), address)
 	}
-	check.oneOf("log_level", settings.LogLevel, "", "debug", "info", "warn", "error")
-	check.oneOf("tracing.exporter", settings.Tracing.Exporter, "", ExportNone, ExportStdout, ExportOTLP)
+	check.oneOf("log_level", settings.LogLevel, "debug", "info", "warn", "error")
+	check.oneOf("tracing.exporter", settings.Tracing.Exporter, ExportNone, ExportStdout, ExportOTLP)
 	if settings.Tracing.Exporter == ExportOTLP {
 		check.require("tracing.endpoint", settings.Tracing.Endpoint)
 	}
@@ -124,10 +125,8 @@
 }
 
 func (check *check) oneOf(path, value string, allowed ...string) {
-	for _, candidate := range allowed {
-		if value == candidate {
-			return
-		}
+	if value == "" || slices.Contains(allowed, value) {
+		return
 	}
-	check.add(path, fmt.Sprintf("%q is unknown", value), "use one of"+strings.Join(allowed, " "))
+	check.add(path, fmt.Sprintf("%q is unknown", value), "use one of "+strings.Join(allowed, ", "))
 }
--- a/internal/verb/demo_test.go
+++ b/internal/verb/demo_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
@@ -12,6 +15,17 @@
 	"gitlab.com/comfreythread/comfreythread/internal/verb"
 )
 
+// TestMain lets the test binary act as the program, for tests of processes.
+func TestMain(m *testing.M) {
+	if os.Getenv(asCommand) == "" {
+		os.Exit(m.Run())
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	code := verb.Main(ctx, append([]string{"comfreythread"}, os.Args[1:]...), os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
 func TestVerb(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
 	ginkgo.RunSpecs(t, "verb")
--- /dev/null
+++ b/internal/verb/processes_test.go
@@ -0,0 +1,137 @@
+package verb_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/settings"
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+	"gitlab.com/comfreythread/comfreythread/internal/tcp"
+	"gitlab.com/comfreythread/comfreythread/internal/verb"
+	"gitlab.com/comfreythread/comfreythread/pkg/caller"
+)
+
+const (
+	// asCommand makes the test binary act as the program.
+	asCommand = "COMFREYTHREAD_TEST_AS_COMMAND"
+	patience  = time.Minute
+)
+
+// run runs a verb in this process.
+func run(arguments ...string) (int, string) {
+	var stdout, stderr bytes.Buffer
+	code := verb.Main(context.Background(), append([]string{"comfreythread"}, arguments...), &stdout, &stderr)
+	return code, stdout.String() + stderr.String()
+}
+
+// freeAddress returns an address on a loopback IP that nothing else uses.
+func freeAddress(ip string) string {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", ip+":0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// startProcess starts serve with the settings as a process of its own.
+func startProcess(folder string, started *settings.Settings) *exec.Cmd {
+	path := filepath.Join(folder, started.Name+".json")
+	data, err := json.Marshal(started)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(os.WriteFile(path, data, 0o600)).To(gomega.Succeed())
+	command := exec.Command(os.Args[0], "serve", "--settings", path)
+	command.Env = append(os.Environ(), asCommand+"=1")
+	command.Stdout, command.Stderr = ginkgo.GinkgoWriter, ginkgo.GinkgoWriter
+	gomega.Expect(command.Start()).To(gomega.Succeed())
+	return command
+}
+
+var _ = ginkgo.Describe("a tier of processes", func() {
+	ginkgo.It("answers a query while one of its entries is killed", func(ctx context.Context) {
+		folder := ginkgo.GinkgoT().TempDir()
+		deployment := standin.Banaag
+		deployment.Pools = deployment.Pools[2:3]
+		var replicas, entries []*settings.Settings
+		var addresses []string
+		for number := range 9 {
+			ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%64, 1+os.Getpid()/64%250, number+1)
+			made := &settings.Settings{
+				Name: fmt.Sprintf("vm-%d", number), FailureDomain: deployment.FailureDomains[number%3],
+				HTTPAddress: freeAddress(ip), PeerAddress: freeAddress(ip), LogLevel: "warn",
+			}
+			if number < 3 {
+				made.Control = &settings.Control{DataFolder: filepath.Join(folder, made.Name)}
+				addresses = append(addresses, made.PeerAddress)
+				replicas = append(replicas, made)
+				continue
+			}
+			made.Entry = true
+			entries = append(entries, made)
+		}
+		var commands []*exec.Cmd
+		for _, made := range append(replicas, entries...) {
+			made.ControlReplicas = addresses
+			command := startProcess(folder, made)
+			commands = append(commands, command)
+			defer func() {
+				_ = command.Process.Kill()
+				_ = command.Wait()
+			}()
+		}
+		tables := filepath.Join(folder, "tables.json")
+		data, _ := json.Marshal(deployment.Tables())
+		gomega.Expect(os.WriteFile(tables, data, 0o600)).To(gomega.Succeed())
+		gomega.Eventually(func() string {
+			_, output := run("apply", "--tables", tables, "--change-id", "first", "--address", entries[0].HTTPAddress)
+			return output
+		}).WithTimeout(patience).Should(gomega.ContainSubstring("is version 1"))
+		for index, announcement := range deployment.Announcements(deployment.Pools[0]) {
+			listener, err := tcp.Listen(ctx, "127.0.0.1:0")
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			announcement.Address = listener.Addr().String()
+			target := standin.NewTarget(announcement, standin.Behaviour{}, tcp.Dial)
+			go func() { _ = target.Serve(listener) }()
+			defer target.Stop()
+			entry := entries[1+index%5].HTTPAddress
+			gomega.Eventually(target.Announce).WithArguments(ctx, entry).WithTimeout(patience).Should(gomega.Succeed())
+			renewing, cancel := context.WithCancel(ctx)
+			defer cancel()
+			go target.Renew(renewing, entry)
+		}
+		query := func() bool {
+			code, output := run("query", "--kind", "bay-log.search", "--idempotent", "--runs", "3", "--address", entries[1].HTTPAddress, "--output", "json")
+			var answer caller.Answer
+			return code == verb.ExitOK && json.Unmarshal([]byte(output), &answer) == nil && answer.Coverage.Complete
+		}
+		gomega.Eventually(query).WithTimeout(patience).Should(gomega.BeTrue())
+		gomega.Expect(commands[3].Process.Kill()).To(gomega.Succeed())
+		gomega.Eventually(query).WithTimeout(patience).Should(gomega.BeTrue())
+		code, output := run("status", "--address", entries[2].HTTPAddress)
+		gomega.Expect(code).To(gomega.Equal(verb.ExitOK), output)
+	})
+})
+
+var _ = ginkgo.DescribeTable("a wrong command line names the remedy", func(code int, message string, arguments ...string) {
+	got, output := run(arguments...)
+	gomega.Expect(output).To(gomega.ContainSubstring(message))
+	gomega.Expect(got).To(gomega.Equal(code))
+},
+	ginkgo.Entry("unknown verb", verb.ExitUsage, `"fly" is unknown`, "fly"),
+	ginkgo.Entry("unknown flag", verb.ExitUsage, "comfreythread help status", "status", "--colour"),
+	ginkgo.Entry("unknown output", verb.ExitUsage, "use text or json", "status", "--output", "xml"),
+	ginkgo.Entry("missing file", verb.ExitFailed, "name an existing file", "check", "--tables", "none.json"),
+	ginkgo.Entry("nothing to check", verb.ExitUsage, "name a file", "check"),
+	ginkgo.Entry("unknown deployment", verb.ExitUsage, "use atelier or banaag", "demo", "--deployment", "x"),
+	ginkgo.Entry("payload that isn't JSON", verb.ExitUsage, "quote it", "query", "--kind", "x", "--payload", "{"),
+	ginkgo.Entry("nobody there", verb.ExitUnavailable, "check --address", "status", "--address", "127.0.0.1:1"),
+	ginkgo.Entry("help", verb.ExitOK, "comfreythread query --kind", "help", "query"),
+)
--- a/internal/verb/tables.go
+++ b/internal/verb/tables.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
-	"gitlab.com/comfreythread/comfreythread/internal/web"
+	"gitlab.com/comfreythread/comfreythread/internal/document"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
@@ -17,14 +17,13 @@
 }
 
 func loadTables(path string) (*operator.Tables, error) {
-	file, err := os.Open(path)
+	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "read tables; name an existing file with --tables")
 	}
-	defer func() { _ = file.Close() }()
 	tables := new(operator.Tables)
-	if err := web.DecodeStrict(file, tables); err != nil {
+	if err := document.DecodeAndCheck(data, tables); err != nil {
 		return nil, err
 	}
-	return tables, tables.Check()
+	return tables, nil
 }
--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -4,17 +4,19 @@
 
 import (
 	"context"
-	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"sync"
+	"os"
 	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/propagation"
+	"golang.org/x/net/netutil"
 
+	"gitlab.com/comfreythread/comfreythread/internal/document"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 )
 
@@ -32,19 +34,6 @@
 	idleTimeout       = 90 * time.Second
 )
 
-type (
-	// limitedListener accepts a bounded number of connections at a time.
-	limitedListener struct {
-		net.Listener
-		slots chan struct{}
-	}
-
-	limitedConnection struct {
-		net.Conn
-		release func()
-	}
-)
-
 // NewEngine returns a router without routes that turns a panic into a typed
 // error and honours the peer's trace.
 func NewEngine() *gin.Engine {
@@ -83,39 +72,34 @@
 
 // Serve serves until the server is shut down.
 func Serve(server *http.Server, listener net.Listener) error {
-	err := server.Serve(&limitedListener{Listener: listener, slots: make(chan struct{}, MaximumConnections)})
+	err := server.Serve(netutil.LimitListener(listener, MaximumConnections))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
 
-// Decode reads a JSON body strictly: unknown fields, a second value and
-// bodies over the limit are refused.
+// Decode reads a JSON body strictly: a body that is too large, arrives too
+// slowly or breaks off, and everything that is wrong with its content, is a
+// typed error.
 func Decode(ginContext *gin.Context, into any) error {
 	body := http.MaxBytesReader(ginContext.Writer, ginContext.Request.Body, MaximumBodyBytes)
-	return DecodeStrict(body, into)
-}
-
-// DecodeStrict reads one JSON value and nothing else.
-func DecodeStrict(reader io.Reader, into any) error {
-	decoder := json.NewDecoder(reader)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		return decodeFault(err)
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return fault.New(fault.BadRequest, "more than one JSON value was sent", "send exactly one")
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return bodyFault(err)
 	}
-	return nil
+	return document.Decode(data, into)
 }
 
-func decodeFault(err error) error {
+func bodyFault(err error) error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return fault.New(fault.TooLarge, "the body is too large", "send less at a time")
+		return fault.New(fault.TooLarge, fmt.Sprintf("the body is over %d bytes", tooLarge.Limit), "send less at a time")
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return fault.New(fault.TooSlow, "the body did not arrive within "+readTimeout.String(), "send it faster, or less at a time")
 	}
-	return fault.New(fault.BadRequest, "the JSON can't be read: "+err.Error(), "see docs/INTERFACES.md for the shape")
+	return fault.New(fault.BadRequest, "the body broke off", "send as many bytes as Content-Length says")
 }
 
 // Fail sends a typed error.
@@ -133,6 +117,8 @@
 		return http.StatusBadRequest
 	case fault.TooLarge:
 		return http.StatusRequestEntityTooLarge
+	case fault.TooSlow:
+		return http.StatusRequestTimeout
 	case fault.NotFound:
 		return http.StatusNotFound
 	case fault.Conflict:
@@ -154,21 +140,3 @@
 	}
 	return err
 }
-
-// Accept waits for room and then for a connection.
-func (limitedListener *limitedListener) Accept() (net.Conn, error) {
-	limitedListener.slots <- struct{}{}
-	connection, err := limitedListener.Listener.Accept()
-	if err != nil {
-		<-limitedListener.slots
-		return nil, err
-	}
-	release := sync.OnceFunc(func() { <-limitedListener.slots })
-	return &limitedConnection{Conn: connection, release: release}, nil
-}
-
-// Close closes the connection and makes room for another.
-func (limitedConnection *limitedConnection) Close() error {
-	limitedConnection.release()
-	return limitedConnection.Conn.Close()
-}
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -12,6 +12,8 @@
 	BadRequest Kind = "bad_request"
 	// TooLarge reports input over a stated size limit.
 	TooLarge Kind = "too_large"
+	// TooSlow reports input that did not arrive in time.
+	TooSlow Kind = "too_slow"
 	// NotFound reports a name or version that doesn't exist.
 	NotFound Kind = "not_found"
 	// Conflict reports a change that lost against another change.
