--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,9 @@
 
 vet:
 	$(GO) vet ./...
+
+.PHONY: capacity
+
+# Measures the slopes that docs/CAPACITY.md rests on.
+capacity:
+	$(GO) run ./internal/capacity
--- a/internal/caller/fuzz_test.go
+++ b/internal/caller/fuzz_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
@@ -45,6 +46,9 @@
 		if err := json.Unmarshal(recorder.Body.Bytes(), &refusal); err != nil || refusal.Kind == "" || refusal.Run != caller.NotRun {
 			t.Fatalf("refusal %q isn't typed", recorder.Body.String())
 		}
+		if strings.Contains(refusal.Message, "problem(s)") && len(refusal.Problems) == 0 {
+			t.Fatalf("refusal %q names no problem", recorder.Body.String())
+		}
 		if recorder.Code < 400 || recorder.Code > 499 {
 			t.Fatalf("status %d", recorder.Code)
 		}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -121,7 +121,7 @@
 	}
 	var typed *fault.Error
 	if errors.As(err, &typed) {
-		refusal.Message, refusal.Remedy = typed.Message, typed.Remedy
+		refusal.Message, refusal.Remedy, refusal.Problems = typed.Message, typed.Remedy, typed.Problems
 	}
 	return refusal
 }
--- /dev/null
+++ b/internal/capacity/series.go
@@ -0,0 +1,95 @@
+// This file exists so that each cost is a straight line with a stated error.
+
+package main
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"strings"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 11 * vg.Centimeter
+)
+
+type (
+	// series is one cost at several sizes.
+	series struct {
+		name string
+		// per names the size, and unit that of the cost.
+		per, unit   string
+		sizes, cost []float64
+	}
+)
+
+func (series *series) add(size, cost float64) {
+	series.sizes = append(series.sizes, size)
+	series.cost = append(series.cost, cost)
+}
+
+// fit returns the line's intercept and slope, and the largest distance of a
+// point from the line as a share of the largest cost.
+func (series *series) fit() (intercept, slope, worst float64) {
+	intercept, slope = stat.LinearRegression(series.sizes, series.cost, nil, false)
+	largest := 0.0
+	for index, size := range series.sizes {
+		worst = math.Max(worst, math.Abs(series.cost[index]-(intercept+slope*size)))
+		largest = math.Max(largest, math.Abs(series.cost[index]))
+	}
+	if largest > 0 {
+		worst /= largest
+	}
+	return intercept, slope, worst
+}
+
+func writeTable(path string, all []*series) error {
+	var text strings.Builder
+	text.WriteString("# Slopes\n\nWritten by `make capacity`. The error is the largest distance of a point from\nthe line, as a share of the largest cost.\n\n")
+	text.WriteString("| cost | unit | sizes | measured | at size 0 | for each | error |\n| --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, series := range all {
+		intercept, slope, worst := series.fit()
+		fmt.Fprintf(&text, "| %s | %s | %s | %s | %.4g | %.4g a %s | %.0f%% |\n",
+			series.name, series.unit, list(series.sizes), list(series.cost), intercept, slope, series.per, 100*worst)
+	}
+	text.WriteString("\n![slopes](capacity_slopes.svg)\n")
+	return os.WriteFile(path, []byte(text.String()), 0o600)
+}
+
+func list(values []float64) string {
+	var texts []string
+	for _, value := range values {
+		texts = append(texts, fmt.Sprintf("%.4g", value))
+	}
+	return strings.Join(texts, ", ")
+}
+
+// writePlot draws each series as shares of its largest size and cost, so that
+// a bend away from a straight line shows.
+func writePlot(path string, all []*series) error {
+	drawn := plot.New()
+	drawn.Title.Text = "Cost by size, each as a share of its largest"
+	drawn.X.Label.Text = "size"
+	drawn.Y.Label.Text = "cost"
+	drawn.Legend.Top, drawn.Legend.Left = true, true
+	var lines []any
+	for _, series := range all {
+		last := len(series.sizes) - 1
+		points := plotter.XYs{}
+		for index, size := range series.sizes {
+			points = append(points, plotter.XY{X: size / series.sizes[last], Y: series.cost[index] / series.cost[last]})
+		}
+		lines = append(lines, series.name, points)
+	}
+	if err := plotutil.AddLinePoints(drawn, lines...); err != nil {
+		return err
+	}
+	return drawn.Save(plotWidth, plotHeight, path)
+}
--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -88,6 +88,9 @@
 	if err != nil {
 		return bodyFault(err)
 	}
+	if checker, checked := into.(document.Checker); checked {
+		return document.DecodeAndCheck(data, checker)
+	}
 	return document.Decode(data, into)
 }
 
--- a/pkg/caller/answer.go
+++ b/pkg/caller/answer.go
@@ -8,6 +8,7 @@
 	"fmt"
 
 	"gitlab.com/comfreythread/comfreythread/pkg/duration"
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 )
 
 const (
@@ -127,6 +128,8 @@
 		// means that another try with this ID makes none.
 		RetryAfter duration.Duration `json:"retry_after"`
 		Coverage   *Coverage         `json:"coverage,omitempty"`
+		// Problems lists what is wrong with a bad request.
+		Problems []fault.Problem `json:"problems,omitempty"`
 		// Entries lists addresses to use in place of this entry's.
 		Entries []string `json:"entries,omitempty"`
 	}
