Let writers that meet on a connection share one write

Cause: each frame was a write of its own, and a home sends a report for each leaf. Now a frame goes into a buffer, and the last of the writers that meet flushes. Ruled out: a writer goroutine with a queue, which adds a hop and a queue to bound.

--- a/internal/frame/link.go
+++ b/internal/frame/link.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
@@ -20,15 +21,21 @@
 	silenceLimit = 2 * time.Second
 	writeTimeout = 2 * time.Second
 	helloTimeout = 2 * time.Second
+
+	writeBufferBytes = 64 << 10
 )
 
 type (
 	link struct {
 		connection net.Conn
 		reader     *bufio.Reader
-		writing    sync.Mutex
-		closed     chan struct{}
-		closing    sync.Once
+		// waiting counts the writers that are not done, so that only the last
+		// of those that meet flushes, and they share one write.
+		waiting atomic.Int64
+		writing sync.Mutex
+		writer  *bufio.Writer
+		closed  chan struct{}
+		closing sync.Once
 	}
 )
 
@@ -36,6 +43,7 @@
 	return &link{
 		connection: connection,
 		reader:     bufio.NewReader(connection),
+		writer:     bufio.NewWriterSize(connection, writeBufferBytes),
 		closed:     make(chan struct{}),
 	}
 }
@@ -47,11 +55,17 @@
 	})
 }
 
+// write sends a message, or leaves it to the writer that comes next. The
+// connection is closed where that fails.
 func (link *link) write(message *message) error {
+	link.waiting.Add(1)
 	link.writing.Lock()
 	defer link.writing.Unlock()
 	_ = link.connection.SetWriteDeadline(time.Now().Add(writeTimeout))
-	err := writeMessage(link.connection, message)
+	err := writeMessage(link.writer, message)
+	if link.waiting.Add(-1) == 0 && err == nil {
+		err = link.writer.Flush()
+	}
 	if err != nil {
 		link.close()
 	}
