Encode and read a frame in one buffer

Cause: a frame was encoded, then copied behind its length; and read by io.ReadAll, which starts at 512 bytes and grows. Bodies up to 64 KiB are now read into a slice of their length.

--- a/internal/frame/message.go
+++ b/internal/frame/message.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"io"
 	"time"
@@ -22,6 +23,10 @@
 	MaximumFrameBytes = 16 << 20
 
 	lengthBytes = 4
+	// overheadBytes is room for what a message has besides its body.
+	overheadBytes = 64
+	// reservedBytes bounds the memory that a frame's length alone reserves.
+	reservedBytes = 64 << 10
 )
 
 const (
@@ -52,16 +57,19 @@
 )
 
 func writeMessage(writer io.Writer, message *message) error {
-	body, err := msgpack.Marshal(message)
-	if err != nil {
+	frame := bytes.NewBuffer(make([]byte, lengthBytes, lengthBytes+overheadBytes+len(message.Body)))
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	encoder.Reset(frame)
+	if err := encoder.Encode(message); err != nil {
 		return errors.Wrap(err, "encode frame")
 	}
-	if len(body) > MaximumFrameBytes {
+	length := frame.Len() - lengthBytes
+	if length > MaximumFrameBytes {
 		return fault.New(fault.TooLarge, "the frame is too large", "send less in one call")
 	}
-	frame := make([]byte, lengthBytes, lengthBytes+len(body))
-	binary.BigEndian.PutUint32(frame, uint32(len(body)))
-	_, err = writer.Write(append(frame, body...))
+	binary.BigEndian.PutUint32(frame.Bytes(), uint32(length))
+	_, err := writer.Write(frame.Bytes())
 	return err
 }
 
@@ -74,18 +82,28 @@
 	if length > MaximumFrameBytes {
 		return nil, fault.New(fault.TooLarge, "the peer's frame is too large", "check that the address belongs to a comfreythread process")
 	}
-	// The buffer grows with the bytes that arrive, so that a length alone
-	// reserves no memory.
-	body, err := io.ReadAll(io.LimitReader(reader, int64(length)))
+	body, err := readBody(reader, int(length))
 	if err != nil {
 		return nil, err
 	}
-	if len(body) < int(length) {
-		return nil, io.ErrUnexpectedEOF
-	}
 	var read message
 	if err := msgpack.Unmarshal(body, &read); err != nil {
 		return nil, fault.New(fault.BadRequest, "the peer's frame can't be decoded", "check that both processes run the same release")
 	}
 	return &read, nil
 }
+
+// readBody reads exactly length bytes. A large buffer grows with the bytes
+// that arrive, so that a length alone reserves little memory.
+func readBody(reader io.Reader, length int) ([]byte, error) {
+	if length <= reservedBytes {
+		body := make([]byte, length)
+		_, err := io.ReadFull(reader, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(reader, int64(length)))
+	if err == nil && len(body) < length {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err
+}
