--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -3,7 +3,10 @@
 package process
 
 import (
+	"context"
+
 	"go.uber.org/fx"
+	"go.uber.org/zap"
 
 	"gitlab.com/comfreythread/comfreythread/internal/control"
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
@@ -17,14 +20,38 @@
 	}
 	return fx.Module("control",
 		fx.Provide(newState, newReplica, control.NewService),
-		fx.Invoke(func(service *control.Service, server *frame.Server) { service.Register(server) }),
+		fx.Invoke(registerControl),
 	)
 }
 
+// controlLifecycle comes after the servers, because a replica that stops
+// hands over its lead while the others can still answer it.
+func controlLifecycle(settings *settings.Settings) fx.Option {
+	if settings.Control == nil {
+		return fx.Options()
+	}
+	return fx.Invoke(runReplica)
+}
+
 func newState() *control.State {
 	return new(control.State)
 }
 
-func newReplica(state *control.State) *replica.Replica {
-	return replica.New(state)
+func newReplica(settings *settings.Settings, state *control.State, network Network, logger *zap.Logger) *replica.Replica {
+	return replica.New(replica.Options{
+		Name: settings.Name, Address: settings.PeerAddress, Peers: settings.ControlReplicas,
+		Dial: network.Dial, Logger: logger,
+	}, state)
+}
+
+func registerControl(service *control.Service, replica *replica.Replica, server *frame.Server) {
+	service.Register(server)
+	replica.Register(server)
+}
+
+func runReplica(replica *replica.Replica, lifecycle fx.Lifecycle) {
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error { return replica.Start() },
+		OnStop:  replica.Stop,
+	})
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -65,6 +65,7 @@
 		controlModule(settings),
 		entryModule(settings),
 		fx.Invoke(startServers),
+		controlLifecycle(settings),
 	)
 }
 
--- /dev/null
+++ b/internal/replica/core.go
@@ -0,0 +1,350 @@
+// This file exists so that all decisions of a replica are a function of what
+// it was told, apart from sockets, disks and clocks.
+
+package replica
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// heartbeatInterval is the span between a leader's messages to a replica.
+	heartbeatInterval = 100 * time.Millisecond
+	// promiseSpan is how long a replica gives no vote after it has heard from
+	// a leader. It is the shortest time to an election.
+	promiseSpan = 600 * time.Millisecond
+	// leaseSpan is how long a leader relies on such a promise: less, because
+	// the clock rates of two VMs may differ by 1% each way.
+	leaseSpan = promiseSpan * 98 / 100
+	// retainedEntries is how many entries stay in memory after a snapshot,
+	// for replicas that lag a little.
+	retainedEntries = 1024
+)
+
+const (
+	roleFollower role = iota
+	rolePreCandidate
+	roleCandidate
+	roleLeader
+)
+
+type (
+	role uint8
+
+	// input is one of the types below.
+	input interface {
+		isInput()
+	}
+
+	// ticked tells that time has passed.
+	ticked struct{}
+
+	// arrived hands over a message.
+	arrived struct{ parcel parcel }
+
+	// proposed asks a leader to add commands.
+	proposed struct{ commands [][]byte }
+
+	// synced tells that all records of earlier outputs are durable.
+	synced struct{}
+
+	// snapshotTaken hands over the machine's state after an index.
+	snapshotTaken struct {
+		index uint64
+		data  []byte
+	}
+
+	// addAsked asks a leader to add a replica that says hello at an address.
+	addAsked struct{ name, address string }
+
+	// removeAsked asks a leader to remove a replica.
+	removeAsked struct{ id string }
+
+	// handOverAsked asks a leader to let another replica lead.
+	handOverAsked struct{}
+
+	// hardState is what a replica must remember besides its log.
+	hardState struct {
+		Term uint64 `msgpack:"t"`
+		Vote string `msgpack:"v"`
+		// Boot counts the starts of this replica.
+		Boot uint64 `msgpack:"b"`
+		// Boots are the latest known starts of others.
+		Boots map[string]uint64 `msgpack:"o"`
+	}
+
+	// output is what the driver must do, in this order: send early, make
+	// records durable, step with synced, send late, apply.
+	output struct {
+		early []parcel
+		late  []parcel
+		// hard and entries are the records; a rewrite replaces everything.
+		hard    *hardState
+		entries []entry
+		rewrite bool
+		// restore replaces the machine's state before entries are applied.
+		restore *snapshot
+		apply   []entry
+		// reset tells that this disk must not be used as the member it was.
+		reset bool
+		// refusal answers addAsked and removeAsked; nil accepts.
+		refusal error
+	}
+
+	// core decides for one replica.
+	core struct {
+		id      string
+		address string
+		peers   []string
+		random  *rand.Rand
+		started time.Time
+
+		hardState
+		// proved is false after a restart until a quorum has confirmed that no
+		// later start is on record. Until then nothing is voted on or
+		// acknowledged.
+		proved   bool
+		provedBy map[string]bool
+
+		log         entryLog
+		snapshot    snapshot
+		memberships []membership
+		commit      uint64
+		applied     uint64
+		durable     uint64
+
+		role         role
+		leader       string
+		leaderPlace  string
+		promiseUntil time.Time
+		electionDue  time.Time
+		helloDue     time.Time
+		votes        map[string]bool
+		newcomers    map[string]newcomer
+		incoming     incomingSnapshot
+
+		leadingSince time.Time
+		termStart    uint64
+		heartbeatDue time.Time
+		progress     map[string]*progress
+		handingOver  bool
+
+		out output
+	}
+
+	// newcomer is a replica without a group, by its address.
+	newcomer struct {
+		id    string
+		peers []string
+		heard time.Time
+	}
+)
+
+func (ticked) isInput()        {}
+func (arrived) isInput()       {}
+func (proposed) isInput()      {}
+func (synced) isInput()        {}
+func (snapshotTaken) isInput() {}
+func (addAsked) isInput()      {}
+func (removeAsked) isInput()   {}
+func (handOverAsked) isInput() {}
+
+// start prepares a core whose durable state has been filled in.
+func (core *core) start(now time.Time) {
+	core.started = now
+	core.newcomers = map[string]newcomer{}
+	core.provedBy = map[string]bool{}
+	core.commit = max(core.commit, core.snapshot.Index)
+	core.applied = core.snapshot.Index
+	core.durable = core.log.last()
+	slices.Sort(core.peers)
+	// A promise given before a restart may still be relied upon.
+	core.promise(now)
+}
+
+// step takes one input at a time that never goes back. Outputs of several
+// steps may be taken together.
+func (core *core) step(now time.Time, input input) {
+	switch input := input.(type) {
+	case ticked:
+	case arrived:
+		core.receive(now, &input.parcel)
+	case proposed:
+		core.propose(now, input.commands)
+	case synced:
+		core.durable = core.log.last()
+		core.advanceCommit()
+	case snapshotTaken:
+		core.compact(input.index, input.data)
+	case addAsked:
+		core.out.refusal = core.add(now, input.name, input.address)
+	case removeAsked:
+		core.out.refusal = core.remove(now, input.id)
+	case handOverAsked:
+		core.handingOver = core.role == roleLeader
+	}
+	core.tick(now)
+}
+
+// take returns what the driver must do since the last call.
+func (core *core) take() output {
+	out := core.out
+	core.out = output{}
+	out.apply = core.toApply()
+	return out
+}
+
+func (core *core) toApply() []entry {
+	if core.commit <= core.applied {
+		return nil
+	}
+	// An entry is applied once it is durable here.
+	through := min(core.commit, core.durable)
+	if through <= core.applied {
+		return nil
+	}
+	first := core.applied - core.log.offset
+	entries := core.log.entries[first : through-core.log.offset]
+	core.applied = through
+	return append([]entry(nil), entries...)
+}
+
+func (core *core) tick(now time.Time) {
+	switch {
+	case !core.formed():
+		core.seekGroup(now)
+	case !core.proved:
+		core.seekProof(now)
+	case core.role == roleLeader:
+		core.lead(now)
+	case !now.Before(core.electionDue):
+		core.stand(now)
+	}
+}
+
+func (core *core) receive(now time.Time, parcel *parcel) {
+	if greeting, isHello := parcel.message.(hello); isHello {
+		core.receiveHello(now, parcel, &greeting)
+		return
+	}
+	if parcel.to != core.id {
+		return
+	}
+	switch message := parcel.message.(type) {
+	case adopt:
+		core.receiveAdopt(now, &message)
+	case register:
+		core.receiveRegister(parcel, &message)
+	case registered:
+		core.receiveRegistered(parcel, &message)
+	case outdated:
+		core.out.reset = core.out.reset || message.Term >= core.Term
+	default:
+		if core.formed() && !core.proved {
+			return
+		}
+		core.receiveProved(now, parcel)
+	}
+}
+
+// receiveProved takes the messages that a replica may answer only if its disk
+// is not outdated.
+func (core *core) receiveProved(now time.Time, parcel *parcel) {
+	switch message := parcel.message.(type) {
+	case voteRequest:
+		core.receiveVoteRequest(now, parcel, &message)
+	case voteReply:
+		core.receiveVoteReply(now, parcel, &message)
+	case appendRequest:
+		core.receiveAppend(now, parcel, &message)
+	case appendReply:
+		core.receiveAppendReply(now, parcel, &message)
+	case installRequest:
+		core.receiveInstall(now, parcel, &message)
+	case installReply:
+		core.receiveInstallReply(now, parcel, &message)
+	case timeoutNow:
+		if message.Term == core.Term && core.role == roleFollower && core.isVoter(core.id) {
+			core.campaign(now, true)
+		}
+	}
+}
+
+func (core *core) formed() bool {
+	return len(core.memberships) > 0
+}
+
+func (core *core) members() []member {
+	if !core.formed() {
+		return nil
+	}
+	return core.memberships[len(core.memberships)-1].members
+}
+
+func (core *core) member(id string) (member, bool) {
+	for _, member := range core.members() {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return member{}, false
+}
+
+func (core *core) isVoter(id string) bool {
+	member, found := core.member(id)
+	return found && member.Voter
+}
+
+// voters returns the IDs of the members that are counted in a quorum.
+func (core *core) voters() []string {
+	var voters []string
+	for _, member := range core.members() {
+		if member.Voter {
+			voters = append(voters, member.ID)
+		}
+	}
+	return voters
+}
+
+// hasQuorum reports whether a predicate holds for a majority of the voters.
+func (core *core) hasQuorum(predicate func(id string) bool) bool {
+	voters, count := core.voters(), 0
+	for _, id := range voters {
+		if predicate(id) {
+			count++
+		}
+	}
+	return len(voters) > 0 && count > len(voters)/2
+}
+
+// send sends a message that tells nothing that is not yet durable.
+func (core *core) send(to, address string, message message) {
+	core.out.early = append(core.out.early, core.pack(to, address, message))
+}
+
+// sendDurable sends a message once all records so far are durable.
+func (core *core) sendDurable(to, address string, message message) {
+	core.out.late = append(core.out.late, core.pack(to, address, message))
+}
+
+func (core *core) pack(to, address string, message message) parcel {
+	return parcel{from: core.id, fromAddress: core.address, to: to, toAddress: address, message: message}
+}
+
+func (core *core) recordHard() {
+	hard := core.hardState
+	hard.Boots = map[string]uint64{}
+	for id, boot := range core.Boots {
+		hard.Boots[id] = boot
+	}
+	core.out.hard = &hard
+}
+
+// nameOf returns the process's name in a replica's ID.
+func nameOf(id string) string {
+	name, _, _ := strings.Cut(id, "#")
+	return name
+}
--- /dev/null
+++ b/internal/replica/driver.go
@@ -0,0 +1,370 @@
+// This file exists so that a core's decisions meet the network, the disk, the
+// clock and the machine in one goroutine.
+
+package replica
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	requestDeliver requestKind = iota
+	requestPropose
+	requestConfirm
+	requestChange
+)
+
+const (
+	// maximumGathered bounds the requests that share one sync of the disk.
+	maximumGathered = 512
+	// minimumCompactionBytes is how much the log grows at least between two
+	// snapshots.
+	minimumCompactionBytes = 1 << 20
+)
+
+type (
+	requestKind uint8
+
+	// request is what callers and peers ask the driver.
+	request struct {
+		kind    requestKind
+		parcel  parcel
+		command []byte
+		change  input
+		reply   chan outcome
+	}
+
+	outcome struct {
+		result []byte
+		err    error
+	}
+
+	// confirmation is a Confirm that waits.
+	confirmation struct {
+		asked time.Time
+		index uint64
+		reply chan outcome
+	}
+
+	// driver runs a core. Its fields belong to one goroutine.
+	driver struct {
+		replica *Replica
+		core    *core
+		store   store
+		random  *rand.Rand
+		// empty is the state of a machine that has applied nothing.
+		empty []byte
+		// failed is why the disk is not used any more.
+		failed error
+
+		proposals     map[uint64]chan outcome
+		proposalTerm  uint64
+		confirmations []confirmation
+	}
+)
+
+// open reads the durable state and prepares the core.
+func (driver *driver) open(now time.Time) error {
+	driver.store = &memoryStore{}
+	driver.begin(now, nil)
+	return nil
+}
+
+// begin makes a core from durable state, or a new replica where it is nil.
+func (driver *driver) begin(now time.Time, state *durableState) {
+	options := &driver.replica.options
+	core := &core{id: newID(options.Name), address: options.Address, peers: append([]string(nil), options.Peers...), random: driver.random}
+	if len(core.peers) == 0 {
+		core.peers = []string{core.address}
+	}
+	if state == nil {
+		core.proved = true
+		core.Boot = 1
+	} else {
+		core.load(state)
+	}
+	core.start(now)
+	driver.core = core
+}
+
+func (driver *driver) run() {
+	defer close(driver.replica.stopped)
+	defer driver.replica.transport.stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	stopping := driver.replica.stopping
+	var stopAt time.Time
+	for {
+		select {
+		case <-stopping:
+			stopping = nil
+			stopAt = driver.stopAt(time.Now())
+			driver.core.step(time.Now(), handOverAsked{})
+		case request := <-driver.replica.requests:
+			driver.gather(request)
+		case <-timer.C:
+			driver.core.step(time.Now(), ticked{})
+		}
+		driver.flush()
+		if stopping == nil && (driver.core.followsAnother() || !time.Now().Before(stopAt)) {
+			driver.end()
+			return
+		}
+		driver.rearm(timer, stopAt)
+	}
+}
+
+// stopAt returns until when a stopping replica stays for its successor to
+// lead. A replica that doesn't lead has none.
+func (driver *driver) stopAt(now time.Time) time.Time {
+	if driver.failed != nil || driver.core.role != roleLeader {
+		return now
+	}
+	return now.Add(handOverTimeout)
+}
+
+func (driver *driver) rearm(timer *time.Timer, stopAt time.Time) {
+	due := driver.core.nextDue()
+	if !stopAt.IsZero() && stopAt.Before(due) {
+		due = stopAt
+	}
+	timer.Reset(max(time.Until(due), time.Millisecond))
+}
+
+// gather handles a request and those that wait behind it, so that they share
+// one sync of the disk.
+func (driver *driver) gather(first request) {
+	var commands [][]byte
+	var replies []chan outcome
+	next, more := first, true
+	for count := 0; more; count++ {
+		if next.kind == requestPropose {
+			commands, replies = append(commands, next.command), append(replies, next.reply)
+		} else {
+			driver.handle(&next)
+		}
+		if count == maximumGathered {
+			break
+		}
+		select {
+		case next = <-driver.replica.requests:
+		default:
+			more = false
+		}
+	}
+	driver.propose(commands, replies)
+}
+
+func (driver *driver) handle(request *request) {
+	now := time.Now()
+	switch request.kind {
+	case requestDeliver:
+		if driver.failed == nil {
+			driver.core.step(now, arrived{parcel: request.parcel})
+		}
+	case requestConfirm:
+		driver.confirm(now, request.reply)
+	case requestChange:
+		if err := driver.refusal(); err != nil {
+			request.reply <- outcome{err: err}
+			return
+		}
+		driver.core.out.refusal = nil
+		driver.core.step(now, request.change)
+		request.reply <- outcome{err: driver.core.out.refusal}
+	case requestPropose:
+	}
+}
+
+// refusal returns why this replica can't act as leader, or nil.
+func (driver *driver) refusal() error {
+	if driver.failed != nil {
+		return driver.failed
+	}
+	if !driver.core.canPropose() {
+		return &NotLeadingError{leaderID: driver.core.leader, leaderAddress: driver.core.leaderPlace}
+	}
+	return nil
+}
+
+func (driver *driver) propose(commands [][]byte, replies []chan outcome) {
+	if len(commands) == 0 {
+		return
+	}
+	if err := driver.refusal(); err != nil {
+		for _, reply := range replies {
+			reply <- outcome{err: err}
+		}
+		return
+	}
+	if driver.proposals == nil {
+		driver.proposals = map[uint64]chan outcome{}
+	}
+	first := driver.core.log.last() + 1
+	driver.proposalTerm = driver.core.Term
+	for position, reply := range replies {
+		driver.proposals[first+uint64(position)] = reply
+	}
+	driver.core.step(time.Now(), proposed{commands: commands})
+}
+
+func (driver *driver) confirm(now time.Time, reply chan outcome) {
+	if err := driver.refusal(); err != nil {
+		reply <- outcome{err: err}
+		return
+	}
+	index := max(driver.core.commit, driver.core.termStart)
+	driver.confirmations = append(driver.confirmations, confirmation{asked: now, index: index, reply: reply})
+	if driver.core.confirmedAt(now).Before(now) {
+		driver.core.heartbeatDue = now
+		driver.core.step(now, ticked{})
+	}
+}
+
+// flush does what the core asks until it asks for nothing more.
+func (driver *driver) flush() {
+	for driver.failed == nil {
+		out := driver.core.take()
+		driver.replica.transport.send(out.early)
+		if out.reset {
+			driver.discard()
+			break
+		}
+		wrote, err := driver.persist(&out)
+		if err != nil {
+			driver.fail(err)
+			break
+		}
+		if wrote {
+			driver.core.step(time.Now(), synced{})
+		}
+		driver.replica.transport.send(out.late)
+		driver.apply(&out)
+		if !wrote && len(out.early)+len(out.late)+len(out.apply) == 0 && !driver.compact() {
+			break
+		}
+	}
+	driver.settle()
+	driver.publish()
+}
+
+func (driver *driver) persist(out *output) (wrote bool, err error) {
+	if out.rewrite {
+		return true, driver.store.rewrite(driver.core.durableState())
+	}
+	if out.hard == nil && len(out.entries) == 0 {
+		return false, nil
+	}
+	return true, driver.store.append(out.hard, out.entries)
+}
+
+func (driver *driver) apply(out *output) {
+	if out.restore != nil {
+		if err := driver.replica.machine.Restore(out.restore.Data); err != nil {
+			driver.fail(err)
+			return
+		}
+	}
+	for index := range out.apply {
+		applied := &out.apply[index]
+		var result []byte
+		if applied.Kind == entryCommand {
+			result = driver.replica.machine.Apply(applied.Index, applied.Data)
+		}
+		if reply, waiting := driver.proposals[applied.Index]; waiting && applied.Term == driver.proposalTerm {
+			reply <- outcome{result: result}
+			delete(driver.proposals, applied.Index)
+		}
+	}
+}
+
+// compact takes a snapshot once the log has grown as large as the state.
+func (driver *driver) compact() bool {
+	appended, rewritten := driver.store.grown()
+	if appended < max(minimumCompactionBytes, rewritten) || driver.core.applied <= driver.core.snapshot.Index {
+		return false
+	}
+	data, err := driver.replica.machine.Snapshot()
+	if err != nil {
+		driver.replica.options.Logger.Error("the machine gave no snapshot", zap.Error(err))
+		return false
+	}
+	driver.core.step(time.Now(), snapshotTaken{index: driver.core.applied, data: data})
+	return true
+}
+
+// settle answers what can be answered by now.
+func (driver *driver) settle() {
+	now := time.Now()
+	leading := driver.failed == nil && driver.core.role == roleLeader
+	if !leading || driver.core.Term != driver.proposalTerm {
+		for index, reply := range driver.proposals {
+			reply <- outcome{err: outcomeUnknown()}
+			delete(driver.proposals, index)
+		}
+	}
+	confirmedAt := driver.core.confirmedAt(now)
+	waiting := driver.confirmations[:0]
+	for _, confirmation := range driver.confirmations {
+		err := driver.refusal()
+		switch {
+		case err != nil:
+			confirmation.reply <- outcome{err: err}
+		case !confirmedAt.Before(confirmation.asked) && driver.core.applied >= confirmation.index:
+			confirmation.reply <- outcome{}
+		default:
+			waiting = append(waiting, confirmation)
+		}
+	}
+	driver.confirmations = waiting
+}
+
+// discard starts anew with an empty disk, as a replica that the group has
+// never counted.
+func (driver *driver) discard() {
+	driver.replica.options.Logger.Warn("this replica's disk is not what it was; it joins the group anew", zap.String("id", driver.core.id))
+	if err := driver.store.discard(); err != nil {
+		driver.fail(err)
+		return
+	}
+	if err := driver.replica.machine.Restore(driver.empty); err != nil {
+		driver.fail(err)
+		return
+	}
+	driver.begin(time.Now(), nil)
+}
+
+// fail ends the use of the disk: what it holds is not known any more.
+func (driver *driver) fail(err error) {
+	driver.failed = failure(err)
+	driver.replica.options.Logger.Error("this replica takes part no more", zap.Error(driver.failed))
+}
+
+// end answers everything that waits.
+func (driver *driver) end() {
+	driver.failed = stopped()
+	driver.settle()
+	driver.publish()
+	if err := driver.store.close(); err != nil {
+		driver.replica.options.Logger.Warn("close the data folder", zap.Error(err))
+	}
+}
+
+func (driver *driver) publish() {
+	core := driver.core
+	leading := driver.failed == nil && core.role == roleLeader
+	published := &view{status: Status{
+		ID: core.id, Term: core.Term, Leading: leading,
+		LeaderID: core.leader, LeaderAddress: core.leaderPlace, Applied: core.applied,
+	}}
+	if leading {
+		published.leadingSince = core.leadingSince
+	}
+	for _, member := range core.members() {
+		published.status.Replicas = append(published.status.Replicas, core.statusOf(member))
+	}
+	driver.replica.view.Store(published)
+}
--- /dev/null
+++ b/internal/replica/durable.go
@@ -0,0 +1,46 @@
+// This file exists so that a core is made from what its disk holds, and the
+// other way round.
+
+package replica
+
+// durableState returns everything that must be found again after a restart.
+func (core *core) durableState() *durableState {
+	state := &durableState{id: core.id, hard: core.hardState, snapshot: core.snapshot}
+	if first := core.snapshot.Index + 1; first <= core.log.last() {
+		state.entries = core.log.entries[first-core.log.offset-1:]
+	}
+	return state
+}
+
+// load takes over durable state at the start of a process.
+func (core *core) load(state *durableState) {
+	core.id, core.hardState, core.snapshot = state.id, state.hard, state.snapshot
+	core.Boot++
+	core.recordHard()
+	core.log.reset(state.snapshot.Index, state.snapshot.Term)
+	if len(state.snapshot.Members) > 0 {
+		core.memberships = []membership{{index: state.snapshot.Index, members: state.snapshot.Members}}
+	}
+	if len(state.entries) > 0 {
+		core.log.append(state.entries...)
+		core.noteMembers(state.entries)
+	}
+	if state.snapshot.Index > 0 {
+		restored := state.snapshot
+		core.out.restore = &restored
+	}
+}
+
+func (core *core) statusOf(member member) MemberStatus {
+	status := MemberStatus{ID: member.ID, Address: member.Address, Voter: member.Voter}
+	switch {
+	case member.ID == core.id:
+		status.Match = core.durable
+	case core.progress[member.ID] != nil:
+		status.Match = core.progress[member.ID].match
+	}
+	if status.Match < core.log.last() {
+		status.Lag = core.log.last() - status.Match
+	}
+	return status
+}
--- a/internal/replica/error.go
+++ b/internal/replica/error.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 
+	"github.com/go-faster/errors"
+
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 )
 
@@ -36,3 +38,25 @@
 	}
 	return fault.New(fault.Unavailable, fmt.Sprintf("this replica doesn't lead; %s at %s does", err.leaderID, err.leaderAddress), "send it to "+err.leaderAddress)
 }
+
+// outcomeUnknown reports a proposal that may still be accepted.
+func outcomeUnknown() error {
+	return fault.New(fault.Unavailable, "the replica lost its lead before the command was accepted; it may still be", "send the same command again, with the same ID")
+}
+
+func interrupted() error {
+	return fault.New(fault.Unavailable, "the replica didn't answer in time; a command may still be accepted", "send the same command again, with the same ID")
+}
+
+func stopped() error {
+	return fault.New(fault.Unavailable, "the replica is stopping", "try again at another replica")
+}
+
+// failure reports a disk that is not used any more.
+func failure(err error) error {
+	var typed *fault.Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return fault.New(fault.Internal, "the replica's disk failed: "+err.Error(), "mend or replace the disk and restart the process")
+}
--- /dev/null
+++ b/internal/replica/group_test.go
@@ -0,0 +1,256 @@
+package replica_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/internal/replica"
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+)
+
+type (
+	// listMachine keeps all commands, a line each.
+	listMachine struct {
+		lock  sync.Mutex
+		lines []byte
+	}
+
+	// group is some replicas on a network in memory.
+	group struct {
+		network  *standin.Network
+		peers    []string
+		replicas map[string]*running
+	}
+
+	running struct {
+		*replica.Replica
+		machine *listMachine
+		server  *frame.Server
+	}
+)
+
+var suite *testing.T
+
+func TestReplica(t *testing.T) {
+	suite = t
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "replica")
+}
+
+func (listMachine *listMachine) Apply(_ uint64, command []byte) []byte {
+	listMachine.lock.Lock()
+	defer listMachine.lock.Unlock()
+	listMachine.lines = append(append(listMachine.lines, command...), '\n')
+	return command
+}
+
+func (listMachine *listMachine) Snapshot() ([]byte, error) {
+	listMachine.lock.Lock()
+	defer listMachine.lock.Unlock()
+	return bytes.Clone(listMachine.lines), nil
+}
+
+func (listMachine *listMachine) Restore(snapshot []byte) error {
+	listMachine.lock.Lock()
+	defer listMachine.lock.Unlock()
+	listMachine.lines = bytes.Clone(snapshot)
+	return nil
+}
+
+func (listMachine *listMachine) text() string {
+	listMachine.lock.Lock()
+	defer listMachine.lock.Unlock()
+	return string(listMachine.lines)
+}
+
+func newGroup(latency time.Duration) *group {
+	group := &group{network: &standin.Network{}, replicas: map[string]*running{}}
+	group.network.SetLatency(func(_, _ string) time.Duration { return latency })
+	for number := range 3 {
+		group.peers = append(group.peers, ipOf(number)+":90")
+	}
+	return group
+}
+
+func ipOf(number int) string { return fmt.Sprintf("10.0.0.%d", number+1) }
+
+func (group *group) start(number int) *running {
+	address := ipOf(number) + ":90"
+	machine := &listMachine{}
+	started := &running{machine: machine, server: new(frame.Server), Replica: replica.New(replica.Options{
+		Name: fmt.Sprintf("control-%d", number), Address: address, Peers: group.peers, Dial: group.network.Dialer(ipOf(number)),
+	}, machine)}
+	listener, err := group.network.Listen(address)
+	if err != nil {
+		panic(err)
+	}
+	started.Register(started.server)
+	go func() { _ = started.server.Serve(listener) }()
+	if err := started.Start(); err != nil {
+		panic(err)
+	}
+	group.replicas[address] = started
+	return started
+}
+
+func (group *group) startAll() {
+	for number := range group.peers {
+		group.start(number)
+	}
+}
+
+func (group *group) stop(address string) {
+	stopped := group.replicas[address]
+	_ = stopped.Stop(context.Background())
+	stopped.server.Stop()
+	delete(group.replicas, address)
+}
+
+func (group *group) stopAll() {
+	for address := range group.replicas {
+		group.stop(address)
+	}
+}
+
+// propose proposes until a replica accepts, and returns its address.
+func (group *group) propose(command string) string {
+	for {
+		for address, candidate := range group.replicas {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_, err := candidate.Propose(ctx, []byte(command))
+			cancel()
+			if err == nil {
+				return address
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func ipAt(address string) string { return address[:len(address)-len(":90")] }
+
+var _ = ginkgo.Describe("a group of replicas", func() {
+	ginkgo.It("agrees, follows a new leader after a planned stop, and names the leader", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			group := newGroup(12 * time.Millisecond)
+			group.startAll()
+			defer group.stopAll()
+			first := group.propose("one")
+			time.Sleep(time.Second)
+			for address, replica := range group.replicas {
+				expect.Expect(replica.machine.text()).To(gomega.Equal("one\n"))
+				expect.Expect(replica.Status().LeaderAddress).To(gomega.Equal(first))
+				expect.Expect(replica.Status().Replicas).To(gomega.HaveLen(3))
+				if address != first {
+					var typed interface{ LeaderAddress() string }
+					_, err := replica.Propose(context.Background(), []byte("refused"))
+					expect.Expect(errors.As(err, &typed)).To(gomega.BeTrue())
+					expect.Expect(typed.LeaderAddress()).To(gomega.Equal(first))
+				}
+			}
+			stopping := time.Now()
+			group.stop(first)
+			group.propose("two")
+			// A planned stop costs no election timeout.
+			expect.Expect(time.Since(stopping)).To(gomega.BeNumerically("<", 300*time.Millisecond))
+			time.Sleep(time.Second)
+			for _, replica := range group.replicas {
+				expect.Expect(replica.machine.text()).To(gomega.Equal("one\ntwo\n"))
+			}
+		})
+	})
+
+	ginkgo.It("confirms nothing at a leader cut off one way, within its lease, and takes it back", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			group := newGroup(time.Millisecond)
+			group.startAll()
+			defer group.stopAll()
+			first := group.propose("one")
+			old := group.replicas[first]
+			for _, peer := range group.peers {
+				group.network.Cut(ipAt(peer), ipAt(first))
+			}
+			time.Sleep(700 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			expect.Expect(old.Confirm(ctx)).NotTo(gomega.Succeed())
+			_, err := old.Propose(ctx, []byte("lost"))
+			expect.Expect(err).To(gomega.HaveOccurred())
+			second := group.propose("two")
+			expect.Expect(second).NotTo(gomega.Equal(first))
+			term, _ := group.replicas[second].Term()
+			time.Sleep(time.Minute)
+			for _, peer := range group.peers {
+				group.network.Heal(ipAt(peer), ipAt(first))
+			}
+			time.Sleep(10 * time.Second)
+			expect.Expect(old.machine.text()).To(gomega.Equal("one\ntwo\n"))
+			// Its return disturbs nobody.
+			after, leading := group.replicas[second].Term()
+			expect.Expect(after).To(gomega.Equal(term))
+			expect.Expect(leading).To(gomega.BeTrue())
+		})
+	})
+
+	ginkgo.It("replaces a replica whose disk is lost, without its vote, and then bears the loss of a second", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			group := newGroup(time.Millisecond)
+			group.startAll()
+			defer group.stopAll()
+			leader := group.propose("one")
+			lost := (indexOf(group.peers, leader) + 1) % 3
+			group.stop(group.peers[lost])
+			time.Sleep(2 * time.Second)
+			returned := group.start(lost)
+			time.Sleep(5 * time.Second)
+			expect.Expect(returned.machine.text()).To(gomega.Equal("one\n"))
+			status := group.replicas[leader].Status()
+			expect.Expect(status.Replicas).To(gomega.HaveLen(3))
+			for _, member := range status.Replicas {
+				expect.Expect(member.Voter).To(gomega.BeTrue())
+			}
+			group.stop(group.peers[(lost+1)%3])
+			group.propose("two")
+			time.Sleep(time.Second)
+			expect.Expect(returned.machine.text()).To(gomega.Equal("one\ntwo\n"))
+		})
+	})
+
+	ginkgo.It("adds and removes replicas one at a time on an operator's word", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			group := newGroup(time.Millisecond)
+			group.startAll()
+			defer group.stopAll()
+			leader := group.replicas[group.propose("one")]
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			expect.Expect(leader.AddReplica(ctx, "control-3", ipOf(3)+":90")).NotTo(gomega.Succeed())
+			added := group.start(3)
+			time.Sleep(time.Second)
+			expect.Expect(leader.AddReplica(ctx, "control-3", ipOf(3)+":90")).To(gomega.Succeed())
+			expect.Expect(added.machine.text()).To(gomega.Equal("one\n"))
+			other := group.peers[(indexOf(group.peers, leader.Status().LeaderAddress)+1)%3]
+			expect.Expect(leader.RemoveReplica(ctx, fmt.Sprintf("control-%d", indexOf(group.peers, other)))).To(gomega.Succeed())
+			expect.Expect(leader.Status().Replicas).To(gomega.HaveLen(3))
+		})
+	})
+})
+
+func indexOf(peers []string, address string) int {
+	for index, peer := range peers {
+		if peer == address {
+			return index
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/replica/install.go
@@ -0,0 +1,147 @@
+// This file exists so that a replica that lacks too much gets a snapshot, a
+// part at a time.
+
+package replica
+
+import (
+	"time"
+)
+
+const (
+	maximumPartBytes = 1 << 20
+)
+
+type (
+	// incomingSnapshot is a snapshot of which the first parts have arrived.
+	incomingSnapshot struct {
+		from  string
+		term  uint64
+		index uint64
+		data  []byte
+	}
+)
+
+// compact takes a snapshot of the machine and drops the entries before it.
+func (core *core) compact(index uint64, data []byte) {
+	term, known := core.log.term(index)
+	if !known || index <= core.snapshot.Index || index > core.applied {
+		return
+	}
+	core.snapshot = snapshot{Index: index, Term: term, Members: core.membersAt(index), Data: data}
+	if index > retainedEntries {
+		core.log.compact(index - retainedEntries)
+	}
+	for len(core.memberships) > 1 && core.memberships[1].index <= index {
+		core.memberships = core.memberships[1:]
+	}
+	core.out.rewrite = true
+}
+
+func (core *core) membersAt(index uint64) []member {
+	var members []member
+	for _, membership := range core.memberships {
+		if membership.index <= index {
+			members = membership.members
+		}
+	}
+	return members
+}
+
+func (core *core) startInstall(now time.Time, member member) {
+	progress := core.progressOf(member.ID)
+	taken := core.snapshot
+	progress.sending, progress.sentOffset, progress.inFlight = &taken, 0, nil
+	core.sendPart(now, member, progress)
+}
+
+func (core *core) sendPart(now time.Time, member member, progress *progress) {
+	part := *progress.sending
+	end := min(progress.sentOffset+maximumPartBytes, len(part.Data))
+	done := end == len(part.Data)
+	part.Data = part.Data[progress.sentOffset:end]
+	progress.sentAt = now
+	core.send(member.ID, member.Address, installRequest{
+		Term: core.Term, Snapshot: part, Offset: progress.sentOffset, Done: done, Sent: now.Sub(core.started),
+	})
+}
+
+// resumeInstall sends the part again whose answer is overdue.
+func (core *core) resumeInstall(now time.Time, member member, progress *progress) {
+	if now.Sub(progress.sentAt) >= promiseSpan {
+		core.sendPart(now, member, progress)
+	}
+}
+
+func (core *core) receiveInstall(now time.Time, parcel *parcel, request *installRequest) {
+	if request.Term < core.Term || request.Term == core.Term && core.role == roleLeader {
+		core.sendDurable(parcel.from, parcel.fromAddress, appendReply{Term: core.Term, Rejected: true, Last: core.log.last(), Sent: request.Sent})
+		return
+	}
+	core.follow(now, request.Term, parcel.from, parcel.fromAddress)
+	core.promise(now)
+	reply := installReply{Term: core.Term, Index: request.Snapshot.Index, Sent: request.Sent}
+	incoming := &core.incoming
+	if incoming.from != parcel.from || incoming.term != request.Term || incoming.index != request.Snapshot.Index {
+		*incoming = incomingSnapshot{from: parcel.from, term: request.Term, index: request.Snapshot.Index}
+	}
+	if request.Snapshot.Index <= core.commit {
+		core.sendDurable(parcel.from, parcel.fromAddress, appendReply{Term: core.Term, Match: request.Snapshot.Index, Last: core.log.last(), Sent: request.Sent})
+		return
+	}
+	if request.Offset == len(incoming.data) {
+		incoming.data = append(incoming.data, request.Snapshot.Data...)
+		if request.Done {
+			core.install(request, incoming.data)
+			*incoming = incomingSnapshot{}
+			core.sendDurable(parcel.from, parcel.fromAddress, appendReply{Term: core.Term, Match: request.Snapshot.Index, Last: core.log.last(), Sent: request.Sent})
+			return
+		}
+	}
+	reply.Offset = len(incoming.data)
+	core.sendDurable(parcel.from, parcel.fromAddress, reply)
+}
+
+// install replaces the machine's state and what the log holds before it.
+func (core *core) install(request *installRequest, data []byte) {
+	core.snapshot = request.Snapshot
+	core.snapshot.Data = data
+	index, term := core.snapshot.Index, core.snapshot.Term
+	kept := []membership{{index: index, members: core.snapshot.Members}}
+	if present, known := core.log.term(index); known && present == term {
+		core.log.compact(index)
+		for _, membership := range core.memberships {
+			if membership.index > index {
+				kept = append(kept, membership)
+			}
+		}
+	} else {
+		core.log.reset(index, term)
+	}
+	core.memberships = kept
+	core.commit, core.applied = index, index
+	core.out.rewrite, core.out.entries = true, nil
+	restored := core.snapshot
+	core.out.restore = &restored
+}
+
+func (core *core) receiveInstallReply(now time.Time, parcel *parcel, reply *installReply) {
+	member, found := core.member(parcel.from)
+	if reply.Term > core.Term {
+		core.follow(now, reply.Term, "", "")
+		return
+	}
+	if core.role != roleLeader || reply.Term < core.Term || !found {
+		return
+	}
+	progress := core.progressOf(parcel.from)
+	if heard := core.started.Add(reply.Sent); heard.After(progress.heard) {
+		progress.heard = heard
+	}
+	if progress.sending == nil || progress.sending.Index != reply.Index || reply.Offset > len(progress.sending.Data) {
+		return
+	}
+	if reply.Offset != progress.sentOffset {
+		progress.sentOffset = reply.Offset
+		core.sendPart(now, member, progress)
+	}
+}
--- /dev/null
+++ b/internal/replica/log.go
@@ -0,0 +1,121 @@
+// This file exists so that indexes into the log are counted in one place.
+
+package replica
+
+import "github.com/vmihailenco/msgpack/v5"
+
+const (
+	// entryCommand carries a command for the machine.
+	entryCommand entryKind = iota + 1
+	// entryMembers carries the group's members. It is in force once appended.
+	entryMembers
+	// entryEmpty opens a term.
+	entryEmpty
+)
+
+type (
+	entryKind uint8
+
+	entry struct {
+		Index uint64    `msgpack:"i"`
+		Term  uint64    `msgpack:"t"`
+		Kind  entryKind `msgpack:"k"`
+		Data  []byte    `msgpack:"d"`
+	}
+
+	// member is one replica of the group.
+	member struct {
+		ID      string `msgpack:"i"`
+		Address string `msgpack:"a"`
+		Voter   bool   `msgpack:"v"`
+	}
+
+	// membership is the members since an index.
+	membership struct {
+		index   uint64
+		members []member
+	}
+
+	// snapshot is the machine's state after an index.
+	snapshot struct {
+		Index   uint64   `msgpack:"i"`
+		Term    uint64   `msgpack:"t"`
+		Members []member `msgpack:"m"`
+		Data    []byte   `msgpack:"d"`
+	}
+
+	// entryLog holds the entries after an index. The zero value is empty.
+	entryLog struct {
+		offset     uint64
+		offsetTerm uint64
+		entries    []entry
+	}
+)
+
+func (log *entryLog) last() uint64 {
+	return log.offset + uint64(len(log.entries))
+}
+
+func (log *entryLog) lastTerm() uint64 {
+	term, _ := log.term(log.last())
+	return term
+}
+
+// term returns the term of the entry at an index. It is not known before the
+// offset and after the last entry.
+func (log *entryLog) term(index uint64) (term uint64, known bool) {
+	if index == log.offset {
+		return log.offsetTerm, true
+	}
+	if index < log.offset || index > log.last() {
+		return 0, false
+	}
+	return log.entries[index-log.offset-1].Term, true
+}
+
+// from returns the entries from an index on, up to a number of bytes, but at
+// least one where there is one.
+func (log *entryLog) from(index uint64, maximumBytes int) []entry {
+	if index <= log.offset || index > log.last() {
+		return nil
+	}
+	entries := log.entries[index-log.offset-1:]
+	size := 0
+	for count := range entries {
+		size += len(entries[count].Data)
+		if count > 0 && size > maximumBytes {
+			return entries[:count:count]
+		}
+	}
+	return entries[:len(entries):len(entries)]
+}
+
+// append adds entries; those already present from the first one's index on
+// are dropped.
+func (log *entryLog) append(entries ...entry) {
+	keep := entries[0].Index - log.offset - 1
+	log.entries = append(log.entries[:keep:keep], entries...)
+}
+
+// reset drops everything and starts after an index.
+func (log *entryLog) reset(index, term uint64) {
+	*log = entryLog{offset: index, offsetTerm: term}
+}
+
+// compact drops the entries up to an index.
+func (log *entryLog) compact(index uint64) {
+	term, known := log.term(index)
+	if !known || index <= log.offset {
+		return
+	}
+	log.entries = append([]entry(nil), log.entries[index-log.offset:]...)
+	log.offset, log.offsetTerm = index, term
+}
+
+func encodeMembers(members []member) []byte {
+	encoded, err := msgpack.Marshal(members)
+	if err != nil {
+		panic(err) // a list of plain structs always encodes
+	}
+	return encoded
+}
--- /dev/null
+++ b/internal/replica/members.go
@@ -0,0 +1,279 @@
+// This file exists so that the group changes one replica at a time and counts
+// a replica only once it holds everything.
+
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
+)
+
+const (
+	helloInterval = 200 * time.Millisecond
+	// newcomerSpan is how long a hello is remembered.
+	newcomerSpan = 2 * time.Second
+)
+
+func (core *core) isMember(id string) bool {
+	_, found := core.member(id)
+	return found
+}
+
+func (core *core) lastMembership() uint64 {
+	return core.memberships[len(core.memberships)-1].index
+}
+
+// seekGroup says hello to all known addresses, and founds the group where
+// this replica has the lowest address and nobody belongs to a group.
+func (core *core) seekGroup(now time.Time) {
+	if now.Before(core.helloDue) {
+		return
+	}
+	core.helloDue = now.Add(helloInterval)
+	for _, address := range core.peers {
+		if address != core.address {
+			core.send("", address, hello{Peers: core.peers})
+		}
+	}
+	core.found(now)
+}
+
+// found founds the group once every listed replica has said hello with the
+// same list. A replica that belongs to a group says none, so a replica that
+// lost its disk can't found a second one.
+func (core *core) found(now time.Time) {
+	if len(core.peers) == 0 || core.peers[0] != core.address {
+		return
+	}
+	members := []member{{ID: core.id, Address: core.address, Voter: true}}
+	for _, address := range core.peers[1:] {
+		newcomer, known := core.newcomers[address]
+		if !known || now.Sub(newcomer.heard) >= newcomerSpan || !slices.Equal(newcomer.peers, core.peers) {
+			return
+		}
+		members = append(members, member{ID: newcomer.id, Address: address, Voter: true})
+	}
+	core.join(now, entry{Index: 1, Term: 1, Kind: entryMembers, Data: encodeMembers(members)})
+}
+
+// join takes the founding entry. It is committed from the start, because it
+// is the same at all that it names.
+func (core *core) join(now time.Time, founding entry) {
+	core.Term = max(core.Term, founding.Term)
+	core.recordHard()
+	core.appendEntries(founding)
+	core.commit = founding.Index
+	core.promise(now)
+}
+
+func (core *core) receiveHello(now time.Time, parcel *parcel, greeting *hello) {
+	if !core.formed() || core.role == roleLeader {
+		slices.Sort(greeting.Peers)
+		core.newcomers[parcel.fromAddress] = newcomer{id: parcel.from, peers: greeting.Peers, heard: now}
+	}
+	if !core.formed() || core.log.offset != 0 {
+		return
+	}
+	founding := core.log.entries[0]
+	members, err := decodeMembers(founding.Data)
+	if err != nil {
+		return
+	}
+	if slices.ContainsFunc(members, func(member member) bool { return member.ID == parcel.from }) {
+		core.sendDurable(parcel.from, parcel.fromAddress, adopt{Entry: founding})
+	}
+}
+
+func (core *core) receiveAdopt(now time.Time, adopted *adopt) {
+	if !core.formed() {
+		core.join(now, adopted.Entry)
+	}
+}
+
+// seekProof asks the others whether they know of a later start of this
+// replica than the present one.
+func (core *core) seekProof(now time.Time) {
+	core.provedBy[core.id] = true
+	if core.hasQuorum(func(id string) bool { return core.provedBy[id] }) {
+		core.proved = true
+		return
+	}
+	if now.Before(core.helloDue) {
+		return
+	}
+	core.helloDue = now.Add(helloInterval)
+	for _, member := range core.members() {
+		if member.ID != core.id {
+			core.sendDurable(member.ID, member.Address, register{Boot: core.Boot})
+		}
+	}
+}
+
+func (core *core) receiveRegister(request *parcel, asked *register) {
+	reply := registered{Boot: asked.Boot, Outdated: core.Boots[request.from] > asked.Boot}
+	if core.Boots[request.from] < asked.Boot {
+		if core.Boots == nil {
+			core.Boots = map[string]uint64{}
+		}
+		core.Boots[request.from] = asked.Boot
+		core.recordHard()
+	}
+	core.sendDurable(request.from, request.fromAddress, reply)
+}
+
+func (core *core) receiveRegistered(reply *parcel, answer *registered) {
+	if core.proved || answer.Boot != core.Boot {
+		return
+	}
+	if answer.Outdated {
+		core.out.reset = true
+		return
+	}
+	core.provedBy[reply.from] = true
+}
+
+// canChange reports whether a change of members may be added: the last one
+// and an entry of this term are committed.
+func (core *core) canChange() bool {
+	return core.canPropose() && core.commit >= core.termStart && core.lastMembership() <= core.commit
+}
+
+func (core *core) setMembers(now time.Time, members []member) {
+	slices.SortFunc(members, func(left, right member) int {
+		if left.ID < right.ID {
+			return -1
+		}
+		return 1
+	})
+	core.appendOwn(entry{Kind: entryMembers, Data: encodeMembers(members)})
+	core.replicateAll(now)
+}
+
+func (core *core) without(id string) []member {
+	var members []member
+	for _, member := range core.members() {
+		if member.ID != id {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
+// add adds a replica as a learner. It returns nil also where it is one.
+func (core *core) add(now time.Time, name, address string) error {
+	for _, member := range core.members() {
+		if member.Address == address && nameOf(member.ID) == name {
+			return nil
+		}
+	}
+	newcomer, known := core.newcomers[address]
+	if !known || now.Sub(newcomer.heard) >= newcomerSpan || nameOf(newcomer.id) != name {
+		return fault.New(fault.Unavailable, "no new replica named "+name+" has said hello from "+address,
+			"start it there with an empty data folder and with the group's addresses in control_replicas, then try again")
+	}
+	if !core.canChange() {
+		return changeUnderWay()
+	}
+	core.setMembers(now, append(core.without(""), member{ID: newcomer.id, Address: address}))
+	return nil
+}
+
+// remove removes a replica by its ID or its process's name. It returns nil
+// also where it is none.
+func (core *core) remove(now time.Time, id string) error {
+	for _, member := range core.members() {
+		if member.ID != id && nameOf(member.ID) != id {
+			continue
+		}
+		if !core.canChange() {
+			return changeUnderWay()
+		}
+		if !core.survivesWithout(now, member.ID) {
+			return fault.New(fault.Conflict, "without "+member.ID+" no quorum of the other replicas is up", "bring the others back first")
+		}
+		core.setMembers(now, core.without(member.ID))
+		return nil
+	}
+	return nil
+}
+
+func changeUnderWay() error {
+	return fault.New(fault.Unavailable, "another change of replicas is under way", "try again in a second")
+}
+
+func (core *core) isUp(now time.Time, id string) bool {
+	progress := core.progress[id]
+	return id == core.id || progress != nil && now.Sub(progress.heard) < promiseSpan
+}
+
+// survivesWithout reports whether a quorum of the voters besides one is up.
+func (core *core) survivesWithout(now time.Time, without string) bool {
+	voters, up := 0, 0
+	for _, id := range core.voters() {
+		if id == without {
+			continue
+		}
+		voters++
+		if core.isUp(now, id) {
+			up++
+		}
+	}
+	return voters > 0 && up > voters/2
+}
+
+// arrangeMembers takes the next step of a replacement: a replica that says
+// hello at the address of one that is silent replaces it, because the disk of
+// that one is gone. The old one is removed when the new one holds everything.
+func (core *core) arrangeMembers(now time.Time) {
+	if !core.canChange() {
+		return
+	}
+	for _, member := range core.members() {
+		if member.Voter {
+			continue
+		}
+		if progress := core.progress[member.ID]; progress == nil || progress.match < core.commit || !core.isUp(now, member.ID) {
+			continue
+		}
+		if old, found := core.silentAt(now, member.Address, member.ID); found {
+			if core.survivesWithout(now, old.ID) {
+				core.setMembers(now, core.without(old.ID))
+			}
+			return
+		}
+		core.promote(now, member.ID)
+		return
+	}
+	core.welcome(now)
+}
+
+// welcome adds the first newcomer that replaces a silent member.
+func (core *core) welcome(now time.Time) {
+	for _, old := range core.members() {
+		newcomer, known := core.newcomers[old.Address]
+		if !known || now.Sub(newcomer.heard) >= newcomerSpan || core.isMember(newcomer.id) || core.isUp(now, old.ID) {
+			continue
+		}
+		core.setMembers(now, append(core.without(""), member{ID: newcomer.id, Address: old.Address}))
+		return
+	}
+}
+
+// silentAt returns the voter at an address besides one ID.
+func (core *core) silentAt(now time.Time, address, besides string) (member, bool) {
+	for _, member := range core.members() {
+		if member.Address == address && member.ID != besides && !core.isUp(now, member.ID) {
+			return member, true
+		}
+	}
+	return member{}, false
+}
+
+func (core *core) promote(now time.Time, id string) {
+	members := core.without(id)
+	promoted, _ := core.member(id)
+	promoted.Voter = true
+	core.setMembers(now, append(members, promoted))
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -5,12 +5,29 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/internal/tcp"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 )
 
+const (
+	// MaximumCommandBytes bounds one command.
+	MaximumCommandBytes = 4 << 20
+
+	// maximumRequests bounds the requests that wait for the replica.
+	maximumRequests = 1024
+	// handOverTimeout bounds how long a stopping leader looks for another.
+	handOverTimeout = time.Second
+	changeInterval  = 50 * time.Millisecond
+)
+
 type (
 	// Machine is the state that the log's commands build up. Its methods are
 	// called by one goroutine at a time.
@@ -24,63 +41,207 @@
 		Restore(snapshot []byte) error
 	}
 
-	// Replica is one member of the group that agrees on the log.
+	// Options say who a replica is and how it reaches the others. The zero
+	// value is a group of its own, without a disk.
+	Options struct {
+		// Name names the process.
+		Name string
+		// Address is the process's IP:port for peers, and Peers those of all
+		// replicas that found the group. Later replicas list any of them.
+		Address string
+		Peers   []string
+		Dial    tcp.Dialer
+		Logger  *zap.Logger
+	}
+
+	// Replica is one member of the group that agrees on the log. Construct it
+	// with New.
 	Replica struct {
-		machine Machine
-		lock    sync.Mutex
-		index   uint64
-		since   time.Time
+		options   Options
+		machine   Machine
+		transport transport
+		requests  chan request
+		stopping  chan struct{}
+		stopped   chan struct{}
+		start     sync.Once
+		stop      sync.Once
+		view      atomic.Pointer[view]
+	}
+
+	// view is what is known to callers without asking the driver.
+	view struct {
+		status       Status
+		leadingSince time.Time
 	}
 )
 
-// New returns a replica that is a group of its own, without a disk.
-func New(machine Machine) *Replica {
-	return &Replica{machine: machine, since: time.Now()}
+// New returns a replica that keeps a machine's state. It takes part in the
+// group after Start.
+func New(options Options, machine Machine) *Replica {
+	if options.Logger == nil {
+		options.Logger = zap.NewNop()
+	}
+	replica := &Replica{
+		options: options, machine: machine, transport: transport{dial: options.Dial},
+		requests: make(chan request, maximumRequests), stopping: make(chan struct{}), stopped: make(chan struct{}),
+	}
+	replica.view.Store(&view{})
+	return replica
+}
+
+// Register offers the replica to its peers.
+func (replica *Replica) Register(server *frame.Server) {
+	frame.Handle(server, MethodDeliver, replica.deliver)
+}
+
+// Start opens the disk and takes part in the group until Stop.
+func (replica *Replica) Start() error {
+	empty, err := replica.machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	driver := &driver{replica: replica, empty: empty, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	if err := driver.open(time.Now()); err != nil {
+		return err
+	}
+	replica.start.Do(func() { go driver.run() })
+	return nil
+}
+
+// Stop lets another replica lead, where this one does, and then takes part no
+// more.
+func (replica *Replica) Stop(ctx context.Context) error {
+	replica.stop.Do(func() { close(replica.stopping) })
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-replica.stopped:
+		return nil
+	}
 }
 
 // Propose adds a command to the log and returns the machine's result once the
 // command is durable on a quorum and applied here. It returns a
-// NotLeadingError where this replica doesn't lead.
-func (replica *Replica) Propose(_ context.Context, command []byte) ([]byte, error) {
-	replica.lock.Lock()
-	defer replica.lock.Unlock()
-	replica.index++
-	return replica.machine.Apply(replica.index, command), nil
+// NotLeadingError where this replica doesn't lead and has not added it.
+func (replica *Replica) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if len(command) > MaximumCommandBytes {
+		return nil, fault.New(fault.TooLarge, "the command is too large", "change less at once")
+	}
+	outcome, err := replica.ask(ctx, request{command: command, kind: requestPropose})
+	if err != nil {
+		return nil, err
+	}
+	return outcome.result, outcome.err
 }
 
 // Confirm returns nil once this replica is certain that it leads and that its
 // machine holds every command accepted before the call. It returns a
 // NotLeadingError where this replica doesn't lead.
-func (replica *Replica) Confirm(context.Context) error {
-	return nil
+func (replica *Replica) Confirm(ctx context.Context) error {
+	outcome, err := replica.ask(ctx, request{kind: requestConfirm})
+	if err != nil {
+		return err
+	}
+	return outcome.err
 }
 
 // Term returns the present term and whether this replica leads it.
 func (replica *Replica) Term() (term uint64, leading bool) {
-	return 1, true
+	status := &replica.view.Load().status
+	return status.Term, status.Leading
 }
 
 // LeadingSince returns the time since which this replica has led without a
 // break; it is zero where it doesn't lead.
 func (replica *Replica) LeadingSince() time.Time {
-	return replica.since
+	return replica.view.Load().leadingSince
 }
 
 // Status returns how the group stands, as seen from this replica.
 func (replica *Replica) Status() Status {
-	replica.lock.Lock()
-	defer replica.lock.Unlock()
-	return Status{Term: 1, Leading: true, Applied: replica.index}
+	return replica.view.Load().status
 }
 
 // AddReplica adds the replica that runs at a peer address under a name. It
 // returns nil once the replica has caught up and is counted in quorums.
-func (replica *Replica) AddReplica(context.Context, string, string) error {
-	return fault.New(fault.Unavailable, "this group has one replica in memory", "run the control role")
+func (replica *Replica) AddReplica(ctx context.Context, name, address string) error {
+	for {
+		outcome, err := replica.ask(ctx, request{kind: requestChange, change: addAsked{name: name, address: address}})
+		if err != nil || outcome.err != nil {
+			return firstOf(err, outcome.err)
+		}
+		for _, member := range replica.Status().Replicas {
+			if member.Address == address && nameOf(member.ID) == name && member.Voter {
+				return nil
+			}
+		}
+		if err := replica.pause(ctx); err != nil {
+			return err
+		}
+	}
 }
 
 // RemoveReplica removes a replica by its ID or its process's name. It returns
 // nil once the removal is durable.
-func (replica *Replica) RemoveReplica(context.Context, string) error {
-	return fault.New(fault.Unavailable, "this group has one replica in memory", "run the control role")
+func (replica *Replica) RemoveReplica(ctx context.Context, id string) error {
+	outcome, err := replica.ask(ctx, request{kind: requestChange, change: removeAsked{id: id}})
+	if err != nil || outcome.err != nil {
+		return firstOf(err, outcome.err)
+	}
+	return replica.Confirm(ctx)
+}
+
+func firstOf(first, second error) error {
+	if first != nil {
+		return first
+	}
+	return second
+}
+
+func (replica *Replica) pause(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return interrupted()
+	case <-replica.stopped:
+		return stopped()
+	case <-time.After(changeInterval):
+		return nil
+	}
+}
+
+// ask hands a request to the driver and waits for its outcome.
+func (replica *Replica) ask(ctx context.Context, asked request) (outcome, error) {
+	asked.reply = make(chan outcome, 1)
+	select {
+	case <-ctx.Done():
+		return outcome{}, interrupted()
+	case <-replica.stopped:
+		return outcome{}, stopped()
+	case replica.requests <- asked:
+	}
+	select {
+	case <-ctx.Done():
+		return outcome{}, interrupted()
+	case <-replica.stopped:
+		return outcome{}, stopped()
+	case answered := <-asked.reply:
+		return answered, nil
+	}
+}
+
+func (replica *Replica) deliver(ctx context.Context, batch *batch) (*receipt, error) {
+	for index := range batch.Parcels {
+		parcel, err := batch.Parcels[index].parcel()
+		if err != nil {
+			return nil, fault.New(fault.BadRequest, err.Error(), "run one release on all control VMs")
+		}
+		select {
+		case <-ctx.Done():
+			return nil, interrupted()
+		case <-replica.stopped:
+			return nil, stopped()
+		case replica.requests <- request{kind: requestDeliver, parcel: parcel}:
+		}
+	}
+	return &receipt{}, nil
 }
--- /dev/null
+++ b/internal/replica/replication.go
@@ -0,0 +1,294 @@
+// This file exists so that all replicas' logs become equal to the leader's.
+
+package replica
+
+import (
+	"time"
+)
+
+const (
+	// maximumAppendBytes bounds the commands in one message, unless a single
+	// one is larger.
+	maximumAppendBytes = 512 << 10
+	// maximumInFlight bounds the unanswered messages with entries to one
+	// replica.
+	maximumInFlight = 16
+)
+
+type (
+	// progress is what a leader knows of another replica.
+	progress struct {
+		match uint64
+		next  uint64
+		// probing sends one message at a time until the replica's log is known
+		// to agree at next.
+		probing bool
+		// inFlight holds the last index of each unanswered message with
+		// entries.
+		inFlight []uint64
+		// heard is when the latest message that was answered had been sent,
+		// and matchedAt when the answer arrived that gave match.
+		heard     time.Time
+		matchedAt time.Time
+		// sending is the snapshot on its way, nil where none is.
+		sending    *snapshot
+		sentOffset int
+		sentAt     time.Time
+	}
+)
+
+// propose adds commands to the leader's log.
+func (core *core) propose(now time.Time, commands [][]byte) {
+	for _, command := range commands {
+		core.appendOwn(entry{Kind: entryCommand, Data: command})
+	}
+	core.replicateAll(now)
+}
+
+// canPropose reports whether commands are taken at present.
+func (core *core) canPropose() bool {
+	return core.role == roleLeader && !core.handingOver
+}
+
+// appendOwn adds an entry to the leader's log.
+func (core *core) appendOwn(added entry) {
+	added.Index, added.Term = core.log.last()+1, core.Term
+	core.appendEntries(added)
+}
+
+// appendEntries adds entries to the log and to what must become durable. The
+// first may replace one that the log holds.
+func (core *core) appendEntries(entries ...entry) {
+	first := entries[0].Index
+	for len(core.memberships) > 0 && core.memberships[len(core.memberships)-1].index >= first {
+		core.memberships = core.memberships[:len(core.memberships)-1]
+	}
+	core.durable = min(core.durable, first-1)
+	core.log.append(entries...)
+	core.out.entries = append(core.out.entries, entries...)
+	core.noteMembers(entries)
+}
+
+func (core *core) noteMembers(entries []entry) {
+	for _, added := range entries {
+		if added.Kind != entryMembers {
+			continue
+		}
+		if members, err := decodeMembers(added.Data); err == nil {
+			core.memberships = append(core.memberships, membership{index: added.Index, members: members})
+		}
+	}
+}
+
+func (core *core) progressOf(id string) *progress {
+	if core.progress[id] == nil {
+		core.progress[id] = &progress{next: core.log.last() + 1, probing: true}
+	}
+	return core.progress[id]
+}
+
+func (core *core) replicateAll(now time.Time) {
+	for _, member := range core.members() {
+		if member.ID != core.id {
+			core.replicate(now, member)
+		}
+	}
+	core.advanceCommit()
+}
+
+// replicate sends a replica what it lacks, as far as flow control allows.
+func (core *core) replicate(now time.Time, member member) {
+	progress := core.progressOf(member.ID)
+	if progress.sending != nil {
+		return
+	}
+	for progress.next <= core.log.last() && len(progress.inFlight) < core.window(progress) {
+		if _, known := core.log.term(progress.next - 1); !known {
+			core.startInstall(now, member)
+			return
+		}
+		entries := core.log.from(progress.next, maximumAppendBytes)
+		core.sendAppend(now, member, progress, entries)
+		last := entries[len(entries)-1].Index
+		progress.inFlight = append(progress.inFlight, last)
+		if !progress.probing {
+			progress.next = last + 1
+		}
+	}
+}
+
+func (core *core) window(progress *progress) int {
+	if progress.probing {
+		return 1
+	}
+	return maximumInFlight
+}
+
+func (core *core) sendAppend(now time.Time, member member, progress *progress, entries []entry) {
+	prev := progress.next - 1
+	term, known := core.log.term(prev)
+	if !known {
+		// A heartbeat to a replica that needs a snapshot.
+		prev, term = core.log.offset, core.log.offsetTerm
+	}
+	core.send(member.ID, member.Address, appendRequest{
+		Term: core.Term, Prev: prev, PrevTerm: term, Entries: entries, Commit: core.commit, Sent: now.Sub(core.started),
+	})
+}
+
+// beat sends every replica a heartbeat. Its answer also shows what was lost.
+func (core *core) beat(now time.Time) {
+	for _, member := range core.members() {
+		if member.ID == core.id {
+			continue
+		}
+		progress := core.progressOf(member.ID)
+		if progress.sending != nil {
+			core.resumeInstall(now, member, progress)
+		}
+		core.sendAppend(now, member, progress, nil)
+	}
+}
+
+func (core *core) receiveAppend(now time.Time, parcel *parcel, request *appendRequest) {
+	if request.Term < core.Term || request.Term == core.Term && core.role == roleLeader {
+		core.sendDurable(parcel.from, parcel.fromAddress, appendReply{Term: core.Term, Rejected: true, Last: core.log.last(), Sent: request.Sent})
+		return
+	}
+	core.follow(now, request.Term, parcel.from, parcel.fromAddress)
+	core.promise(now)
+	reply := appendReply{Term: core.Term, Sent: request.Sent, Match: request.Prev + uint64(len(request.Entries))}
+	prev, prevTerm, entries := request.Prev, request.PrevTerm, request.Entries
+	if prev < core.commit {
+		// What is committed here is equal in every leader's log.
+		drop := min(core.commit-prev, uint64(len(entries)))
+		prev, entries = prev+drop, entries[drop:]
+		if prev < core.commit {
+			prev = core.commit
+		}
+		prevTerm, _ = core.log.term(prev)
+	}
+	if term, known := core.log.term(prev); !known || term != prevTerm {
+		reply.Rejected, reply.Match = true, core.agreement(prev)
+	} else {
+		core.merge(entries)
+		core.commit = max(core.commit, min(request.Commit, reply.Match))
+	}
+	reply.Last = core.log.last()
+	core.sendDurable(parcel.from, parcel.fromAddress, reply)
+}
+
+// agreement returns the last index before a disagreement at which the
+// leader's log may be equal to this one.
+func (core *core) agreement(index uint64) uint64 {
+	if index > core.log.last() {
+		return core.log.last()
+	}
+	conflicting, _ := core.log.term(index)
+	for index > core.commit+1 {
+		term, known := core.log.term(index - 1)
+		if !known || term != conflicting {
+			break
+		}
+		index--
+	}
+	return max(index, 1) - 1
+}
+
+// merge adds the entries that the log lacks, and drops those that differ.
+func (core *core) merge(entries []entry) {
+	for position, added := range entries {
+		if term, known := core.log.term(added.Index); !known || term != added.Term {
+			core.appendEntries(entries[position:]...)
+			return
+		}
+	}
+}
+
+func (core *core) receiveAppendReply(now time.Time, parcel *parcel, reply *appendReply) {
+	if reply.Term > core.Term {
+		core.follow(now, reply.Term, "", "")
+		return
+	}
+	member, found := core.member(parcel.from)
+	if core.role != roleLeader || reply.Term < core.Term || !found {
+		return
+	}
+	progress := core.progressOf(parcel.from)
+	if heard := core.started.Add(reply.Sent); heard.After(progress.heard) {
+		progress.heard = heard
+	}
+	if reply.Rejected {
+		core.back(member, progress, reply)
+	} else {
+		core.accept(now, progress, reply)
+	}
+	core.replicate(now, member)
+}
+
+// accept notes how far a replica's log is equal to this one.
+func (core *core) accept(now time.Time, progress *progress, reply *appendReply) {
+	if reply.Match >= progress.match {
+		progress.match, progress.matchedAt = reply.Match, now
+	}
+	if progress.probing && reply.Match+1 >= progress.next {
+		// What was sent for probing may be lost; it is sent again.
+		progress.probing, progress.inFlight = false, nil
+	}
+	if progress.sending != nil && reply.Match >= progress.sending.Index {
+		progress.sending = nil
+	}
+	progress.next = max(progress.next, progress.match+1)
+	unanswered := progress.inFlight[:0]
+	for _, last := range progress.inFlight {
+		if last > reply.Match {
+			unanswered = append(unanswered, last)
+		}
+	}
+	progress.inFlight = unanswered
+	core.advanceCommit()
+}
+
+// back goes back to where a replica's log may be equal to this one.
+func (core *core) back(member member, progress *progress, reply *appendReply) {
+	if reply.Last < progress.match && core.started.Add(reply.Sent).After(progress.matchedAt) {
+		// It once held more, durably: its disk went back to an earlier state.
+		core.send(member.ID, member.Address, outdated{Term: core.Term})
+		return
+	}
+	if reply.Match < progress.match || progress.sending != nil {
+		return
+	}
+	progress.probing, progress.inFlight = true, nil
+	progress.next = min(progress.next, reply.Match+1)
+}
+
+// advanceCommit commits what a quorum holds durably. Only an entry of this
+// term proves that no later leader can replace it.
+func (core *core) advanceCommit() {
+	if core.role != roleLeader {
+		return
+	}
+	commit := core.commit
+	for index := max(core.commit+1, core.termStart); index <= core.log.last(); index++ {
+		if !core.hasQuorum(func(id string) bool { return core.holds(id, index) }) {
+			break
+		}
+		commit = index
+	}
+	if commit == core.commit {
+		return
+	}
+	core.commit = commit
+	if !core.isMember(core.id) && core.lastMembership() <= core.commit {
+		core.role, core.leader, core.leaderPlace, core.leadingSince = roleFollower, "", "", time.Time{}
+	}
+}
+
+func (core *core) holds(id string, index uint64) bool {
+	if id == core.id {
+		return core.durable >= index
+	}
+	progress := core.progress[id]
+	return progress != nil && progress.match >= index
+}
--- /dev/null
+++ b/internal/replica/store.go
@@ -0,0 +1,68 @@
+// This file exists so that the driver keeps a replica's records without
+// knowing how they lie on the disk.
+
+package replica
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+)
+
+type (
+	// durableState is everything that a replica must find again after a
+	// restart.
+	durableState struct {
+		id       string
+		hard     hardState
+		snapshot snapshot
+		entries  []entry
+	}
+
+	// store makes a replica's records durable. After an error it must not be
+	// used any more.
+	store interface {
+		// append makes records durable after those before.
+		append(hard *hardState, entries []entry) error
+		// rewrite replaces all records.
+		rewrite(state *durableState) error
+		// grown returns the bytes appended since the last rewrite, and the
+		// bytes that a rewrite wrote.
+		grown() (appended, rewritten int64)
+		// discard sets all records aside, because they must not be used.
+		discard() error
+		close() error
+	}
+
+	// memoryStore is a store that lasts as long as the process.
+	memoryStore struct {
+		appended int64
+	}
+)
+
+func (memoryStore *memoryStore) append(_ *hardState, entries []entry) error {
+	for _, entry := range entries {
+		memoryStore.appended += int64(len(entry.Data))
+	}
+	return nil
+}
+
+func (memoryStore *memoryStore) rewrite(*durableState) error {
+	memoryStore.appended = 0
+	return nil
+}
+
+func (memoryStore *memoryStore) grown() (appended, rewritten int64) {
+	return memoryStore.appended, 0
+}
+
+func (memoryStore *memoryStore) discard() error { return nil }
+
+func (memoryStore *memoryStore) close() error { return nil }
+
+// newID returns an ID that no other disk has, so that a replica whose disk is
+// lost never passes for the one that it was.
+func newID(name string) string {
+	var incarnation [8]byte
+	_, _ = rand.Read(incarnation[:])
+	return name + "#" + hex.EncodeToString(incarnation[:])
+}
--- /dev/null
+++ b/internal/replica/transport.go
@@ -0,0 +1,154 @@
+// This file exists so that parcels travel between replicas in order, without
+// the sender ever waiting.
+
+package replica
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/internal/tcp"
+)
+
+const (
+	// MethodDeliver delivers a batch of messages between replicas.
+	MethodDeliver = "replica.deliver"
+
+	// maximumQueued bounds the parcels that wait for one peer. Any parcel may
+	// get lost, so more are dropped.
+	maximumQueued = 256
+	// maximumCalls bounds the calls in flight to one peer.
+	maximumCalls = 32
+	// maximumBatchBytes bounds the commands in one call, unless a single
+	// parcel holds more.
+	maximumBatchBytes = 2 << 20
+	deliveryTimeout   = time.Second
+)
+
+type (
+	// transport sends parcels.
+	transport struct {
+		dial tcp.Dialer
+
+		lock    sync.Mutex
+		peers   map[string]*peer
+		stopped bool
+		running sync.WaitGroup
+	}
+
+	// peer is the way to one address.
+	peer struct {
+		client *frame.Client
+		queue  chan parcel
+		calls  chan struct{}
+		closed chan struct{}
+	}
+)
+
+func (transport *transport) send(parcels []parcel) {
+	for _, sent := range parcels {
+		peer := transport.peer(sent.toAddress)
+		if peer == nil {
+			return
+		}
+		select {
+		case peer.queue <- sent:
+		default:
+		}
+	}
+}
+
+func (transport *transport) peer(address string) *peer {
+	transport.lock.Lock()
+	defer transport.lock.Unlock()
+	if transport.stopped {
+		return nil
+	}
+	known := transport.peers[address]
+	if known != nil {
+		return known
+	}
+	added := &peer{
+		client: frame.NewClient(address, transport.dial),
+		queue:  make(chan parcel, maximumQueued), calls: make(chan struct{}, maximumCalls), closed: make(chan struct{}),
+	}
+	if transport.peers == nil {
+		transport.peers = map[string]*peer{}
+	}
+	transport.peers[address] = added
+	transport.running.Go(func() { transport.run(added) })
+	return added
+}
+
+// stop closes all connections and waits for calls to end.
+func (transport *transport) stop() {
+	transport.lock.Lock()
+	transport.stopped = true
+	for _, peer := range transport.peers {
+		close(peer.closed)
+		peer.client.Close()
+	}
+	transport.lock.Unlock()
+	transport.running.Wait()
+}
+
+func (transport *transport) run(peer *peer) {
+	for {
+		select {
+		case <-peer.closed:
+			return
+		case first := <-peer.queue:
+			transport.call(peer, gather(peer.queue, first))
+		}
+	}
+}
+
+// gather returns the parcel and those that wait behind it.
+func gather(queue chan parcel, first parcel) *batch {
+	gathered := &batch{Parcels: []wireParcel{first.wire()}}
+	size := sizeOf(&first)
+	for size < maximumBatchBytes {
+		select {
+		case next := <-queue:
+			gathered.Parcels = append(gathered.Parcels, next.wire())
+			size += sizeOf(&next)
+		default:
+			return gathered
+		}
+	}
+	return gathered
+}
+
+func sizeOf(parcel *parcel) int {
+	switch message := parcel.message.(type) {
+	case appendRequest:
+		size := 0
+		for _, entry := range message.Entries {
+			size += len(entry.Data)
+		}
+		return size
+	case installRequest:
+		return len(message.Snapshot.Data)
+	default:
+		return 0
+	}
+}
+
+// call sends a batch without waiting for its receipt, unless too many
+// receipts are outstanding.
+func (transport *transport) call(peer *peer, sent *batch) {
+	select {
+	case peer.calls <- struct{}{}:
+	case <-peer.closed:
+		return
+	}
+	transport.running.Go(func() {
+		defer func() { <-peer.calls }()
+		ctx, cancel := context.WithTimeout(context.Background(), deliveryTimeout)
+		defer cancel()
+		// A lost batch is made up for by the core.
+		_, _ = frame.Call[batch, receipt](ctx, peer.client, MethodDeliver, sent)
+	})
+}
