Measure the system beside a naive coordinator, and check promises from records

make bench measures both deployments under ten loads on a network in memory and writes docs/MEASURES.md.

Beside its own packages this gives tier a way to kill a process and the Makefile a target.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 export GOFLAGS += -buildvcs=false
 
-.PHONY: build demo test format-check format lint vet
+.PHONY: bench build demo test format-check format lint vet
 
 build:
 	$(GO) build -o bin/comfreythread ./cmd/comfreythread
@@ -13,6 +13,11 @@
 demo: build
 	./bin/comfreythread demo $(DEMO)
 
+# bench writes docs/MEASURES.md; BENCH=TEXT measures only what has the text in
+# its name and writes nothing.
+bench:
+	$(GO) test ./internal/bench -count=1 -v -timeout 30m -run TestMeasures $(if $(BENCH),-bench-only '$(BENCH)',-bench-report $(CURDIR)/docs)
+
 test: format-check lint vet build
 	$(GO) test -race -timeout 9m ./...
 
--- /dev/null
+++ b/internal/bench/load_test.go
@@ -0,0 +1,151 @@
+package bench_test
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+	"gitlab.com/comfreythread/comfreythread/pkg/target"
+)
+
+const (
+	// A run takes a log-normal time.
+	workMedian = 4 * time.Millisecond
+	workSigma  = 0.4
+
+	stragglerFactor = 20
+	slowFactor      = 10
+	// requestsPerSecond is the load on each pool, overload left out.
+	requestsPerSecond = 80
+	faultAt           = time.Second
+	span              = 6 * time.Second
+
+	outAndBack = "failure domain out and back"
+)
+
+type (
+	// load is what a system is measured under.
+	load struct {
+		name string
+		// tail states that the users' bounds hold: a healthy replica of each
+		// shard exists in time throughout.
+		tail bool
+		// steady states that the bound on extra load holds.
+		steady bool
+		span   time.Duration
+		// capacity gives the last pool alone this multiple of its capacity.
+		capacity float64
+		// work scales the time of a run.
+		work func(random *rand.Rand, announcement *target.Announcement) float64
+		// act brings about what happens during the measurement.
+		act func(ctx context.Context, trial *trial)
+	}
+)
+
+var loads = []load{
+	{name: "steady", tail: true, steady: true, span: span},
+	{name: "1% of attempts 20x slow", tail: true, span: span, work: func(random *rand.Rand, _ *target.Announcement) float64 {
+		if random.IntN(100) == 0 {
+			return stragglerFactor
+		}
+		return 1
+	}},
+	{name: "one target 10x slow", tail: true, span: span, work: func(_ *rand.Rand, announcement *target.Announcement) float64 {
+		if announcement.ID == "counter-app-0-0" || announcement.ID == "buyer-desk-0-0" {
+			return slowFactor
+		}
+		return 1
+	}},
+	{name: "one replica of each shard lost", tail: true, span: span, act: loseReplicas},
+	{name: "rolling index change", tail: true, span: span, act: rollIndex},
+	{name: outAndBack, tail: true, span: 12 * time.Second, act: failureDomainOutAndBack},
+	{name: "restart wave into cold start", span: span, act: restartWave},
+	{name: "1x capacity", span: 2 * time.Second, capacity: 1},
+	{name: "2x capacity", span: 2 * time.Second, capacity: 2},
+	{name: "5x capacity", span: 2 * time.Second, capacity: 5},
+}
+
+// workOf returns the time that a target's runs take, drawn from its own
+// generator.
+func workOf(seed uint64, number int, announcement *target.Announcement, scale func(*rand.Rand, *target.Announcement) float64) func(*target.Run) time.Duration {
+	var lock sync.Mutex
+	random := rand.New(rand.NewPCG(seed, uint64(number)))
+	described := *announcement
+	return func(*target.Run) time.Duration {
+		lock.Lock()
+		defer lock.Unlock()
+		work := float64(workMedian) * math.Exp(workSigma*random.NormFloat64())
+		if scale != nil {
+			work *= scale(random, &described)
+		}
+		return time.Duration(work)
+	}
+}
+
+// capacityOf returns the requests a second that a pool's slots can run.
+func capacityOf(pool standin.PoolShape) float64 {
+	mean := workMedian.Seconds() * math.Exp(workSigma*workSigma/2)
+	return float64(pool.Targets/pool.Shards*pool.Slots) / mean
+}
+
+// loseReplicas loses the first replica of each shard. They lie in all failure
+// domains, so that every entry loses near ones.
+func loseReplicas(_ context.Context, trial *trial) {
+	until(trial.start, faultAt)
+	lost := map[string]bool{}
+	for _, target := range trial.tier.Targets() {
+		announcement := target.Announcement()
+		key := announcement.Pool + string(rune(announcement.Shard))
+		if !lost[key] {
+			lost[key] = true
+			trial.network.Down(target.IP())
+		}
+	}
+}
+
+// rollIndex brings a new index version to one target after the other. Two in
+// three hold both versions for two seconds; the third changes at once.
+func rollIndex(ctx context.Context, trial *trial) {
+	until(trial.start, faultAt)
+	for number, rolled := range trial.tier.Targets() {
+		versions := []uint64{1, 2}
+		if number%3 == 0 {
+			versions = []uint64{2}
+		}
+		rolled.Change(func(announcement *target.Announcement) { announcement.IndexVersions = versions })
+		_ = rolled.Announce(ctx, trial.entry(number))
+		time.Sleep(20 * time.Millisecond)
+	}
+	for number, rolled := range trial.tier.Targets() {
+		rolled.Change(func(announcement *target.Announcement) { announcement.IndexVersions = []uint64{2} })
+		_ = rolled.Announce(ctx, trial.entry(number))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func failureDomainOutAndBack(ctx context.Context, trial *trial) {
+	failureDomain := trial.deployment.FailureDomains[0]
+	until(trial.start, faultAt)
+	trial.change(ctx, "out", func(tables *operator.Tables) { tables.FailureDomainsOut = []string{failureDomain} })
+	out := standin.Out{FailureDomain: failureDomain, From: time.Now()}
+	trial.takeOut(failureDomain)
+	until(trial.start, 8*time.Second)
+	out.Until = time.Now()
+	trial.journal.TakeOut(out)
+	trial.change(ctx, "back", func(tables *operator.Tables) { tables.FailureDomainsOut = nil })
+	trial.takeOut("")
+}
+
+// restartWave restarts one target after the other without warning.
+func restartWave(_ context.Context, trial *trial) {
+	until(trial.start, faultAt)
+	for _, restarted := range trial.tier.Targets() {
+		restarted.TurnCold()
+		trial.network.Break(restarted.IP())
+		time.Sleep(30 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/bench/naive_test.go
@@ -0,0 +1,130 @@
+package bench_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+	"gitlab.com/comfreythread/comfreythread/internal/tcp"
+	"gitlab.com/comfreythread/comfreythread/pkg/caller"
+	"gitlab.com/comfreythread/comfreythread/pkg/target"
+)
+
+type (
+	// naive is the baseline: each entry asks one replica of each shard itself,
+	// in turn, under limits that it alone counts. It never hedges, retries or
+	// pins a version, and is told at once what operators take out.
+	naive struct {
+		client http.Client
+		pools  map[string][]target.Announcement
+		slots  map[string]chan struct{}
+		turn   atomic.Uint64
+		lock   sync.Mutex
+		out    string
+	}
+)
+
+func newNaive(deployment standin.Deployment, announcements []target.Announcement, dial tcp.Dialer) *naive {
+	created := &naive{pools: map[string][]target.Announcement{}, slots: map[string]chan struct{}{}}
+	created.client.Transport = &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 16}
+	for _, shape := range deployment.Pools {
+		for _, announcement := range announcements {
+			if announcement.Pool == shape.Name {
+				created.pools[shape.Name] = append(created.pools[shape.Name], announcement)
+				created.slots[announcement.ID] = make(chan struct{}, shape.Slots)
+			}
+		}
+	}
+	return created
+}
+
+func (naive *naive) takeOut(failureDomain string) {
+	naive.lock.Lock()
+	defer naive.lock.Unlock()
+	naive.out = failureDomain
+}
+
+// send serves one request as EntryClient.Send does.
+func (naive *naive) send(ctx context.Context, pool standin.PoolShape, request *caller.Request) *caller.Answer {
+	ctx, cancel := context.WithTimeout(ctx, request.Timeout.Std())
+	defer cancel()
+	parts := make([]*caller.Part, pool.Shards)
+	var snapshot caller.Snapshot
+	var lock sync.Mutex
+	var running sync.WaitGroup
+	for shard := range pool.Shards {
+		running.Go(func() {
+			result, targetID := naive.attempt(ctx, pool, request, shard)
+			if result == nil {
+				return
+			}
+			lock.Lock()
+			defer lock.Unlock()
+			snapshot = caller.Snapshot{IndexVersion: result.IndexVersion, Layout: result.Layout}
+			parts[shard] = &caller.Part{Shard: shard, Target: targetID, Payload: result.Payload}
+		})
+	}
+	running.Wait()
+	answer := &caller.Answer{RequestID: request.ID, Snapshot: snapshot, Run: caller.DidRun, Attempts: pool.Shards}
+	answer.Coverage = caller.Coverage{Known: true, Total: pool.Shards}
+	for shard, part := range parts {
+		if part == nil {
+			answer.Coverage.Missing = append(answer.Coverage.Missing, caller.MissingShard{Shard: shard, Reason: caller.MissingLost})
+			continue
+		}
+		answer.Parts = append(answer.Parts, *part)
+	}
+	answer.Coverage.Answered = len(answer.Parts)
+	answer.Coverage.Complete = answer.Coverage.Answered == pool.Shards
+	return answer
+}
+
+func (naive *naive) attempt(ctx context.Context, pool standin.PoolShape, request *caller.Request, shard int) (*target.Result, string) {
+	naive.lock.Lock()
+	replicas := slices.DeleteFunc(slices.Clone(naive.pools[pool.Name]), func(announcement target.Announcement) bool {
+		return announcement.Shard != shard || announcement.FailureDomain == naive.out
+	})
+	naive.lock.Unlock()
+	if len(replicas) == 0 {
+		return nil, ""
+	}
+	chosen := replicas[int(naive.turn.Add(1))%len(replicas)]
+	slot := naive.slots[chosen.ID]
+	select {
+	case slot <- struct{}{}:
+		defer func() { <-slot }()
+	case <-ctx.Done():
+		return nil, ""
+	}
+	deadline, _ := ctx.Deadline()
+	run := target.Run{RequestID: string(request.ID), AttemptID: string(request.ID), Kind: request.Kind, Deadline: deadline, Layout: chosen.Layout, Shard: shard}
+	return naive.exchange(ctx, chosen.Address, &run), chosen.ID
+}
+
+func (naive *naive) exchange(ctx context.Context, address string, run *target.Run) *target.Result {
+	body, _ := json.Marshal(run)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+target.RunPath, bytes.NewReader(body))
+	if err != nil {
+		return nil
+	}
+	response, err := naive.client.Do(request)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	result := new(target.Result)
+	if json.NewDecoder(response.Body).Decode(result) != nil || response.StatusCode != http.StatusOK {
+		return nil
+	}
+	return result
+}
+
+func until(start time.Time, at time.Duration) {
+	time.Sleep(time.Until(start.Add(at)))
+}
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -27,7 +27,18 @@
 		listeners map[string]*memoryListener
 		streams   map[*stream]bool
 		cuts      map[direction]bool
+		down      map[string]bool
 		latency   func(from, to string) time.Duration
+		connect   func(from, to string) time.Duration
+		watch     func(traffic Traffic)
+	}
+
+	// Traffic is a connection being opened, or bytes being sent.
+	Traffic struct {
+		// From is an IP address. To is the IP:port of a listener on the way
+		// to it, and has port 0 on the way back.
+		From, To string
+		Opening  bool
 	}
 
 	// direction is one way between two IP addresses.
@@ -104,91 +115,21 @@
 	}
 }
 
-// Cut loses all that goes one way between two IP addresses, without telling
-// either, until Heal. What is sent meanwhile arrives after Heal.
-func (network *Network) Cut(from, to string) {
-	network.lock.Lock()
-	defer network.lock.Unlock()
-	if network.cuts == nil {
-		network.cuts = map[direction]bool{}
-	}
-	network.cuts[direction{from, to}] = true
-}
-
-// Heal ends a Cut.
-func (network *Network) Heal(from, to string) {
-	network.lock.Lock()
-	delete(network.cuts, direction{from, to})
-	streams := network.matching(func(stream *stream) bool { return stream.direction == direction{from, to} })
-	network.lock.Unlock()
-	for _, stream := range streams {
-		stream.deliverHeld()
-	}
-}
-
-// Silence makes all open connections of an IP address silent for good; new
-// ones work.
-func (network *Network) Silence(ip string) {
-	for _, stream := range network.streamsOf(ip) {
-		stream.lock.Lock()
-		stream.silent = true
-		stream.lock.Unlock()
-	}
-}
-
-// Break resets all open connections of an IP address, as the end of its
-// process does.
-func (network *Network) Break(ip string) {
-	for _, stream := range network.streamsOf(ip) {
-		stream.abort()
-	}
-}
-
-func (network *Network) streamsOf(ip string) []*stream {
-	network.lock.Lock()
-	defer network.lock.Unlock()
-	return network.matching(func(stream *stream) bool { return stream.direction.from == ip || stream.direction.to == ip })
-}
-
-// matching returns the streams for which the predicate holds. The lock is
-// held.
-func (network *Network) matching(predicate func(*stream) bool) []*stream {
-	var found []*stream
-	for stream := range network.streams {
-		if predicate(stream) {
-			found = append(found, stream)
-		}
-	}
-	return found
-}
-
-func (network *Network) isCut(direction direction) bool {
-	network.lock.Lock()
-	defer network.lock.Unlock()
-	return network.cuts[direction]
-}
-
-func (network *Network) delay(direction direction) time.Duration {
-	network.lock.Lock()
-	latency := network.latency
-	network.lock.Unlock()
-	if latency == nil {
-		return 0
-	}
-	return latency(direction.from, direction.to)
-}
-
 func (network *Network) dial(ctx context.Context, from, address string) (net.Conn, error) {
 	to, _, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial; write the address as IP:port")
 	}
+	network.tell(Traffic{From: from, To: address, Opening: true})
 	there, back := direction{from, to}, direction{to, from}
+	if network.isDown(from) || network.isDown(to) {
+		return nil, errors.Errorf("connection to %s refused", address)
+	}
 	if network.isCut(there) || network.isCut(back) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	if err := sleep(ctx, network.delay(there)+network.delay(back)); err != nil {
+	if err := sleep(ctx, network.delay(there)+network.delay(back)+network.connectTime(there)); err != nil {
 		return nil, err
 	}
 	network.lock.Lock()
@@ -283,6 +224,7 @@
 
 // Write implements net.Conn.
 func (connection *memoryConnection) Write(data []byte) (int, error) {
+	connection.out.network.tell(Traffic{From: connection.out.direction.from, To: string(connection.remote)})
 	return connection.out.write(data)
 }
 
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -7,9 +7,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -77,6 +77,32 @@
 		Sheds   int
 		// LastRun is the time at which the newest run began.
 		LastRun time.Time
+		// Arrivals lists all that was sent to the target.
+		Arrivals []Arrival
+		// LeavingSince is the time at which the target announced that it
+		// takes no new work, or zero.
+		LeavingSince time.Time
+	}
+
+	// Arrival is one run as it arrived at a target.
+	Arrival struct {
+		At        time.Time
+		RequestID string
+		Shard     int
+		// Shed states that the target refused the run without running it.
+		Shed bool
+	}
+
+	// Lines is the payload of a stand-in target's result. It tells where the
+	// result is from, so that a caller's record can be checked.
+	Lines struct {
+		RequestID    string `json:"request_id"`
+		Target       string `json:"target"`
+		Kind         string `json:"kind"`
+		Shard        int    `json:"shard"`
+		Shards       int    `json:"shards"`
+		IndexVersion uint64 `json:"index_version"`
+		Layout       string `json:"layout"`
 	}
 )
 
@@ -121,6 +147,11 @@
 	defer standin.lock.Unlock()
 	change(&standin.announcement)
 	standin.announcement.Revision++
+	if standin.announcement.State != target.Leaving {
+		standin.record.LeavingSince = time.Time{}
+	} else if standin.record.LeavingSince.IsZero() {
+		standin.record.LeavingSince = time.Now()
+	}
 }
 
 // Behave changes how the target acts.
@@ -130,6 +161,13 @@
 	change(&standin.behaviour)
 }
 
+// Behaviour returns how the target acts at present.
+func (standin *Target) Behaviour() Behaviour {
+	standin.lock.Lock()
+	defer standin.lock.Unlock()
+	return standin.behaviour
+}
+
 // TurnCold returns the target to cold start without telling anybody. The
 // caller breaks the target's connections where a restart is meant.
 func (standin *Target) TurnCold() {
@@ -151,6 +189,7 @@
 	standin.lock.Lock()
 	defer standin.lock.Unlock()
 	record := standin.record
+	record.Arrivals = slices.Clone(standin.record.Arrivals)
 	record.Runs = map[string]int{}
 	for requestID, runs := range standin.record.Runs {
 		record.Runs[requestID] = runs
@@ -248,8 +287,10 @@
 	if indexVersion == 0 && len(standin.announcement.IndexVersions) > 0 {
 		indexVersion = standin.announcement.IndexVersions[len(standin.announcement.IndexVersions)-1]
 	}
-	payload, _ := json.Marshal(map[string]string{
-		"lines": fmt.Sprintf("%s from shard %d at version %d of %s", run.Kind, run.Shard, indexVersion, standin.announcement.Layout),
+	payload, _ := json.Marshal(&Lines{
+		RequestID: run.RequestID, Target: standin.announcement.ID, Kind: run.Kind,
+		Shard: standin.announcement.Shard, Shards: standin.announcement.Shards,
+		IndexVersion: indexVersion, Layout: standin.announcement.Layout,
 	})
 	return &target.Result{
 		RequestID: run.RequestID, AttemptID: run.AttemptID, IndexVersion: indexVersion,
@@ -262,7 +303,9 @@
 func (standin *Target) begin(run *target.Run) (Behaviour, *target.Shed) {
 	standin.lock.Lock()
 	defer standin.lock.Unlock()
-	if reason := standin.shedReason(run); reason != "" {
+	reason := standin.shedReason(run)
+	standin.record.Arrivals = append(standin.record.Arrivals, Arrival{At: time.Now(), RequestID: run.RequestID, Shard: standin.announcement.Shard, Shed: reason != ""})
+	if reason != "" {
 		standin.record.Sheds++
 		return Behaviour{}, &target.Shed{RequestID: run.RequestID, AttemptID: run.AttemptID, Reason: reason, Incarnation: standin.announcement.Incarnation}
 	}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -70,6 +71,8 @@
 		settings  *settings.Settings
 		listeners *process.Listeners
 		app       *fx.App
+		// killed states that nothing of the running app may reach the network.
+		killed *atomic.Bool
 	}
 
 	// Target is a running stand-in target.
@@ -183,7 +186,16 @@
 	if err := started.settings.Check(); err != nil {
 		return err
 	}
+	killed := new(atomic.Bool)
+	started.killed = killed
 	network := tier.network(started.settings.HTTPAddress)
+	dial := network.Dial
+	network.Dial = func(ctx context.Context, kind, address string) (net.Conn, error) {
+		if killed.Load() {
+			return nil, errors.New("this process was killed")
+		}
+		return dial(ctx, kind, address)
+	}
 	if started.listeners == nil {
 		listeners, err := process.Listen(ctx, started.settings, network)
 		if err != nil {
