--- a/internal/verb/processes_test.go
+++ b/internal/verb/processes_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -115,8 +116,18 @@
 		gomega.Eventually(query).WithTimeout(patience).Should(gomega.BeTrue())
 		gomega.Expect(commands[3].Process.Kill()).To(gomega.Succeed())
 		gomega.Eventually(query).WithTimeout(patience).Should(gomega.BeTrue())
+		// A control replica is lost too: the tables can still be changed.
+		gomega.Expect(commands[0].Process.Kill()).To(gomega.Succeed())
+		gomega.Eventually(func() string {
+			_, output := run("apply", "--tables", tables, "--base", "1", "--change-id", "second", "--address", entries[2].HTTPAddress)
+			return output
+		}).WithTimeout(patience).Should(gomega.ContainSubstring("is version 2"))
+		gomega.Eventually(query).WithTimeout(patience).Should(gomega.BeTrue())
 		code, output := run("status", "--address", entries[2].HTTPAddress)
 		gomega.Expect(code).To(gomega.Equal(verb.ExitOK), output)
+		// A planned stop ends well.
+		gomega.Expect(commands[8].Process.Signal(syscall.SIGTERM)).To(gomega.Succeed())
+		gomega.Expect(commands[8].Wait()).To(gomega.Succeed())
 	})
 })
 
