Keep the replicated log on the disk, whatever the moment of a crash

Records lie in one file: a sealed part, written under a temporary name, synced, renamed and the folder synced, then appended records. A tail that was never synced is cut off; damage elsewhere is told and its replica joins the group anew. A failed sync or a full disk ends the use of the disk.

--- /dev/null
+++ b/internal/disk/file_system.go
@@ -0,0 +1,114 @@
+// This file exists so that the log meets the file system through few
+// operations, which tests make fail one by one.
+
+package disk
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+type (
+	// FileSystem is what the log needs of a file system. What a call does
+	// lasts only after a Sync of the file, or of the folder for its names.
+	FileSystem interface {
+		MakeFolder(folder string) error
+		// Names lists the files in a folder in order.
+		Names(folder string) ([]string, error)
+		Read(path string) ([]byte, error)
+		// Create makes an empty file.
+		Create(path string) (File, error)
+		// Open opens a file to write at its end.
+		Open(path string) (File, error)
+		Rename(from, to string) error
+		Remove(path string) error
+		SyncFolder(folder string) error
+		// Lock locks a folder against other processes until Close.
+		Lock(folder string) (io.Closer, error)
+	}
+
+	// File is an open file. Writes go to its end.
+	File interface {
+		io.WriteCloser
+		Sync() error
+		Truncate(size int64) error
+	}
+
+	// OS is the operating system's file system.
+	OS struct{}
+)
+
+// MakeFolder implements FileSystem.
+func (OS) MakeFolder(folder string) error {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return err
+	}
+	return OS{}.SyncFolder(filepath.Dir(folder))
+}
+
+// Names implements FileSystem.
+func (OS) Names(folder string) ([]string, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, entry := range entries {
+		names = append(names, entry.Name())
+	}
+	return names, nil
+}
+
+// Read implements FileSystem.
+func (OS) Read(path string) ([]byte, error) { return os.ReadFile(path) }
+
+// Create implements FileSystem.
+func (OS) Create(path string) (File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+// Open implements FileSystem.
+func (OS) Open(path string) (File, error) {
+	return os.OpenFile(path, os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+// Rename implements FileSystem.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FileSystem.
+func (OS) Remove(path string) error { return os.Remove(path) }
+
+// SyncFolder implements FileSystem.
+func (OS) SyncFolder(folder string) error {
+	opened, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	err = opened.Sync()
+	if closing := opened.Close(); err == nil {
+		err = closing
+	}
+	return err
+}
+
+// Lock implements FileSystem.
+func (OS) Lock(folder string) (io.Closer, error) {
+	opened, err := os.OpenFile(filepath.Join(folder, "lock"), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Flock(int(opened.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		_ = opened.Close()
+		return nil, errors.Wrap(err, "lock")
+	}
+	return opened, nil
+}
--- /dev/null
+++ b/internal/replica/disk_store.go
@@ -0,0 +1,84 @@
+// This file exists so that a replica's records lie on the disk in one format.
+
+package replica
+
+import (
+	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gitlab.com/comfreythread/comfreythread/internal/disk"
+)
+
+type (
+	// record is what one record on the disk tells; later ones go before
+	// earlier ones.
+	record struct {
+		ID       string     `msgpack:"i,omitempty"`
+		Hard     *hardState `msgpack:"h,omitempty"`
+		Snapshot *snapshot  `msgpack:"s,omitempty"`
+		// Entries replace those from the first one's index on.
+		Entries []entry `msgpack:"e,omitempty"`
+	}
+
+	// diskStore is a store on a disk.
+	diskStore struct {
+		log *disk.Log
+	}
+)
+
+// load returns what the disk holds, or nil where it holds no member of a
+// group.
+func (diskStore *diskStore) load() (*durableState, error) {
+	var state durableState
+	var log entryLog
+	for _, encoded := range diskStore.log.Records() {
+		var read record
+		if err := msgpack.Unmarshal(encoded, &read); err != nil {
+			return nil, errors.Wrap(err, "decode a record of the log; run the release that wrote it or a newer one")
+		}
+		if read.ID != "" {
+			state.id = read.ID
+		}
+		if read.Hard != nil {
+			state.hard = *read.Hard
+		}
+		if read.Snapshot != nil {
+			state.snapshot = *read.Snapshot
+			log.reset(state.snapshot.Index, state.snapshot.Term)
+		}
+		if len(read.Entries) > 0 {
+			log.append(read.Entries...)
+		}
+	}
+	state.entries = log.entries
+	if len(state.snapshot.Members) == 0 && len(state.entries) == 0 {
+		return nil, nil
+	}
+	return &state, nil
+}
+
+func (diskStore *diskStore) append(hard *hardState, entries []entry) error {
+	encoded, err := msgpack.Marshal(&record{Hard: hard, Entries: entries})
+	if err != nil {
+		return err
+	}
+	return diskStore.log.Append(encoded)
+}
+
+func (diskStore *diskStore) rewrite(state *durableState) error {
+	head, err := msgpack.Marshal(&record{ID: state.id, Hard: &state.hard, Snapshot: &state.snapshot})
+	if err != nil {
+		return err
+	}
+	tail, err := msgpack.Marshal(&record{Entries: state.entries})
+	if err != nil {
+		return err
+	}
+	return diskStore.log.Rewrite(head, tail)
+}
+
+func (diskStore *diskStore) grown() (appended, rewritten int64) { return diskStore.log.Grown() }
+
+func (diskStore *diskStore) discard() error { return diskStore.log.Discard() }
+
+func (diskStore *diskStore) close() error { return diskStore.log.Close() }
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"gitlab.com/comfreythread/comfreythread/internal/disk"
 )
 
 const (
@@ -66,15 +68,38 @@
 	}
 )
 
-// open reads the durable state and prepares the core.
+// open reads the durable state and prepares the core. Records that are
+// damaged, and those of a replica that had no group yet, are set aside.
 func (driver *driver) open(now time.Time) error {
-	driver.store = &memoryStore{}
-	driver.begin(now, nil)
-	return nil
+	options := &driver.replica.options
+	if options.Folder == "" {
+		driver.store = &memoryStore{}
+		return driver.begin(now, nil)
+	}
+	log, err := disk.Open(options.fileSystem(), options.Folder)
+	if err != nil {
+		return err
+	}
+	store := &diskStore{log: log}
+	driver.store = store
+	if damage := log.Damage(); damage != nil {
+		options.Logger.Error("the log is damaged; this replica joins the group anew", zap.Error(damage))
+	}
+	state, err := store.load()
+	if err == nil && state == nil {
+		err = store.discard()
+	}
+	if err == nil {
+		err = driver.begin(now, state)
+	}
+	if err != nil {
+		_ = store.close()
+	}
+	return err
 }
 
 // begin makes a core from durable state, or a new replica where it is nil.
-func (driver *driver) begin(now time.Time, state *durableState) {
+func (driver *driver) begin(now time.Time, state *durableState) error {
 	options := &driver.replica.options
 	core := &core{id: newID(options.Name), address: options.Address, peers: append([]string(nil), options.Peers...), random: driver.random}
 	if len(core.peers) == 0 {
@@ -88,6 +113,10 @@
 	}
 	core.start(now)
 	driver.core = core
+	if state != nil {
+		return nil
+	}
+	return driver.store.rewrite(core.durableState())
 }
 
 func (driver *driver) run() {
@@ -102,14 +131,14 @@
 		case <-stopping:
 			stopping = nil
 			stopAt = driver.stopAt(time.Now())
-			driver.core.step(time.Now(), handOverAsked{})
+			driver.step(handOverAsked{})
 		case request := <-driver.replica.requests:
 			driver.gather(request)
 		case <-timer.C:
-			driver.core.step(time.Now(), ticked{})
+			driver.step(ticked{})
 		}
 		driver.flush()
-		if stopping == nil && (driver.core.followsAnother() || !time.Now().Before(stopAt)) {
+		if stopping == nil && (driver.failed != nil || driver.core.followsAnother() || !time.Now().Before(stopAt)) {
 			driver.end()
 			return
 		}
@@ -117,6 +146,13 @@
 	}
 }
 
+// step tells the core something, unless the disk is not used any more.
+func (driver *driver) step(input input) {
+	if driver.failed == nil {
+		driver.core.step(time.Now(), input)
+	}
+}
+
 // stopAt returns until when a stopping replica stays for its successor to
 // lead. A replica that doesn't lead has none.
 func (driver *driver) stopAt(now time.Time) time.Time {
@@ -127,6 +163,10 @@
 }
 
 func (driver *driver) rearm(timer *time.Timer, stopAt time.Time) {
+	if driver.failed != nil {
+		timer.Stop()
+		return
+	}
 	due := driver.core.nextDue()
 	if !stopAt.IsZero() && stopAt.Before(due) {
 		due = stopAt
@@ -334,7 +374,9 @@
 		driver.fail(err)
 		return
 	}
-	driver.begin(time.Now(), nil)
+	if err := driver.begin(time.Now(), nil); err != nil {
+		driver.fail(err)
+	}
 }
 
 // fail ends the use of the disk: what it holds is not known any more.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"gitlab.com/comfreythread/comfreythread/internal/disk"
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
 	"gitlab.com/comfreythread/comfreythread/internal/tcp"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
@@ -52,6 +53,10 @@
 		Peers   []string
 		Dial    tcp.Dialer
 		Logger  *zap.Logger
+		// Folder holds the replica's state; none keeps it in memory alone. A
+		// nil FileSystem is the operating system's.
+		Folder     string
+		FileSystem disk.FileSystem
 	}
 
 	// Replica is one member of the group that agrees on the log. Construct it
@@ -89,6 +94,13 @@
 	return replica
 }
 
+func (options *Options) fileSystem() disk.FileSystem {
+	if options.FileSystem == nil {
+		return disk.OS{}
+	}
+	return options.FileSystem
+}
+
 // Register offers the replica to its peers.
 func (replica *Replica) Register(server *frame.Server) {
 	frame.Handle(server, MethodDeliver, replica.deliver)
