Decide joins, expiry, settled views and changes of the tables at the leader

Cause: the first service kept leases without a term. A new leader, a deposed one or a removal that raced a renewal could state as settled what wasn't; the memory of changes, the versions and the ledger grew without bound; each grant was a write of its own.

Ruled out: a check of removals by the view's number alone, because a renewal doesn't change the view; a removal decided in an earlier term is refused by the tenure that a new leader commits first.

--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -1,5 +1,5 @@
 // This file exists so that everything that changes control's state is one of
-// a closed set of commands, which the log carries.
+// a closed set of commands, which the log carries in batches.
 
 package control
 
@@ -15,19 +15,32 @@
 )
 
 type (
-	// command is changeTables, changeView, grantRun or recordRun.
+	// command is beginTenure, changeTables, editView, grantRun or recordRun.
 	command interface {
 		isCommand()
 	}
 
+	// beginTenure is what a leader commits before it grants its first lease.
+	// Removals decided in an earlier term have no effect after it.
+	beginTenure struct {
+		Term uint64 `msgpack:"t"`
+	}
+
 	changeTables struct {
 		Change operator.Change `msgpack:"c"`
 	}
 
-	// changeView replaces the members of the view with the given number.
-	changeView struct {
-		Base    uint64              `msgpack:"b"`
-		Members []membership.Member `msgpack:"m"`
+	// editView puts a member in the view or removes it. An edit whose
+	// Present differs from the view changes nothing, so that edits decided
+	// at the same time don't undo each other.
+	editView struct {
+		// Present is the incarnation that the view must hold of the member;
+		// zero stands for none.
+		Present uint64            `msgpack:"p"`
+		Member  membership.Member `msgpack:"m"`
+		Remove  bool              `msgpack:"x"`
+		// Term is the one in which a removal was decided.
+		Term uint64 `msgpack:"t"`
 	}
 
 	grantRun struct {
@@ -42,8 +55,9 @@
 
 	// envelope carries exactly one command on the log.
 	envelope struct {
+		BeginTenure  *beginTenure  `msgpack:"b,omitempty"`
 		ChangeTables *changeTables `msgpack:"t,omitempty"`
-		ChangeView   *changeView   `msgpack:"v,omitempty"`
+		EditView     *editView     `msgpack:"v,omitempty"`
 		GrantRun     *grantRun     `msgpack:"g,omitempty"`
 		RecordRun    *recordRun    `msgpack:"r,omitempty"`
 	}
@@ -56,36 +70,45 @@
 	}
 )
 
+func (beginTenure) isCommand()  {}
 func (changeTables) isCommand() {}
-func (changeView) isCommand()   {}
+func (editView) isCommand()     {}
 func (grantRun) isCommand()     {}
 func (recordRun) isCommand()    {}
 
-func encodeCommand(command command) ([]byte, error) {
+func encodeCommands(commands []command) ([]byte, error) {
+	envelopes := make([]envelope, 0, len(commands))
+	for _, command := range commands {
+		envelopes = append(envelopes, seal(command))
+	}
+	return msgpack.Marshal(envelopes)
+}
+
+func seal(command command) envelope {
 	var envelope envelope
 	switch command := command.(type) {
+	case beginTenure:
+		envelope.BeginTenure = &command
 	case changeTables:
 		envelope.ChangeTables = &command
-	case changeView:
-		envelope.ChangeView = &command
+	case editView:
+		envelope.EditView = &command
 	case grantRun:
 		envelope.GrantRun = &command
 	case recordRun:
 		envelope.RecordRun = &command
 	}
-	return msgpack.Marshal(&envelope)
+	return envelope
 }
 
-func decodeCommand(data []byte) (command, error) {
-	var envelope envelope
-	if err := msgpack.Unmarshal(data, &envelope); err != nil {
-		return nil, errors.Wrap(err, "decode command")
-	}
+func (envelope *envelope) open() (command, error) {
 	switch {
+	case envelope.BeginTenure != nil:
+		return *envelope.BeginTenure, nil
 	case envelope.ChangeTables != nil:
 		return *envelope.ChangeTables, nil
-	case envelope.ChangeView != nil:
-		return *envelope.ChangeView, nil
+	case envelope.EditView != nil:
+		return *envelope.EditView, nil
 	case envelope.GrantRun != nil:
 		return *envelope.GrantRun, nil
 	case envelope.RecordRun != nil:
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -24,6 +24,8 @@
 	MethodGrant = "control.grant"
 	// MethodRecord records the outcome of a granted run.
 	MethodRecord = "control.record"
+	// MethodReplicas changes the group of replicas.
+	MethodReplicas = "control.replicas"
 )
 
 type (
@@ -38,7 +40,12 @@
 		// KnownView is the newest view that the entry has received.
 		KnownView uint64 `msgpack:"k"`
 		// Leave asks to be removed from the view.
-		Leave bool `msgpack:"l"`
+		Leave bool `msgpack:"l,omitempty"`
+		// Brief states that Member holds the ID and incarnation alone,
+		// because the rest is as in the view that the entry knows.
+		Brief bool `msgpack:"b,omitempty"`
+		// AcceptsDelta states that the reply may hold Delta in place of View.
+		AcceptsDelta bool `msgpack:"d,omitempty"`
 	}
 
 	// Lease is the reply to a Renewal. Tables and View are nil where the
@@ -48,8 +55,16 @@
 		Version  uint64           `msgpack:"v"`
 		Tables   *operator.Tables `msgpack:"t,omitempty"`
 		View     *membership.View `msgpack:"w,omitempty"`
-		// Settled is the newest view that every member has acknowledged.
+		// Delta stands for View where the entry knows a recent view. Client
+		// turns it into View.
+		Delta *ViewDelta `msgpack:"x,omitempty"`
+		// Settled is the newest view number that is settled: every process
+		// that may act on an earlier view has acknowledged it, or has
+		// certainly lost its lease. Zero states that none is known to be.
 		Settled uint64 `msgpack:"s"`
+		// Unknown states that a brief renewal must be sent in full. No lease
+		// is granted.
+		Unknown bool `msgpack:"u,omitempty"`
 	}
 
 	// TablesRequest asks for one version; zero asks for the newest.
@@ -88,4 +103,18 @@
 
 	// Recorded is the reply to a RecordRequest.
 	Recorded struct{}
+
+	// ReplicasRequest adds or removes one replica.
+	ReplicasRequest struct {
+		Add    *operator.Replica `msgpack:"a,omitempty"`
+		Remove string            `msgpack:"r,omitempty"`
+	}
+
+	// reply carries a reply, or names the replica to ask instead.
+	reply[Body any] struct {
+		Body *Body `msgpack:"b,omitempty"`
+		// NotLeading states that this replica has not acted on the call.
+		NotLeading bool   `msgpack:"n,omitempty"`
+		Leader     string `msgpack:"l,omitempty"`
+	}
 )
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -9,11 +9,10 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
-	"gitlab.com/comfreythread/comfreythread/internal/membership"
 	"gitlab.com/comfreythread/comfreythread/internal/replica"
+	"gitlab.com/comfreythread/comfreythread/pkg/caller"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
@@ -26,185 +25,156 @@
 	// ClockRateErrorPercent is the difference between the clock rates of two
 	// VMs that leases allow for.
 	ClockRateErrorPercent = 1
+
+	// batchDepth is the number of batches of one kind that may be under way.
+	batchDepth = 2
+	// viewWindow is how long an edit of the view waits for others, so that
+	// many entries that start together make few views.
+	viewWindow = 20 * time.Millisecond
+	// clockDifference is how much later than allowed an ID may expire by the
+	// leader's clock, which may be behind the entry's.
+	clockDifference = time.Minute
 )
 
 type (
-	// Service answers entries and operators at one control replica.
-	Service struct {
-		replica *replica.Replica
-		state   *State
-
-		lock    sync.Mutex
-		entries map[string]*entryLease
+	// Log is the replicated log; replica.Replica is the one for real use.
+	Log interface {
+		Propose(ctx context.Context, command []byte) ([]byte, error)
+		Confirm(ctx context.Context) error
+		Term() (term uint64, leading bool)
+		LeadingSince() time.Time
+		Status() replica.Status
+		AddReplica(ctx context.Context, name, address string) error
+		RemoveReplica(ctx context.Context, id string) error
 	}
 
-	// entryLease is what the leader remembers of an entry; it isn't
-	// replicated.
-	entryLease struct {
-		until   time.Time
-		version uint64
-		view    uint64
+	// Service answers entries and operators at one control replica.
+	Service struct {
+		log   Log
+		state *State
+		// ledger takes grants and records, views takes edits of the view, and
+		// changes takes changes of the tables, which are large.
+		ledger  batcher
+		views   batcher
+		changes batcher
+
+		// lock is taken before the state's lock.
+		lock   sync.Mutex
+		tenure *tenure
 	}
 )
 
 // NewService returns the service of a replica and its state.
-func NewService(replica *replica.Replica, state *State) *Service {
-	return &Service{replica: replica, state: state, entries: map[string]*entryLease{}}
+func NewService(log Log, state *State) *Service {
+	return &Service{
+		log: log, state: state,
+		ledger:  batcher{propose: log.Propose, depth: batchDepth, limit: maximumBatch},
+		views:   batcher{propose: log.Propose, depth: 1, limit: maximumBatch, window: viewWindow},
+		changes: batcher{propose: log.Propose, depth: batchDepth, limit: 1},
+	}
 }
 
 // Register offers the service to peers.
 func (service *Service) Register(server *frame.Server) {
-	frame.Handle(server, MethodRenew, service.renew)
-	frame.Handle(server, MethodChange, service.change)
-	frame.Handle(server, MethodTables, service.tables)
-	frame.Handle(server, MethodStatus, service.status)
-	frame.Handle(server, MethodGrant, service.grant)
-	frame.Handle(server, MethodRecord, service.record)
+	handle(server, MethodRenew, service.renew)
+	handle(server, MethodChange, service.change)
+	handle(server, MethodTables, service.tables)
+	handle(server, MethodStatus, service.status)
+	handle(server, MethodGrant, service.grant)
+	handle(server, MethodRecord, service.record)
+	handle(server, MethodReplicas, service.replicas)
 }
 
-func (service *Service) propose(ctx context.Context, command command) (*result, error) {
-	encoded, err := encodeCommand(command)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode command")
+// handle offers a method whose reply names the leader where this replica
+// isn't the one.
+func handle[In, Out any](server *frame.Server, name string, handler func(ctx context.Context, in *In) (*Out, error)) {
+	frame.Handle(server, name, func(ctx context.Context, in *In) (*reply[Out], error) {
+		out, err := handler(ctx, in)
+		var notLeading *replica.NotLeadingError
+		if errors.As(err, &notLeading) {
+			return &reply[Out]{NotLeading: true, Leader: notLeading.LeaderAddress()}, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		return &reply[Out]{Body: out}, nil
+	})
+}
+
+func (service *Service) change(ctx context.Context, change *operator.Change) (*operator.Accepted, error) {
+	if change.ID == "" || len(change.ID) > operator.MaximumNameBytes {
+		return nil, fault.New(fault.BadRequest, "the change ID is missing or too long", fmt.Sprintf("use 1 to %d bytes", operator.MaximumNameBytes))
 	}
-	applied, err := service.replica.Propose(ctx, encoded)
-	if err != nil {
+	if err := change.Tables.Check(); err != nil {
 		return nil, err
 	}
-	var result result
-	if err := msgpack.Unmarshal(applied, &result); err != nil {
-		return nil, errors.Wrap(err, "decode result")
+	if change.DryRun {
+		return service.dryRun(ctx, change)
 	}
-	if result.Fault != nil {
-		return nil, result.Fault
+	result, err := service.changes.submit(ctx, changeTables{Change: *change})
+	if err != nil {
+		return nil, err
 	}
-	return &result, nil
+	return &operator.Accepted{ChangeID: change.ID, Version: result.Version}, nil
 }
 
-func (service *Service) change(ctx context.Context, change *operator.Change) (*operator.Accepted, error) {
-	if err := change.Tables.Check(); err != nil {
+func (service *Service) dryRun(ctx context.Context, change *operator.Change) (*operator.Accepted, error) {
+	if err := service.log.Confirm(ctx); err != nil {
 		return nil, err
 	}
-	result, err := service.propose(ctx, changeTables{Change: *change})
+	change.DryRun = false
+	version, err := service.state.CheckChange(change)
 	if err != nil {
 		return nil, err
 	}
-	return &operator.Accepted{ChangeID: change.ID, Version: result.Version}, nil
+	return &operator.Accepted{ChangeID: change.ID, Version: version, DryRun: true}, nil
 }
 
 func (service *Service) tables(ctx context.Context, request *TablesRequest) (*operator.Versioned, error) {
-	if err := service.replica.Confirm(ctx); err != nil {
+	if err := service.log.Confirm(ctx); err != nil {
 		return nil, err
 	}
 	if request.Version == 0 {
 		newest := service.state.Newest()
 		return &newest, nil
 	}
-	versioned, found := service.state.Version(request.Version)
-	if !found {
-		return nil, fault.New(fault.NotFound, fmt.Sprintf("version %d is unknown", request.Version), "ask for a version up to the newest")
+	versioned, err := service.state.Version(request.Version)
+	if err != nil {
+		return nil, err
 	}
 	return &versioned, nil
 }
 
 func (service *Service) grant(ctx context.Context, request *GrantRequest) (*Grant, error) {
-	result, err := service.propose(ctx, grantRun{Request: *request, Now: time.Now()})
+	expiry, err := request.RequestID.Expiry()
 	if err != nil {
 		return nil, err
 	}
-	return result.Grant, nil
-}
-
-func (service *Service) record(ctx context.Context, request *RecordRequest) (*Recorded, error) {
-	_, err := service.propose(ctx, recordRun{Request: *request})
-	return &Recorded{}, err
-}
-
-func (service *Service) renew(ctx context.Context, renewal *Renewal) (*Lease, error) {
-	if err := service.replica.Confirm(ctx); err != nil {
-		return nil, err
+	now := time.Now()
+	if expiry.Sub(now) > caller.MaximumRequestIDLifetime+clockDifference {
+		return nil, fault.New(fault.BadRequest, "the request ID expires too late", "let it expire within "+caller.MaximumRequestIDLifetime.String()+" and check the VMs' clocks")
 	}
-	if err := service.join(ctx, renewal); err != nil {
+	result, err := service.ledger.submit(ctx, grantRun{Request: *request, Now: now})
+	if err != nil {
 		return nil, err
 	}
-	newest, view := service.state.Newest(), service.state.View()
-	lease := &Lease{Duration: LeaseDuration, Version: newest.Version}
-	if renewal.Version < newest.Version {
-		lease.Tables = &newest.Tables
-	}
-	if renewal.KnownView < view.Number {
-		lease.View = &view
-	}
-	service.lock.Lock()
-	defer service.lock.Unlock()
-	service.entries[renewal.Member.ID] = &entryLease{
-		until:   time.Now().Add(LeaseDuration * (100 + ClockRateErrorPercent) / 100),
-		version: renewal.Version,
-		view:    renewal.View,
-	}
-	lease.Settled = service.settled(&view)
-	return lease, nil
-}
-
-// join brings the view up to date with what an entry says of itself.
-func (service *Service) join(ctx context.Context, renewal *Renewal) error {
-	view := service.state.View()
-	present, known := view.Member(renewal.Member.ID)
-	if renewal.Leave && !known || !renewal.Leave && known && present == renewal.Member {
-		return nil
-	}
-	members := []membership.Member{}
-	for _, member := range view.Members {
-		if member.ID != renewal.Member.ID {
-			members = append(members, member)
-		}
-	}
-	if !renewal.Leave {
-		members = append(members, renewal.Member)
-	}
-	_, err := service.propose(ctx, changeView{Base: view.Number, Members: members})
-	return err
+	return result.Grant, nil
 }
 
-// settled returns the newest view that every member has acknowledged. The
-// lock is held.
-func (service *Service) settled(view *membership.View) uint64 {
-	settled := view.Number
-	for _, member := range view.Members {
-		lease, known := service.entries[member.ID]
-		if !known {
-			return 0
-		}
-		settled = min(settled, lease.view)
-	}
-	return settled
+func (service *Service) record(ctx context.Context, request *RecordRequest) (*Recorded, error) {
+	_, err := service.ledger.submit(ctx, recordRun{Request: *request})
+	return &Recorded{}, err
 }
 
-func (service *Service) status(ctx context.Context, _ *StatusRequest) (*operator.Status, error) {
-	if err := service.replica.Confirm(ctx); err != nil {
-		return nil, err
-	}
-	newest, view := service.state.Newest(), service.state.View()
-	status := &operator.Status{
-		Version:           newest.Version,
-		InForce:           true,
-		View:              view.Number,
-		FailureDomainsOut: newest.Tables.FailureDomainsOut,
-	}
-	service.lock.Lock()
-	defer service.lock.Unlock()
-	for _, member := range view.Members {
-		entry := operator.EntryStatus{
-			ID: member.ID, Address: member.CallerAddress, FailureDomain: member.FailureDomain, Stopping: member.Stopping, Fenced: true,
-		}
-		if lease, known := service.entries[member.ID]; known {
-			entry.Version, entry.View, entry.LeaseUntil = lease.version, lease.view, lease.until
-			entry.Fenced = !time.Now().Before(lease.until)
-		}
-		if entry.Version < newest.Version && !entry.Fenced {
-			status.InForce = false
-		}
-		status.Entries = append(status.Entries, entry)
-	}
-	return status, nil
+func (service *Service) replicas(ctx context.Context, request *ReplicasRequest) (*operator.Done, error) {
+	var err error
+	switch {
+	case request.Add != nil:
+		err = service.log.AddReplica(ctx, request.Add.Name, request.Add.Address)
+	case request.Remove != "":
+		err = service.log.RemoveReplica(ctx, request.Remove)
+	default:
+		err = fault.New(fault.BadRequest, "no replica is named", "name one replica to add or to remove")
+	}
+	return &operator.Done{}, err
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -3,13 +3,11 @@
 package control
 
 import (
-	"fmt"
 	"sync"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gitlab.com/comfreythread/comfreythread/internal/membership"
-	"gitlab.com/comfreythread/comfreythread/pkg/caller"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
@@ -22,39 +20,49 @@
 	}
 
 	stateData struct {
-		Versions []operator.Versioned          `msgpack:"v"`
-		Changes  map[string]uint64             `msgpack:"c"`
-		View     membership.View               `msgpack:"w"`
-		Ledger   map[caller.RequestID]runRight `msgpack:"l"`
-	}
-
-	runRight struct {
-		Nonce   uint64            `msgpack:"n"`
-		Outcome caller.RunOutcome `msgpack:"o"`
+		Tables tablesData `msgpack:"t"`
+		View   viewData   `msgpack:"v"`
+		Ledger ledgerData `msgpack:"l"`
 	}
 )
 
-// Apply applies one command of the log.
+// Apply applies one batch of commands of the log.
 func (state *State) Apply(_ uint64, data []byte) []byte {
 	state.lock.Lock()
 	defer state.lock.Unlock()
-	var applied result
-	decoded, err := decodeCommand(data)
+	var envelopes []envelope
+	if err := msgpack.Unmarshal(data, &envelopes); err != nil {
+		return nil
+	}
+	results := make([]result, 0, len(envelopes))
+	number := state.data.View.View.Number
+	for index := range envelopes {
+		results = append(results, state.data.apply(&envelopes[index], number+1))
+	}
+	encoded, _ := msgpack.Marshal(results)
+	return encoded
+}
+
+// apply applies one command. All edits of the view in one batch make one new
+// view, which gets the given number.
+func (stateData *stateData) apply(envelope *envelope, viewNumber uint64) result {
+	opened, err := envelope.open()
 	if err != nil {
-		applied.Fault = fault.New(fault.Internal, err.Error(), "run one release on all control VMs")
+		return result{Fault: fault.New(fault.Internal, err.Error(), "run one release on all control VMs")}
 	}
-	switch command := decoded.(type) {
+	switch command := opened.(type) {
+	case beginTenure:
+		stateData.View.Term = command.Term
 	case changeTables:
-		applied = state.data.changeTables(&command.Change)
-	case changeView:
-		applied = state.data.changeView(&command)
+		return stateData.Tables.change(&command.Change, &stateData.View)
+	case editView:
+		stateData.View.edit(&command, viewNumber)
 	case grantRun:
-		applied = state.data.grantRun(&command)
+		return result{Grant: stateData.Ledger.grant(&command)}
 	case recordRun:
-		state.data.recordRun(&command.Request)
+		stateData.Ledger.record(&command.Request)
 	}
-	encoded, _ := msgpack.Marshal(&applied)
-	return encoded
+	return result{}
 }
 
 // Snapshot returns the whole state.
@@ -66,12 +74,13 @@
 
 // Restore replaces the whole state by a snapshot.
 func (state *State) Restore(snapshot []byte) error {
-	state.lock.Lock()
-	defer state.lock.Unlock()
 	var data stateData
 	if err := msgpack.Unmarshal(snapshot, &data); err != nil {
 		return err
 	}
+	data.Ledger.index()
+	state.lock.Lock()
+	defer state.lock.Unlock()
 	state.data = data
 	return nil
 }
@@ -80,83 +89,42 @@
 func (state *State) Newest() operator.Versioned {
 	state.lock.RLock()
 	defer state.lock.RUnlock()
-	return state.data.newest()
+	return state.data.Tables.newest()
 }
 
-// Version returns one version of the tables.
-func (state *State) Version(version uint64) (operator.Versioned, bool) {
+// Version returns one version of the tables, or a typed error where it isn't
+// kept.
+func (state *State) Version(version uint64) (operator.Versioned, error) {
 	state.lock.RLock()
 	defer state.lock.RUnlock()
-	for _, versioned := range state.data.Versions {
-		if versioned.Version == version {
-			return versioned, true
-		}
-	}
-	return operator.Versioned{}, false
+	return state.data.Tables.version(version)
 }
 
-// View returns the newest view.
-func (state *State) View() membership.View {
+// CheckChange tells what a change would come to without making it.
+func (state *State) CheckChange(change *operator.Change) (version uint64, refused error) {
 	state.lock.RLock()
 	defer state.lock.RUnlock()
-	return state.data.View
-}
-
-func (stateData *stateData) newest() operator.Versioned {
-	if len(stateData.Versions) == 0 {
-		return operator.Versioned{}
+	remembered, known, fault := state.data.Tables.judge(change, &state.data.View)
+	if fault != nil {
+		return 0, fault
 	}
-	return stateData.Versions[len(stateData.Versions)-1]
-}
-
-func (stateData *stateData) changeTables(change *operator.Change) result {
-	if version, resent := stateData.Changes[change.ID]; resent {
-		return result{Version: version}
-	}
-	newest := stateData.newest()
-	if change.Base != newest.Version {
-		return result{Fault: fault.New(fault.Conflict,
-			fmt.Sprintf("the change is based on version %d, but change %q has made version %d", change.Base, newest.ChangeID, newest.Version),
-			fmt.Sprintf("get version %d, make the change again and apply it", newest.Version))}
-	}
-	if stateData.Changes == nil {
-		stateData.Changes = map[string]uint64{}
+	if known {
+		return remembered, nil
 	}
-	version := newest.Version + 1
-	stateData.Versions = append(stateData.Versions, operator.Versioned{Version: version, ChangeID: change.ID, Tables: change.Tables})
-	stateData.Changes[change.ID] = version
-	return result{Version: version}
+	return state.data.Tables.newest().Version + 1, nil
 }
 
-func (stateData *stateData) changeView(command *changeView) result {
-	if command.Base != stateData.View.Number {
-		return result{Fault: fault.New(fault.Conflict, "the view has changed meanwhile", "read the view and try again")}
-	}
-	stateData.View = membership.View{Number: command.Base + 1, Members: command.Members}
-	return result{Version: stateData.View.Number}
-}
-
-func (stateData *stateData) grantRun(command *grantRun) result {
-	request := &command.Request
-	expiry, err := request.RequestID.Expiry()
-	if err != nil || command.Now.After(expiry) {
-		return result{Grant: &Grant{Expired: true, Outcome: caller.NotRun}}
-	}
-	right, known := stateData.Ledger[request.RequestID]
-	if known && right.Outcome != caller.NotRun {
-		return result{Grant: &Grant{Granted: right.Nonce == request.Nonce && right.Outcome == caller.MayHaveRun, Outcome: right.Outcome}}
-	}
-	if stateData.Ledger == nil {
-		stateData.Ledger = map[caller.RequestID]runRight{}
-	}
-	stateData.Ledger[request.RequestID] = runRight{Nonce: request.Nonce, Outcome: caller.MayHaveRun}
-	return result{Grant: &Grant{Granted: true, Outcome: caller.NotRun}}
+// View returns the newest view. Its members must not be changed.
+func (state *State) View() membership.View {
+	state.lock.RLock()
+	defer state.lock.RUnlock()
+	return state.data.View.View
 }
 
-func (stateData *stateData) recordRun(request *RecordRequest) {
-	right, known := stateData.Ledger[request.RequestID]
-	if known && right.Nonce == request.Nonce {
-		right.Outcome = request.Outcome
-		stateData.Ledger[request.RequestID] = right
-	}
+// viewSince returns what changed from the view with the given number to the
+// newest, or false where that view is no longer remembered.
+func (state *State) viewSince(number uint64) (ViewDelta, bool) {
+	state.lock.RLock()
+	defer state.lock.RUnlock()
+	return state.data.View.since(number)
 }
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -19,7 +19,7 @@
 		return fx.Options()
 	}
 	return fx.Module("control",
-		fx.Provide(newState, newReplica, control.NewService),
+		fx.Provide(newState, newReplica, newControlService),
 		fx.Invoke(registerControl),
 	)
 }
@@ -44,14 +44,25 @@
 	}, state)
 }
 
+func newControlService(replica *replica.Replica, state *control.State) *control.Service {
+	return control.NewService(replica, state)
+}
+
 func registerControl(service *control.Service, replica *replica.Replica, server *frame.Server) {
 	service.Register(server)
 	replica.Register(server)
 }
 
-func runReplica(replica *replica.Replica, lifecycle fx.Lifecycle) {
+func runReplica(replica *replica.Replica, service *control.Service, lifecycle fx.Lifecycle) {
+	ctx, cancel := context.WithCancel(context.Background())
 	lifecycle.Append(fx.Hook{
-		OnStart: func(context.Context) error { return replica.Start() },
-		OnStop:  replica.Stop,
+		OnStart: func(context.Context) error {
+			go service.Run(ctx)
+			return replica.Start()
+		},
+		OnStop: func(stopContext context.Context) error {
+			cancel()
+			return replica.Stop(stopContext)
+		},
 	})
 }
--- a/pkg/operator/change.go
+++ b/pkg/operator/change.go
@@ -18,12 +18,17 @@
 		Tables Tables `json:"tables" msgpack:"t"`
 		// AllowAllOut accepts tables that take out every failure domain.
 		AllowAllOut bool `json:"allow_all_out,omitempty" msgpack:"o"`
+		// DryRun asks for the check alone; nothing is changed.
+		DryRun bool `json:"dry_run,omitempty" msgpack:"d,omitempty"`
 	}
 
 	// Accepted is the reply to an accepted change, and to its resends.
 	Accepted struct {
 		ChangeID string `json:"change_id"`
-		Version  uint64 `json:"version"`
+		// Version is the version that the change made. For a dry run it is
+		// the version that the change would have made.
+		Version uint64 `json:"version"`
+		DryRun  bool   `json:"dry_run,omitempty"`
 	}
 
 	// Versioned is one version of the tables.
@@ -39,14 +44,41 @@
 		Version uint64 `json:"version"`
 		// InForce states that every entry has the newest version or has
 		// certainly fenced itself.
-		InForce           bool            `json:"in_force"`
-		View              uint64          `json:"view"`
-		Leader            string          `json:"leader"`
-		Replicas          []ReplicaStatus `json:"replicas"`
-		Entries           []EntryStatus   `json:"entries"`
-		FailureDomainsOut []string        `json:"failure_domains_out"`
+		InForce bool `json:"in_force"`
+		// InForceVersion is the newest version of which that is certain; zero
+		// while a new leader waits for the leases of the earlier one to end.
+		InForceVersion uint64 `json:"in_force_version"`
+		View           uint64 `json:"view"`
+		// SettledView is the newest view under which targets have their new
+		// homes; zero while a new leader waits.
+		SettledView       uint64                `json:"settled_view"`
+		Leader            string                `json:"leader"`
+		Term              uint64                `json:"term"`
+		Replicas          []ReplicaStatus       `json:"replicas"`
+		Entries           []EntryStatus         `json:"entries"`
+		FailureDomains    []FailureDomainStatus `json:"failure_domains"`
+		FailureDomainsOut []string              `json:"failure_domains_out"`
+	}
+
+	// FailureDomainStatus describes one failure domain that has or had
+	// entries.
+	FailureDomainStatus struct {
+		Name    string `json:"name"`
+		Out     bool   `json:"out"`
+		Entries int    `json:"entries"`
 	}
 
+	// Replica names a control replica that is to be added.
+	Replica struct {
+		// Name is the name in the settings of the replica's process.
+		Name string `json:"name"`
+		// Address is the replica's peer address, IP:port.
+		Address string `json:"address"`
+	}
+
+	// Done is the reply to a command that returns nothing else.
+	Done struct{}
+
 	// ReplicaStatus describes one control replica.
 	ReplicaStatus struct {
 		ID      string `json:"id"`
@@ -54,6 +86,8 @@
 		Index   uint64 `json:"index"`
 		// Lag is the number of log entries that the replica still lacks.
 		Lag uint64 `json:"lag"`
+		// Voter is false for a replica that still catches up.
+		Voter bool `json:"voter"`
 	}
 
 	// EntryStatus describes one entry as control knows it.
