--- /dev/null
+++ b/internal/faults/fault_test.go
@@ -0,0 +1,263 @@
+package faults_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"gitlab.com/comfreythread/comfreythread/internal/control"
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+	"gitlab.com/comfreythread/comfreythread/internal/tier"
+	"gitlab.com/comfreythread/comfreythread/pkg/caller"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+	"gitlab.com/comfreythread/comfreythread/pkg/target"
+)
+
+const (
+	crashPayload = `"crash"`
+	cutSpan      = 5 * time.Second
+	// pauseSpan is longer than a lease.
+	pauseSpan = 8 * time.Second
+)
+
+type (
+	// fault is one thing that fails, or that others do at a bad moment.
+	fault struct {
+		name string
+		act  func(cell *cell, traffic standin.Traffic)
+	}
+)
+
+var faults = []fault{
+	{"straggler", func(cell *cell, traffic standin.Traffic) {
+		cell.victim(traffic).Behave(func(behaviour *standin.Behaviour) {
+			behaviour.Work = func(*target.Run) time.Duration { return 20 * work }
+		})
+	}},
+	{"replica lost", func(cell *cell, traffic standin.Traffic) { cell.network.Down(cell.victim(traffic).IP()) }},
+	{"shard repartitioned", repartition},
+	{"index version changing", changeIndex},
+	{"silent cold start", func(cell *cell, traffic standin.Traffic) {
+		victim := cell.victim(traffic)
+		victim.TurnCold()
+		cell.network.Break(victim.IP())
+	}},
+	{"cold start, announced warm", func(cell *cell, traffic standin.Traffic) {
+		victim := cell.victim(traffic)
+		victim.TurnCold()
+		victim.Change(func(announcement *target.Announcement) {
+			announcement.State, announcement.Incarnation, announcement.Revision = target.Warm, 1, 1
+		})
+		cell.network.Break(victim.IP())
+	}},
+	{"shed", func(cell *cell, traffic standin.Traffic) {
+		cell.victim(traffic).Behave(func(behaviour *standin.Behaviour) { behaviour.ShedAbove = 1 })
+	}},
+	{"control VM cut off", func(cell *cell, _ standin.Traffic) { cell.isolate(cell.replica(0).IP(), pauseSpan) }},
+	{"one-way cut", oneWayCut},
+	{"operators race", func(cell *cell, _ standin.Traffic) {
+		cell.lock.Lock()
+		base, number := cell.version, cell.changes+1
+		cell.lock.Unlock()
+		for rival := range 2 {
+			cell.running.Go(func() {
+				client := cell.operator(rival)
+				defer client.Close()
+				cell.changeTo(client, fmt.Sprintf("rival-%d", rival), base, number, tables(number+rival))
+			})
+		}
+	}},
+	{"change resent", func(cell *cell, _ standin.Traffic) {
+		client := cell.operator(0)
+		defer client.Close()
+		cell.lock.Lock()
+		base, number := cell.version, cell.changes+1
+		cell.lock.Unlock()
+		ctx, cancel := context.WithTimeout(cell.ctx, 5*time.Millisecond)
+		defer cancel()
+		_, _ = client.Change(ctx, &operator.Change{ID: "resent", Base: base, Tables: tables(number)})
+		for range 3 {
+			cell.changeTo(client, "resent", base, number, tables(number))
+		}
+	}},
+	{"second VM lost after a repair", func(cell *cell, _ standin.Traffic) {
+		cell.restart(cell.replica(1), time.Second)
+		cell.restart(cell.replica(2), 5*time.Second)
+	}},
+	{"restart after hundreds of changes", func(cell *cell, _ standin.Traffic) {
+		for number := range 200 {
+			cell.repeatChange(1000 + number)
+		}
+		for number := range cell.tier.Replicas() {
+			cell.running.Go(func() { cell.restart(cell.replica(number), time.Second) })
+		}
+	}},
+	{"crash-inducing request, resent", func(cell *cell, _ standin.Traffic) {
+		for number := range 6 {
+			cell.search(number, []byte(crashPayload))
+		}
+	}},
+	{"silent connections", func(cell *cell, traffic standin.Traffic) {
+		cell.network.Silence(cell.victim(traffic).IP())
+		cell.network.Silence(cell.tier.Entries()[0].IP())
+	}},
+	{"answer late", func(cell *cell, traffic standin.Traffic) {
+		number := 0
+		cell.victim(traffic).Behave(func(behaviour *standin.Behaviour) {
+			behaviour.Work = func(*target.Run) time.Duration {
+				number++
+				return time.Duration(number%3) * requestTimeout / 2
+			}
+		})
+	}},
+	{"answer crossed", spoil(func(result *target.Result, former target.Result) {
+		*result = former
+	})},
+	{"answer truncated", spoil(func(result *target.Result, _ target.Result) {
+		result.Payload = []byte(`{}`)
+	})},
+	{"answer from another version", spoil(func(result *target.Result, _ target.Result) { result.IndexVersion += 5 })},
+	{"process paused", func(cell *cell, _ standin.Traffic) { cell.isolate(cell.tier.Entries()[0].IP(), pauseSpan) }},
+	{"entry lost", func(cell *cell, _ standin.Traffic) { cell.restart(cell.tier.Entries()[0], 5*time.Second) }},
+	{"failure domain out and back", func(cell *cell, _ standin.Traffic) {
+		if !cell.takeOut([]string{"nord"}) {
+			return
+		}
+		out := standin.Out{FailureDomain: "nord", From: time.Now()}
+		time.Sleep(pauseSpan)
+		out.Until = time.Now()
+		cell.journal.TakeOut(out)
+		cell.takeOut(nil)
+	}},
+	{"failure domain lost", func(cell *cell, _ standin.Traffic) {
+		cell.running.Go(func() { cell.restart(cell.replica(1), pauseSpan) })
+		cell.running.Go(func() { cell.restart(cell.tier.Entries()[1], pauseSpan) })
+		for _, lost := range cell.tier.Targets() {
+			if lost.Announcement().FailureDomain == "sud" {
+				cell.network.Down(lost.IP())
+			}
+		}
+	}},
+	{"target leaves", func(cell *cell, _ standin.Traffic) { cell.leave() }},
+	{"planned stop", func(cell *cell, _ standin.Traffic) { cell.stop(1) }},
+	{"caller gone", func(cell *cell, _ standin.Traffic) {
+		for number := range 12 {
+			cell.running.Go(func() {
+				ctx, cancel := context.WithTimeout(cell.ctx, time.Duration(number)*2*time.Millisecond)
+				defer cancel()
+				cell.cancelling(ctx, number)
+			})
+		}
+	}},
+}
+
+// cancelling sends requests whose caller goes away when ctx ends.
+func (cell *cell) cancelling(ctx context.Context, number int) {
+	gone, cancel := context.WithCancel(cell.ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, cancel)
+	defer stop()
+	cell.send(gone, number, &caller.Request{Kind: "bench.search", Idempotent: true, RunsPerShard: 3})
+	gone, cancelFiling := context.WithCancel(cell.ctx)
+	defer cancelFiling()
+	timer := time.AfterFunc(time.Duration(number)*2*time.Millisecond, cancelFiling)
+	defer timer.Stop()
+	cell.send(gone, number, &caller.Request{Kind: "bench.file"})
+}
+
+// operator returns a client of its own, as another operator has.
+func (cell *cell) operator(number int) *control.Client {
+	var addresses []string
+	for _, replica := range cell.tier.Replicas() {
+		addresses = append(addresses, replica.Settings().PeerAddress)
+	}
+	return control.NewClient(addresses, cell.tier.Network(fmt.Sprintf("10.0.0.%d:0", 3+number)).Dial)
+}
+
+// restart loses a process and starts it again.
+func (cell *cell) restart(process *tier.Process, span time.Duration) {
+	cell.tier.Kill(process)
+	time.Sleep(span)
+	ctx, cancel := context.WithTimeout(cell.ctx, 10*time.Second)
+	defer cancel()
+	if err := cell.tier.Restart(ctx, process); err != nil {
+		cell.note("restart: " + err.Error())
+	}
+}
+
+func (cell *cell) takeOut(failureDomains []string) bool {
+	for range 3 {
+		cell.lock.Lock()
+		base, changes := cell.version, cell.changes
+		cell.lock.Unlock()
+		changed := tables(changes)
+		changed.FailureDomainsOut = failureDomains
+		if cell.changeTo(cell.tier.Control(), fmt.Sprintf("out-%d-%d", len(failureDomains), base), base, changes, changed) {
+			return true
+		}
+	}
+	return false
+}
+
+// repartition brings the data of the first pool to three shards, one target
+// after the other.
+func repartition(cell *cell, _ standin.Traffic) {
+	for number, moved := range cell.tier.Targets()[:6] {
+		moved.Change(func(announcement *target.Announcement) {
+			announcement.Layout, announcement.Shards, announcement.Shard = "layout-2", 3, number%3
+		})
+		_ = moved.Announce(cell.ctx, cell.tier.Entries()[number%3].Settings().HTTPAddress)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// changeIndex brings a new index version to one target after the other. One
+// in three drops the old one at once.
+func changeIndex(cell *cell, _ standin.Traffic) {
+	for _, held := range [][]uint64{{1, 2}, {2}} {
+		for number, changed := range cell.tier.Targets()[:6] {
+			versions := held
+			if number%3 == 0 {
+				versions = []uint64{2}
+			}
+			changed.Change(func(announcement *target.Announcement) { announcement.IndexVersions = versions })
+			_ = changed.Announce(cell.ctx, cell.tier.Entries()[number%3].Settings().HTTPAddress)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+// oneWayCut loses all that goes the way of the traffic. A cut between a
+// caller and an entry says nothing of the system, so that the way from an
+// entry to control stands for it.
+func oneWayCut(cell *cell, traffic standin.Traffic) {
+	to, _, err := net.SplitHostPort(traffic.To)
+	from := traffic.From
+	if err != nil || roleOf(from, "90") == client || roleOf(to, "90") == client {
+		from, to = cell.tier.Entries()[0].IP(), cell.replica(0).IP()
+	}
+	cell.network.Cut(from, to)
+	time.Sleep(cutSpan)
+	cell.network.Heal(from, to)
+}
+
+// spoil changes every second answer of a target; the change is given the
+// answer before.
+func spoil(change func(result *target.Result, former target.Result)) func(cell *cell, traffic standin.Traffic) {
+	return func(cell *cell, traffic standin.Traffic) {
+		number, former := 0, target.Result{}
+		cell.victim(traffic).Behave(func(behaviour *standin.Behaviour) {
+			behaviour.Spoil = func(result *target.Result) {
+				cell.lock.Lock()
+				defer cell.lock.Unlock()
+				number++
+				whole := *result
+				if number%2 == 0 {
+					change(result, former)
+				}
+				former = whole
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/faults/matrix_test.go
@@ -0,0 +1,203 @@
+package faults_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const (
+	pairs          = 60
+	knownRedFile   = "../../KNOWN-RED.txt"
+	sampleInMatrix = 16
+)
+
+var (
+	only = flag.String("cell", "", "run only this cell, as FAULT/STEP or FAULT+FAULT/STEP; all runs all")
+	seed = flag.Uint64("seed", 1, "seed of the cells")
+)
+
+// TestMatrix runs cells and prints the matrix. Without a flag it runs a sample
+// drawn by the seed.
+func TestMatrix(t *testing.T) {
+	cells := chosen()
+	known := knownRed()
+	results := make([]*outcome, len(cells))
+	t.Run("cells", func(t *testing.T) {
+		for index, cell := range cells {
+			t.Run(cell.name(), func(t *testing.T) {
+				t.Parallel()
+				results[index] = runCell(t, cell)
+			})
+		}
+	})
+	marks := map[string]string{}
+	violations, red := 0, 0
+	for index, cell := range cells {
+		result := results[index]
+		marks[cell.name()] = result.mark()
+		if result.clean() {
+			continue
+		}
+		if known[cell.name()] {
+			red++
+			fmt.Printf("known red: %s (KNOWN-RED.txt)\n", cell.name())
+		} else {
+			violations++
+			t.Errorf("%s failed", cell.name())
+		}
+		fmt.Printf("%s: %s; make faults CELL='%s' SEED=%d\n", cell.name(), result, cell.name(), cell.seed)
+	}
+	printMatrix(marks)
+	fmt.Printf("cells %d, violations %d, known red %d\n", len(cells), violations, red)
+}
+
+func runCell(t *testing.T, cell *cell) *outcome {
+	result := &outcome{problem: "the cell did not end"}
+	synctest.Test(t, func(*testing.T) {
+		ran, err := cell.run(context.Background())
+		if err != nil {
+			ran = &outcome{problem: err.Error()}
+		}
+		result = ran
+		time.Sleep(10 * time.Minute)
+	})
+	return result
+}
+
+// chosen returns the cells to run: one, all with a sample of pairs, or a
+// sample of all.
+func chosen() []*cell {
+	random := rand.New(rand.NewPCG(*seed, 1))
+	var all, sampled []*cell
+	for fault := range faults {
+		for step := range steps {
+			all = append(all, newCell(step, fault))
+		}
+	}
+	for range pairs {
+		first, second := random.IntN(len(faults)), random.IntN(len(faults))
+		all = append(all, newCell(random.IntN(len(steps)), first, second))
+	}
+	if *only == "all" {
+		return all
+	}
+	if *only != "" {
+		return named(*only)
+	}
+	for _, index := range random.Perm(len(all))[:sampleInMatrix] {
+		sampled = append(sampled, all[index])
+	}
+	return sampled
+}
+
+func newCell(step int, of ...int) *cell {
+	made := &cell{step: &steps[step], seed: *seed}
+	for _, fault := range of {
+		made.faults = append(made.faults, &faults[fault])
+	}
+	return made
+}
+
+// named returns the cells with a name; an empty part stands for any.
+func named(name string) []*cell {
+	faultNames, stepName, _ := strings.Cut(name, "/")
+	var found []*cell
+	for step := range steps {
+		if stepName != "" && steps[step].name != stepName {
+			continue
+		}
+		var of []int
+		for fault := range faults {
+			for _, wanted := range strings.Split(faultNames, "+") {
+				if faults[fault].name == wanted {
+					of = append(of, fault)
+				}
+			}
+			if faultNames == "" {
+				found = append(found, newCell(step, fault))
+			}
+		}
+		if len(of) > 0 {
+			found = append(found, newCell(step, of...))
+		}
+	}
+	return found
+}
+
+// knownRed reads the cells that are known to fail for a real fault.
+func knownRed() map[string]bool {
+	known := map[string]bool{}
+	data, err := os.ReadFile(knownRedFile)
+	if err != nil {
+		return known
+	}
+	for line := range strings.Lines(string(data)) {
+		if _, rest, found := strings.Cut(line, "CELL='"); found {
+			name, _, _ := strings.Cut(rest, "'")
+			known[name] = true
+		}
+	}
+	return known
+}
+
+func (outcome *outcome) clean() bool {
+	return outcome.problem == "" && len(outcome.violations) == 0
+}
+
+// mark is the cell's text in the matrix.
+func (outcome *outcome) mark() string {
+	switch {
+	case outcome.problem != "":
+		return "?"
+	case len(outcome.violations) > 0:
+		return fmt.Sprint(len(outcome.violations))
+	}
+	return "."
+}
+
+// String tells each broken promise once.
+func (outcome *outcome) String() string {
+	var parts []string
+	if outcome.problem != "" {
+		parts = append(parts, outcome.problem)
+	}
+	counts := map[string]int{}
+	for _, violation := range outcome.violations {
+		counts[string(violation.Promise)]++
+	}
+	for _, violation := range outcome.violations {
+		if name := string(violation.Promise); counts[name] > 0 {
+			parts = append(parts, fmt.Sprintf("%s (%d): %s", name, counts[name], violation.Detail))
+			counts[name] = 0
+		}
+	}
+	return fmt.Sprintf("answered %d of %d; %s", outcome.answered, outcome.sent, strings.Join(parts, "; "))
+}
+
+// printMatrix prints faults down and steps across. A cell that wasn't run is
+// empty.
+func printMatrix(results map[string]string) {
+	fmt.Println("steps:")
+	for number, step := range steps {
+		fmt.Printf("%3d %-16s %s\n", number+1, step.name, step.moment)
+	}
+	fmt.Printf("%-36s", "fault")
+	for number := range steps {
+		fmt.Printf("%4d", number+1)
+	}
+	fmt.Println()
+	for _, fault := range faults {
+		fmt.Printf("%-36s", fault.name)
+		for _, step := range steps {
+			fmt.Printf("%4s", results[fault.name+"/"+step.name])
+		}
+		fmt.Println()
+	}
+}
