--- /dev/null
+++ b/internal/verb/operate_test.go
@@ -0,0 +1,65 @@
+package verb_test
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+	"gitlab.com/comfreythread/comfreythread/internal/tier"
+	"gitlab.com/comfreythread/comfreythread/internal/verb"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+)
+
+var _ = ginkgo.Describe("the commands of docs/OPERATING.md", func() {
+	ginkgo.It("end with the codes that the page names", func(ctx ginkgo.SpecContext) {
+		deployment := standin.Banaag
+		deployment.Pools = deployment.Pools[3:]
+		system, err := tier.Start(ctx, tier.Options{Deployment: deployment, Logs: io.Discard})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = system.Stop(ctx) }()
+		address := system.Entries()[0].Settings().HTTPAddress
+		folder := ginkgo.GinkgoT().TempDir()
+		write := func(name string, tables operator.Tables) string {
+			path := filepath.Join(folder, name)
+			data, err := json.Marshal(tables)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(os.WriteFile(path, data, 0o600)).To(gomega.Succeed())
+			return path
+		}
+		first, out, allOut, unknown := deployment.Tables(), deployment.Tables(), deployment.Tables(), deployment.Tables()
+		out.FailureDomainsOut = []string{"luzon"}
+		allOut.FailureDomainsOut = deployment.FailureDomains
+		unknown.FailureDomainsOut = []string{"mars"}
+		paths := map[string]string{"first": write("first", first), "out": write("out", out), "all": write("all", allOut), "mars": write("mars", unknown)}
+		for _, step := range []struct {
+			code      int
+			message   string
+			arguments []string
+		}{
+			{verb.ExitOK, "would be version 2; nothing is changed", []string{"apply", "--tables", paths["out"], "--base", "1", "--change-id", "a", "--dry-run"}},
+			{verb.ExitOK, "version 1, in force everywhere: version 1", []string{"status"}},
+			{verb.ExitDifferent, `+ failure_domains_out ["luzon"]`, []string{"diff", "--tables", paths["out"]}},
+			{verb.ExitOK, "is version 2, in force everywhere", []string{"apply", "--tables", paths["out"], "--base", "1", "--change-id", "a", "--wait"}},
+			{verb.ExitOK, "is version 2, in force everywhere", []string{"apply", "--tables", paths["out"], "--base", "1", "--change-id", "a", "--wait"}},
+			{verb.ExitConflict, `change "a" won`, []string{"apply", "--tables", paths["first"], "--base", "1", "--change-id", "b"}},
+			{verb.ExitConflict, "different content", []string{"apply", "--tables", paths["first"], "--base", "1", "--change-id", "a"}},
+			{verb.ExitFailed, "--allow-all-out", []string{"apply", "--tables", paths["all"], "--base", "2", "--change-id", "c", "--dry-run"}},
+			{verb.ExitFailed, `failure domain "mars"`, []string{"apply", "--tables", paths["mars"], "--base", "2", "--change-id", "c"}},
+			{verb.ExitOK, "0 difference(s)", []string{"diff", "--tables", paths["first"], "--version", "1"}},
+			{verb.ExitFailed, "version 9 doesn't exist", []string{"get", "--version", "9"}},
+			{verb.ExitOK, "luzon           out", []string{"status"}},
+			{verb.ExitOK, "is removed", []string{"replica", "remove", "--id", "control-luzon"}},
+			{verb.ExitOK, "is version 3, in force everywhere", []string{"apply", "--tables", paths["first"], "--base", "2", "--change-id", "roll-back-to-1", "--wait"}},
+			{verb.ExitFailed, "is not IP:port", []string{"replica", "add", "--name", "x", "--peer-address", "here"}},
+		} {
+			code, output := run(append(step.arguments, "--address", address)...)
+			gomega.Expect(output).To(gomega.ContainSubstring(step.message))
+			gomega.Expect(code).To(gomega.Equal(step.code), output)
+		}
+	})
+})
--- a/internal/verb/status.go
+++ b/internal/verb/status.go
@@ -39,11 +39,13 @@
 	for _, domain := range status.FailureDomains {
 		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\n", domain.Name, choose(domain.Out, "out", "in"), domain.Entries)
 	}
+	_ = table.Flush()
 	_, _ = fmt.Fprintln(table, "ENTRY\tADDRESS\tFAILURE DOMAIN\tVERSION\tVIEW\tSTATE")
 	for _, entry := range status.Entries {
 		state := choose(entry.Fenced, "fenced", choose(entry.Stopping, "stopping", "serving"))
 		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%s\n", entry.ID, entry.Address, entry.FailureDomain, entry.Version, entry.View, state)
 	}
+	_ = table.Flush()
 	_, _ = fmt.Fprintln(table, "REPLICA\tADDRESS\tINDEX\tLAG\tSTATE")
 	for _, replica := range status.Replicas {
 		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%s\n", replica.ID, replica.Address, replica.Index, replica.Lag, choose(replica.Voter, "counted", "catching up"))
