Choose the ledger's batches by measurement, and remember what is settled

Cause: two batches of grants under way split the syncs of one disk (64 callers within a failure domain: 21,376 grants a second against 26,689 with one, equal across 12 ms links); each renewal walked all leases to find the settled view (profile at 600 entries: 5.5% of all processor time in tryRenew).

Ruled out: windows of 2 and 5 ms add their length to an idle request and gain nothing.

A settled view stays settled, so the leader remembers it.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -26,8 +26,9 @@
 	// VMs that leases allow for.
 	ClockRateErrorPercent = 1
 
-	// batchDepth is the number of batches of one kind that may be under way.
-	batchDepth = 2
+	// changesDepth is the number of changes of the tables that may be under
+	// way.
+	changesDepth = 2
 	// viewWindow is how long an edit of the view waits for others, so that
 	// many entries that start together make few views.
 	viewWindow = 20 * time.Millisecond
@@ -68,9 +69,9 @@
 func NewService(log Log, state *State) *Service {
 	return &Service{
 		log: log, state: state,
-		ledger:  batcher{propose: log.Propose, depth: batchDepth, limit: maximumBatch},
+		ledger:  batcher{propose: log.Propose, depth: 1, limit: maximumBatch},
 		views:   batcher{propose: log.Propose, depth: 1, limit: maximumBatch, window: viewWindow},
-		changes: batcher{propose: log.Propose, depth: batchDepth, limit: 1},
+		changes: batcher{propose: log.Propose, depth: changesDepth, limit: 1},
 	}
 }
 
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -45,6 +45,8 @@
 		// left are the processes that asked to be removed, with the time at
 		// which that may be forgotten.
 		left map[holderKey]time.Time
+		// best is the newest view that was found to be settled, and stays so.
+		best uint64
 	}
 
 	// holderKey names one process of an entry.
@@ -165,8 +167,8 @@
 // settled returns the newest view number such that every process which may
 // act on an earlier view has acknowledged it; zero where none is known.
 func (tenure *tenure) settled(now time.Time, view *membership.View) uint64 {
-	if !tenure.settledIn(now) {
-		return 0
+	if !tenure.settledIn(now) || tenure.best == view.Number {
+		return tenure.best
 	}
 	settled := view.Number
 	for _, holder := range tenure.holders {
@@ -174,7 +176,8 @@
 			settled = min(settled, holder.floor)
 		}
 	}
-	return settled
+	tenure.best = max(tenure.best, settled)
+	return tenure.best
 }
 
 // inForce returns the newest version of the tables such that no process acts
