Read an answer by the leader's clock only in the term of its request

Cause: a delayed request of an earlier leadership was refused with the present term, and the same replica, leading again after a restart, read its Sent by the new clock. It took the other for a disk that had gone back, made it start anew, and its lease would have reached into the future.

--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -335,6 +335,11 @@
 	return len(voters) > 0 && count > len(voters)/2
 }
 
+// allVoters reports whether a predicate holds for every voter.
+func (core *core) allVoters(predicate func(id string) bool) bool {
+	return !slices.ContainsFunc(core.voters(), func(id string) bool { return !predicate(id) })
+}
+
 // send sends a message that tells nothing that is not yet durable.
 func (core *core) send(to, address string, message message) {
 	core.out.early = append(core.out.early, core.pack(to, address, message))
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -186,7 +186,7 @@
 		} else {
 			driver.handle(&next)
 		}
-		if count == maximumGathered {
+		if count >= driver.replica.gathered {
 			break
 		}
 		select {
--- /dev/null
+++ b/internal/replica/fault_test.go
@@ -0,0 +1,266 @@
+package replica_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+	"gitlab.com/comfreythread/comfreythread/internal/replica"
+)
+
+type (
+	// operation is one read or write of a register, whose value is the last
+	// command. Operations overlap unless one ended before the other began.
+	operation struct {
+		write      bool
+		value      string
+		begin, end int64
+	}
+
+	history struct {
+		lock       sync.Mutex
+		operations []operation
+		clock      atomic.Int64
+	}
+)
+
+const never = int64(1) << 62
+
+// add notes an operation. A write without a known outcome never ends: it may
+// take effect at any later time or not at all.
+func (history *history) add(added operation) {
+	history.lock.Lock()
+	defer history.lock.Unlock()
+	history.operations = append(history.operations, added)
+}
+
+// linearizable reports whether some order of the operations, in which none
+// goes before one that had ended when it began, explains all reads.
+func linearizable(operations []operation) bool {
+	type state struct {
+		done  string
+		value string
+	}
+	seen := map[state]bool{}
+	done := make([]byte, len(operations))
+	var search func(value string) bool
+	search = func(value string) bool {
+		if seen[state{string(done), value}] {
+			return false
+		}
+		seen[state{string(done), value}] = true
+		firstEnd, open := never, false
+		for index, operation := range operations {
+			if done[index] == 0 {
+				firstEnd = min(firstEnd, operation.end)
+				open = open || operation.end < never
+			}
+		}
+		if !open {
+			return true
+		}
+		for index, operation := range operations {
+			if done[index] == 1 || operation.begin > firstEnd || !operation.write && operation.value != value {
+				continue
+			}
+			after := value
+			if operation.write {
+				after = operation.value
+			}
+			done[index] = 1
+			if search(after) {
+				return true
+			}
+			done[index] = 0
+		}
+		return false
+	}
+	return search("")
+}
+
+// client reads and writes at random replicas until its work is done.
+func (history *history) client(group *members, random *rand.Rand, name string) {
+	for number := range 14 {
+		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+		chosen := group.any(random)
+		if chosen == nil {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		begin := history.clock.Add(1)
+		if random.IntN(2) == 0 {
+			value := fmt.Sprintf("%s-%d", name, number)
+			_, err := chosen.Propose(ctx, []byte(value))
+			var refusal *replica.NotLeadingError
+			refused := errors.As(err, &refusal)
+			switch {
+			case err == nil:
+				history.add(operation{write: true, value: value, begin: begin, end: history.clock.Add(1)})
+			case !refused:
+				history.add(operation{write: true, value: value, begin: begin, end: never})
+			}
+		} else if chosen.Confirm(ctx) == nil {
+			lines := strings.Split(strings.TrimSuffix(chosen.machine.text(), "\n"), "\n")
+			history.add(operation{value: lines[len(lines)-1], begin: begin, end: history.clock.Add(1)})
+		}
+		cancel()
+	}
+}
+
+// members are the replicas that clients may ask at present.
+type members struct {
+	lock    sync.Mutex
+	running []*running
+}
+
+func (members *members) set(group *group) {
+	members.lock.Lock()
+	defer members.lock.Unlock()
+	members.running = nil
+	for _, address := range group.peers {
+		if group.replicas[address] != nil {
+			members.running = append(members.running, group.replicas[address])
+		}
+	}
+}
+
+func (members *members) any(random *rand.Rand) *running {
+	members.lock.Lock()
+	defer members.lock.Unlock()
+	if len(members.running) == 0 {
+		return nil
+	}
+	return members.running[random.IntN(len(members.running))]
+}
+
+var _ = ginkgo.Describe("a group under faults", func() {
+	ginkgo.It("is linearizable while replicas are cut off, crash and return", func() {
+		reads, writes := 0, 0
+		for seed := range uint64(6) {
+			history := &history{}
+			bubble.Run(suite, func(gomega.Gomega) {
+				random := rand.New(rand.NewPCG(seed, 7))
+				group := newGroup(5 * time.Millisecond)
+				group.startAll()
+				defer group.stopAll()
+				group.propose("")
+				members := &members{}
+				members.set(group)
+				var clients sync.WaitGroup
+				for number := range 4 {
+					clients.Go(func() {
+						history.client(members, rand.New(rand.NewPCG(seed, uint64(number))), fmt.Sprint(number))
+					})
+				}
+				for range 5 {
+					hit := random.IntN(3)
+					other := (hit + 1 + random.IntN(2)) % 3
+					if random.IntN(2) == 0 {
+						group.network.Cut(ipOf(hit), ipOf(other))
+						time.Sleep(1500 * time.Millisecond)
+						group.network.Heal(ipOf(hit), ipOf(other))
+						continue
+					}
+					group.crash(group.peers[hit])
+					members.set(group)
+					time.Sleep(time.Second)
+					group.start(hit)
+					members.set(group)
+				}
+				clients.Wait()
+			})
+			gomega.Expect(linearizable(history.operations)).To(gomega.BeTrue(), "seed %d: %+v", seed, history.operations)
+			for _, operation := range history.operations {
+				if operation.write {
+					writes++
+				} else {
+					reads++
+				}
+			}
+		}
+		gomega.Expect(min(reads, writes)).To(gomega.BeNumerically(">", 30))
+	})
+
+	ginkgo.It("is judged by a checker that tells a stale read and a lost write", func() {
+		stale := []operation{{write: true, value: "a", begin: 1, end: 2}, {write: true, value: "b", begin: 3, end: 4}, {value: "a", begin: 5, end: 6}}
+		gomega.Expect(linearizable(stale)).To(gomega.BeFalse())
+		stale[1].end = never
+		gomega.Expect(linearizable(stale)).To(gomega.BeTrue())
+		gomega.Expect(linearizable(append(stale, operation{value: "b", begin: 7, end: 8}, operation{value: "a", begin: 9, end: 10}))).To(gomega.BeFalse())
+	})
+
+	ginkgo.It("loses nothing when all crash at once, and repairs a replica with a flipped bit", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			group := newGroup(time.Millisecond)
+			group.startAll()
+			defer group.stopAll()
+			for number := range 20 {
+				group.propose(fmt.Sprint(number))
+			}
+			for _, address := range group.peers {
+				group.crash(address)
+			}
+			damaged := group.peers[1]
+			group.disks[damaged].Flip("log-", -40)
+			group.startAll()
+			group.propose("after")
+			time.Sleep(10 * time.Second)
+			for _, replica := range group.replicas {
+				expect.Expect(strings.Split(replica.machine.text(), "\n")).To(gomega.HaveLen(22))
+				expect.Expect(replica.machine.text()).To(gomega.HaveSuffix("19\nafter\n"))
+				expect.Expect(replica.Status().Replicas).To(gomega.HaveLen(3))
+				for _, member := range replica.Status().Replicas {
+					expect.Expect(member.Voter).To(gomega.BeTrue())
+				}
+			}
+		})
+	})
+
+	ginkgo.DescribeTable("goes on without a leader whose disk fails, which says why", func(fail func(group *group, address string)) {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			group := newGroup(time.Millisecond)
+			group.startAll()
+			defer group.stopAll()
+			first := group.propose("one")
+			fail(group, first)
+			second := group.propose("two")
+			expect.Expect(second).NotTo(gomega.Equal(first))
+			_, err := group.replicas[first].Propose(context.Background(), []byte("refused"))
+			expect.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("disk")))
+			expect.Expect(group.replicas[first].Confirm(context.Background())).NotTo(gomega.Succeed())
+			time.Sleep(time.Second)
+			expect.Expect(group.replicas[second].machine.text()).To(gomega.HaveSuffix("two\n"))
+		})
+	},
+		ginkgo.Entry("a failed sync", func(group *group, address string) { group.disks[address].FailSync() }),
+		ginkgo.Entry("no space", func(group *group, address string) { group.disks[address].Limit(group.disks[address].Size() + 10) }),
+	)
+
+	ginkgo.It("brings a replica back by a snapshot in parts after the log has moved on", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			group := newGroup(time.Millisecond)
+			group.startAll()
+			defer group.stopAll()
+			leader := group.propose("one")
+			away := (indexOf(group.peers, leader) + 1) % 3
+			group.stop(group.peers[away])
+			large := strings.Repeat("x", 1000)
+			for number := range 3000 {
+				_, err := group.replicas[leader].Propose(context.Background(), fmt.Append(nil, large, number))
+				expect.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			returned := group.start(away)
+			time.Sleep(10 * time.Second)
+			expect.Expect(returned.machine.text()).To(gomega.Equal(group.replicas[leader].machine.text()))
+		})
+	})
+})
--- a/internal/replica/install.go
+++ b/internal/replica/install.go
@@ -74,18 +74,18 @@
 
 func (core *core) receiveInstall(now time.Time, parcel *parcel, request *installRequest) {
 	if request.Term < core.Term || request.Term == core.Term && core.role == roleLeader {
-		core.sendDurable(parcel.from, parcel.fromAddress, appendReply{Term: core.Term, Rejected: true, Last: core.log.last(), Sent: request.Sent})
+		core.sendDurable(parcel.from, parcel.fromAddress, appendReply{Term: core.Term, Asked: request.Term, Rejected: true, Last: core.log.last(), Sent: request.Sent})
 		return
 	}
 	core.follow(now, request.Term, parcel.from, parcel.fromAddress)
 	core.promise(now)
-	reply := installReply{Term: core.Term, Index: request.Snapshot.Index, Sent: request.Sent}
+	reply := installReply{Term: core.Term, Asked: request.Term, Index: request.Snapshot.Index, Sent: request.Sent}
 	incoming := &core.incoming
 	if incoming.from != parcel.from || incoming.term != request.Term || incoming.index != request.Snapshot.Index {
 		*incoming = incomingSnapshot{from: parcel.from, term: request.Term, index: request.Snapshot.Index}
 	}
 	if request.Snapshot.Index <= core.commit {
-		core.sendDurable(parcel.from, parcel.fromAddress, appendReply{Term: core.Term, Match: request.Snapshot.Index, Last: core.log.last(), Sent: request.Sent})
+		core.sendDurable(parcel.from, parcel.fromAddress, appendReply{Term: core.Term, Asked: request.Term, Match: request.Snapshot.Index, Last: core.log.last(), Sent: request.Sent})
 		return
 	}
 	if request.Offset == len(incoming.data) {
@@ -93,7 +93,7 @@
 		if request.Done {
 			core.install(request, incoming.data)
 			*incoming = incomingSnapshot{}
-			core.sendDurable(parcel.from, parcel.fromAddress, appendReply{Term: core.Term, Match: request.Snapshot.Index, Last: core.log.last(), Sent: request.Sent})
+			core.sendDurable(parcel.from, parcel.fromAddress, appendReply{Term: core.Term, Asked: request.Term, Match: request.Snapshot.Index, Last: core.log.last(), Sent: request.Sent})
 			return
 		}
 	}
@@ -130,7 +130,7 @@
 		core.follow(now, reply.Term, "", "")
 		return
 	}
-	if core.role != roleLeader || reply.Term < core.Term || !found {
+	if core.role != roleLeader || reply.Asked != core.Term || !found {
 		return
 	}
 	progress := core.progressOf(parcel.from)
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -94,11 +94,13 @@
 	}
 }
 
-// seekProof asks the others whether they know of a later start of this
-// replica than the present one.
+// seekProof asks the others whether they know of a later mark of this replica
+// than the present one. It waits for all of them as long as its promise lasts
+// anyhow; then a quorum must do, for the others may be lost.
 func (core *core) seekProof(now time.Time) {
 	core.provedBy[core.id] = true
-	if core.hasQuorum(func(id string) bool { return core.provedBy[id] }) {
+	answered := func(id string) bool { return core.provedBy[id] }
+	if core.hasQuorum(answered) && (core.allVoters(answered) || !now.Before(core.started.Add(promiseSpan))) {
 		core.proved = true
 		return
 	}
--- a/internal/replica/message.go
+++ b/internal/replica/message.go
@@ -71,7 +71,10 @@
 	}
 
 	appendReply struct {
-		Term     uint64 `msgpack:"t"`
+		Term uint64 `msgpack:"t"`
+		// Asked is the term of the request. The leader of another term must
+		// not read Sent by its own clock.
+		Asked    uint64 `msgpack:"a"`
 		Rejected bool   `msgpack:"r"`
 		// Match is the last index that is durable and equal to the leader's.
 		// In a rejection it is the last index that may be.
@@ -92,6 +95,7 @@
 
 	installReply struct {
 		Term  uint64 `msgpack:"t"`
+		Asked uint64 `msgpack:"a"`
 		Index uint64 `msgpack:"i"`
 		// Offset is the number of bytes received so far.
 		Offset int           `msgpack:"o"`
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -62,7 +62,9 @@
 	// Replica is one member of the group that agrees on the log. Construct it
 	// with New.
 	Replica struct {
-		options   Options
+		options Options
+		// gathered bounds the requests that share one sync of the disk.
+		gathered  int
 		machine   Machine
 		transport transport
 		requests  chan request
@@ -87,7 +89,7 @@
 		options.Logger = zap.NewNop()
 	}
 	replica := &Replica{
-		options: options, machine: machine, transport: transport{dial: options.Dial},
+		options: options, gathered: maximumGathered, machine: machine, transport: transport{dial: options.Dial},
 		requests: make(chan request, maximumRequests), stopping: make(chan struct{}), stopped: make(chan struct{}),
 	}
 	replica.view.Store(&view{})
--- a/internal/replica/replication.go
+++ b/internal/replica/replication.go
@@ -152,12 +152,12 @@
 
 func (core *core) receiveAppend(now time.Time, parcel *parcel, request *appendRequest) {
 	if request.Term < core.Term || request.Term == core.Term && core.role == roleLeader {
-		core.sendDurable(parcel.from, parcel.fromAddress, appendReply{Term: core.Term, Rejected: true, Last: core.log.last(), Sent: request.Sent})
+		core.sendDurable(parcel.from, parcel.fromAddress, appendReply{Term: core.Term, Asked: request.Term, Rejected: true, Last: core.log.last(), Sent: request.Sent})
 		return
 	}
 	core.follow(now, request.Term, parcel.from, parcel.fromAddress)
 	core.promise(now)
-	reply := appendReply{Term: core.Term, Sent: request.Sent, Match: request.Prev + uint64(len(request.Entries))}
+	reply := appendReply{Term: core.Term, Asked: request.Term, Sent: request.Sent, Match: request.Prev + uint64(len(request.Entries))}
 	prev, prevTerm, entries := request.Prev, request.PrevTerm, request.Entries
 	if prev < core.commit {
 		// What is committed here is equal in every leader's log.
@@ -211,7 +211,7 @@
 		return
 	}
 	member, found := core.member(parcel.from)
-	if core.role != roleLeader || reply.Term < core.Term || !found {
+	if core.role != roleLeader || reply.Asked != core.Term || !found {
 		return
 	}
 	progress := core.progressOf(parcel.from)
