--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,10 @@
 # Measures the slopes that docs/CAPACITY.md rests on.
 capacity:
 	$(GO) run ./internal/capacity
+
+CASES ?= 2000
+
+.PHONY: replica-faults
+replica-faults:
+	@echo "seed $(SEED), $(CASES) cases"
+	$(GO) test ./internal/replica -run TestCoreUnderFaults -timeout 60m -rapid.seed=$(SEED) -rapid.checks=$(CASES)
