Refuse the same requests at all homes under overload, hedge from the median too

Cause of thin answers under overload: each home refused other requests, so that runs on one shard were spent on requests that another shard had refused. Cause of late hedges: the hedge delay was a high quantile alone, and runs that waited in a cold target's queue had pushed it to 300 ms.

Change: a home that is short of room refuses requests by a priority drawn from the request ID, alike at all homes; the queue may take half of the time to the deadline; hedges and retries are refused earlier. The hedge delay is at most three medians. The last run that a caller allows goes on a connection proven since the shard's first attempt.

--- a/internal/entry/estimates.go
+++ b/internal/entry/estimates.go
@@ -18,6 +18,8 @@
 	initialHedgeDelay = 20 * time.Millisecond
 	// minimumHedgeDelay spares targets whose runs take next to no time.
 	minimumHedgeDelay = 2 * time.Millisecond
+	// lateMedians bounds the hedge delay by so many medians.
+	lateMedians = 3
 	// minimumSamples is the number of runs from which a quantile is taken.
 	minimumSamples = 50
 	// histogramSpan is how long a histogram is filled before it is replaced.
@@ -36,7 +38,7 @@
 	elsewhere = time.Millisecond
 
 	// hedgeBurst and retryBurst bound the extra attempts at once.
-	hedgeBurst = 20
+	hedgeBurst = 50
 	retryBurst = 100
 )
 
@@ -147,7 +149,7 @@
 func (estimates *Estimates) hedgeDelay(pool *operator.Pool) time.Duration {
 	estimates.lock.Lock()
 	defer estimates.lock.Unlock()
-	return estimates.pace(pool.Name).quantile(float64(100 - pool.HedgePercent))
+	return estimates.pace(pool.Name).late(float64(100 - pool.HedgePercent))
 }
 
 // earn lets first attempts fill the budgets of a pool.
@@ -254,8 +256,10 @@
 	_ = pace.present.RecordValue(min(latency, maximumLatency).Microseconds())
 }
 
-// quantile returns a quantile, in percent, of the newest full histogram.
-func (pace *pace) quantile(percent float64) time.Duration {
+// late returns the span after which a run is late: a quantile, in percent, of
+// the newest full histogram, but no more than a few medians, because more
+// runs than the quantile leaves out may be slow at the same time.
+func (pace *pace) late(percent float64) time.Duration {
 	histogram := pace.present
 	if histogram == nil || histogram.TotalCount() < minimumSamples {
 		histogram = pace.before
@@ -263,7 +267,8 @@
 	if histogram == nil || histogram.TotalCount() < minimumSamples {
 		return initialHedgeDelay
 	}
-	return max(minimumHedgeDelay, time.Duration(histogram.ValueAtQuantile(percent))*time.Microsecond)
+	span := min(histogram.ValueAtQuantile(percent), lateMedians*histogram.ValueAtQuantile(50))
+	return max(minimumHedgeDelay, time.Duration(span)*time.Microsecond)
 }
 
 func newHistogram() *hdrhistogram.Histogram {
--- a/internal/entry/fan_out.go
+++ b/internal/entry/fan_out.go
@@ -186,6 +186,9 @@
 	fanOut.inFlight++
 	shard.pending++
 	shard.tried[chosen.target] = true
+	if shard.begunAt.IsZero() {
+		shard.begunAt = time.Now()
+	}
 	attempt := &attemptProgress{
 		id:    strconv.FormatUint(fanOut.nonce, 16) + "-" + strconv.Itoa(shard.plan.shard) + "-" + strconv.Itoa(fanOut.sent),
 		shard: shard, target: chosen.target, home: chosen.home, why: why, sentAt: time.Now(), generation: shard.generation,
@@ -199,10 +202,22 @@
 	}
 	batch.Attempts = append(batch.Attempts, BatchItem{
 		AttemptID: attempt.id, TargetID: chosen.target, Shard: shard.plan.shard,
-		IndexVersion: fanOut.plan.snapshot.IndexVersion, Why: why, Fresh: chosen.fresh,
+		IndexVersion: fanOut.plan.snapshot.IndexVersion, Why: why, ProvenWithin: fanOut.provenWithin(shard, chosen),
 	})
 }
 
+// provenWithin makes the last run that the caller allows, and a second one at
+// the same target, go on a connection that has not gone silent: one on which
+// the target has answered since the shard's first attempt.
+func (fanOut *fanOut) provenWithin(shard *shardProgress, chosen candidate) time.Duration {
+	since := time.Since(shard.begunAt)
+	last := shard.runs+shard.pending >= fanOut.request.AllowedRuns()
+	if since > 0 && (last || chosen.again) {
+		return since
+	}
+	return 0
+}
+
 // newBatch leaves the time of the way to the home and back out of the time
 // that the home has.
 func (fanOut *fanOut) newBatch(homeID string) *Batch {
--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -51,8 +51,9 @@
 		Shard        int        `msgpack:"s"`
 		IndexVersion uint64     `msgpack:"v"`
 		Why          target.Why `msgpack:"h"`
-		// Fresh asks for a new connection to the target.
-		Fresh bool `msgpack:"f,omitempty"`
+		// ProvenWithin asks for a connection on which the target has answered
+		// within this span.
+		ProvenWithin time.Duration `msgpack:"p,omitempty"`
 	}
 
 	// Cancellation drops attempts that are no longer waited for.
@@ -94,9 +95,9 @@
 		TargetID:    item.TargetID,
 		Fingerprint: batch.Fingerprint,
 		Why:         item.Why,
-		Fresh:       item.Fresh,
 
 		SuspectAfter: batch.SuspectAfter,
+		ProvenWithin: item.ProvenWithin,
 		Run: targetapi.Run{
 			RequestID:    batch.RequestID,
 			AttemptID:    item.AttemptID,
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -26,6 +26,7 @@
 		tried   map[string]bool
 		latest  *attemptProgress
 		pending int
+		begunAt time.Time
 		// runs counts the attempts that ran or may have run, in all
 		// snapshots of the request.
 		runs int
@@ -49,8 +50,8 @@
 	candidate struct {
 		target string
 		home   membership.Member
-		// fresh asks for a new connection.
-		fresh bool
+		// again states that an attempt at the target is in progress.
+		again bool
 	}
 
 	// dueTimer says when an attempt is late, or may be made again.
@@ -104,7 +105,7 @@
 		}
 	}
 	if best.target == "" && why == target.Hedge && shard.latest != nil && !shard.latest.resolved {
-		best = candidate{target: shard.latest.target, home: shard.latest.home, fresh: true}
+		best = candidate{target: shard.latest.target, home: shard.latest.home, again: true}
 	}
 	return best, best.target != ""
 }
--- a/internal/target/gate.go
+++ b/internal/target/gate.go
@@ -17,6 +17,10 @@
 	// overloadRetryAfter is the least span that a refusal for want of room
 	// names.
 	overloadRetryAfter = 200 * time.Millisecond
+	// queueShare is the part of its time to the deadline that a run may spend
+	// in the queue. The shards of one request have queues of unlike length:
+	// a request that is refused at one of them must not have run at many.
+	queueShare = 2
 	// typicalStep is the share by which one observed run moves the typical
 	// span of a run.
 	typicalStep = 16
@@ -95,8 +99,8 @@
 
 // acquire waits for a slot. The outcome is nil once the run is admitted, and
 // otherwise that of a run that was never sent.
-func (gate *gate) acquire(ctx context.Context, deadline time.Time, extra bool) (admission, Outcome) {
-	added, refusal := gate.enqueue(deadline, extra)
+func (gate *gate) acquire(ctx context.Context, deadline time.Time, priority float64, extra bool) (admission, Outcome) {
+	added, refusal := gate.enqueue(deadline, priority, extra)
 	if refusal != nil {
 		return admission{}, refusal
 	}
@@ -143,10 +147,14 @@
 	}
 }
 
-func (gate *gate) enqueue(deadline time.Time, extra bool) (*waiter, Outcome) {
+func (gate *gate) enqueue(deadline time.Time, priority float64, extra bool) (*waiter, Outcome) {
 	gate.lock.Lock()
 	defer gate.lock.Unlock()
-	if refusal := gate.refuse(deadline); refusal != nil {
+	if extra {
+		// It would wait behind all first attempts.
+		priority = 0
+	}
+	if refusal := gate.refuse(deadline, priority); refusal != nil {
 		return nil, refusal
 	}
 	gate.lastWaiter++
@@ -156,12 +164,16 @@
 	return added, nil
 }
 
-// refuse refuses a run that would find the queue full, or could no longer
-// meet its deadline after the queue. The lock is held.
-func (gate *gate) refuse(deadline time.Time) Outcome {
+// refuse refuses a run that would find the queue full, or could hardly meet
+// its deadline after the queue. Under overload all homes refuse the requests
+// of the lowest priorities, from 0 to 1, so that a request that runs on one
+// shard runs on the others too. The lock is held.
+func (gate *gate) refuse(deadline time.Time, priority float64) Outcome {
 	wait := Load{Waiting: len(gate.waiting), Running: gate.running, Slots: gate.slots(), Typical: gate.typical}.wait()
 	full := len(gate.waiting) >= gate.limits.QueueLimit
-	late := wait > 0 && time.Until(deadline) < wait+gate.typical
+	limit := max(0, time.Until(deadline)/queueShare-gate.typical)
+	// Above half of the limit, more and more requests are refused.
+	late := wait > 0 && float64(2*wait-limit) > priority*float64(limit)
 	if full || late {
 		return NotRun{Reason: caller.MissingOverloaded, RetryAfter: max(overloadRetryAfter, wait)}
 	}
--- a/internal/target/home.go
+++ b/internal/target/home.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -82,7 +84,7 @@
 func (home *Home) run(ctx context.Context, announcement *target.Announcement, attempt *Attempt) Outcome {
 	lane := home.lane(announcement)
 	queuedAt := time.Now()
-	admission, refusal := lane.gate.acquire(ctx, attempt.Run.Deadline, attempt.Why != First)
+	admission, refusal := lane.gate.acquire(ctx, attempt.Run.Deadline, priorityOf(attempt.Run.RequestID), attempt.Why != First)
 	home.metrics.Queue().WithLabelValues(announcement.Pool).Observe(time.Since(queuedAt).Seconds())
 	if refusal != nil {
 		return refusal
@@ -106,6 +108,11 @@
 	return admitted.do(ctx, message)
 }
 
+// priorityOf spreads requests evenly from 0 to 1, alike at all homes.
+func priorityOf(requestID string) float64 {
+	return float64(xxhash.Sum64String(requestID)) / math.MaxUint64
+}
+
 // unconnected ends a run for which no connection could be had.
 func (home *Home) unconnected(ctx context.Context, unsent *run, err error) Outcome {
 	if !errors.Is(err, errNoConnection) && ctx.Err() == nil {
--- a/internal/target/outcome.go
+++ b/internal/target/outcome.go
@@ -32,9 +32,10 @@
 		// SuspectAfter is the span without a byte from the target after
 		// which the connection counts as suspect; zero means never.
 		SuspectAfter time.Duration
-		// Fresh asks for a new connection.
-		Fresh bool
-		Run   target.Run
+		// ProvenWithin asks for a connection on which the target has answered
+		// within this span, or a new one; zero takes any.
+		ProvenWithin time.Duration
+		Run          target.Run
 	}
 
 	// Outcome says what became of an attempt. It is Answered, NotRun or Lost.
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -46,8 +46,8 @@
 // connect claims a connection for the run, waiting for one until ctx ends.
 func (run *run) connect(ctx context.Context) error {
 	var since time.Time
-	if run.attempt.Fresh {
-		since = time.Now()
+	if run.attempt.ProvenWithin > 0 {
+		since = time.Now().Add(-run.attempt.ProvenWithin)
 	}
 	for {
 		connection, err := run.lane.take(ctx, since)
--- /dev/null
+++ b/internal/tier/request_test.go
@@ -0,0 +1,367 @@
+package tier_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+	"gitlab.com/comfreythread/comfreythread/internal/tier"
+	"gitlab.com/comfreythread/comfreythread/pkg/caller"
+	"gitlab.com/comfreythread/comfreythread/pkg/duration"
+	"gitlab.com/comfreythread/comfreythread/pkg/target"
+)
+
+const (
+	work = 3 * time.Millisecond
+)
+
+type (
+	// load is what a spec sends and what came back.
+	load struct {
+		tier    *tier.Tier
+		network *standin.Network
+		// minimum is the coverage that the searches ask for.
+		minimum float64
+
+		lock      sync.Mutex
+		running   sync.WaitGroup
+		answers   []*caller.Answer
+		refusals  []*caller.Refusal
+		latencies []time.Duration
+		failures  []error
+	}
+)
+
+// small is one pool of four shards with three replicas each.
+var small = standin.Deployment{
+	Name: "small", FailureDomains: []string{"nord", "sud", "ouest"},
+	Pools: []standin.PoolShape{{Name: "desk", Shards: 4, Targets: 12, Slots: 2, Connections: 6}},
+}
+
+// withTier runs a spec on a small tier whose targets work for a while.
+func withTier(body func(expect gomega.Gomega, load *load)) {
+	bubble.Run(suite, func(expect gomega.Gomega) {
+		network := &standin.Network{}
+		network.SetLatency(func(_, _ string) time.Duration { return 500 * time.Microsecond })
+		started, err := tier.Start(context.Background(), tier.Options{
+			Deployment: small, EntriesPerFailureDomain: 2, Memory: network, Logs: io.Discard,
+			Behave: func(*target.Announcement) standin.Behaviour {
+				return standin.Behaviour{Work: func(*target.Run) time.Duration { return work }, ColdSlots: 1, ColdRunsPerSecond: 200, WarmAfterRuns: 20}
+			},
+		})
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = started.Stop(context.Background()) }()
+		body(expect, &load{tier: started, network: network})
+	})
+}
+
+func search(text string) *caller.Request {
+	payload, _ := json.Marshal(text)
+	return &caller.Request{
+		ID: caller.NewRequestID(time.Now().Add(time.Minute)), Kind: "desk.search", Payload: payload,
+		Timeout: duration.Of(300 * time.Millisecond), Idempotent: true, RunsPerShard: 3,
+	}
+}
+
+func file(text string) *caller.Request {
+	request := search(text)
+	request.Kind, request.Idempotent, request.RunsPerShard, request.ShardKey = "desk.file", false, 0, text
+	return request
+}
+
+// send sends a request at one of the entries and keeps what comes back.
+func (load *load) send(entry int, request *caller.Request) {
+	load.running.Go(func() {
+		entries := load.tier.Entries()
+		client := load.tier.Client(entries[entry%len(entries)])
+		defer client.Close()
+		start := time.Now()
+		answer, err := client.Send(context.Background(), request)
+		load.lock.Lock()
+		defer load.lock.Unlock()
+		load.latencies = append(load.latencies, time.Since(start))
+		var refusal *caller.Refusal
+		switch {
+		case err == nil:
+			load.answers = append(load.answers, answer)
+		case errors.As(err, &refusal):
+			load.refusals = append(load.refusals, refusal)
+		default:
+			load.failures = append(load.failures, err)
+		}
+	})
+}
+
+// steady sends distinct searches at a rate for a span and waits for the end.
+func (load *load) steady(perSecond int, span time.Duration) {
+	for number := range int(span.Seconds() * float64(perSecond)) {
+		request := search(fmt.Sprintf("steady %d %d", number, time.Now().UnixNano()))
+		request.MinimumCoverage = load.minimum
+		load.send(number, request)
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+	load.running.Wait()
+}
+
+func (load *load) reset() {
+	load.answers, load.refusals, load.latencies, load.failures = nil, nil, nil, nil
+}
+
+// complete counts the complete answers.
+func (load *load) complete() int {
+	complete := 0
+	for _, answer := range load.answers {
+		if answer.Coverage.Complete {
+			complete++
+		}
+	}
+	return complete
+}
+
+func (load *load) quantile(share float64) time.Duration {
+	sorted := slices.Sorted(slices.Values(load.latencies))
+	return sorted[min(len(sorted)-1, int(share*float64(len(sorted))))]
+}
+
+// bears checks what each target bore against its limits.
+func (load *load) bears(expect gomega.Gomega) {
+	pool := small.Pools[0]
+	for _, target := range load.tier.Targets() {
+		record := target.Record()
+		id := target.Announcement().ID
+		expect.Expect(record.Peak).To(gomega.BeNumerically("<=", pool.Slots), id)
+		expect.Expect(record.PeakConnections).To(gomega.BeNumerically("<=", pool.Connections), id)
+		expect.Expect(record.PeakCold).To(gomega.BeNumerically("<=", pool.Slots), id)
+		expect.Expect(record.PeakColdPerSecond).To(gomega.BeNumerically("<=", 200), id)
+	}
+}
+
+// byShard returns the targets of a shard.
+func (load *load) byShard(shard int) []*tier.Target {
+	var found []*tier.Target
+	for _, target := range load.tier.Targets() {
+		if target.Announcement().Shard == shard {
+			found = append(found, target)
+		}
+	}
+	return found
+}
+
+// runs counts the runs at all targets.
+func (load *load) runs() int {
+	runs := 0
+	for _, target := range load.tier.Targets() {
+		for _, count := range target.Record().Runs {
+			runs += count
+		}
+	}
+	return runs
+}
+
+func (load *load) crashes() int {
+	crashes := 0
+	for _, target := range load.tier.Targets() {
+		crashes += target.Record().Crashes
+	}
+	return crashes
+}
+
+// poison makes each target crash under runs of a text, all its connections
+// with it.
+func (load *load) poison(text string) {
+	payload, _ := json.Marshal(text)
+	for _, target := range load.tier.Targets() {
+		target.Behave(func(behaviour *standin.Behaviour) {
+			behaviour.Crashes = crashesOn(string(payload), func() { load.network.Break(target.IP()) })
+		})
+	}
+}
+
+func crashesOn(payload string, hook func()) func(run *target.Run) bool {
+	return func(run *target.Run) bool {
+		if string(run.Payload) != payload {
+			return false
+		}
+		hook()
+		return true
+	}
+}
+
+var _ = ginkgo.Describe("the request path", func() {
+	ginkgo.It("keeps slots, connections and cold limits when targets restart without warning under load", func() {
+		withTier(func(expect gomega.Gomega, load *load) {
+			load.steady(400, time.Second)
+			for _, target := range load.byShard(1) {
+				target.TurnCold()
+				load.network.Break(target.IP())
+			}
+			load.steady(400, 2*time.Second)
+			load.bears(expect)
+			for _, target := range load.tier.Targets() {
+				expect.Expect(target.Record().PeakCold).To(gomega.BeNumerically("<=", 1))
+			}
+		})
+	})
+
+	ginkgo.It("answers in time when one replica of a shard is slow for good", func() {
+		withTier(func(expect gomega.Gomega, load *load) {
+			load.steady(100, 2*time.Second)
+			load.reset()
+			load.byShard(2)[0].Behave(func(behaviour *standin.Behaviour) {
+				behaviour.Work = func(*target.Run) time.Duration { return 100 * time.Millisecond }
+			})
+			load.steady(100, 4*time.Second)
+			expect.Expect(load.complete()).To(gomega.Equal(400))
+			expect.Expect(load.quantile(0.99)).To(gomega.BeNumerically("<=", 52*time.Millisecond))
+			load.bears(expect)
+		})
+	})
+
+	ginkgo.It("meets deadlines when all open connections to targets go silent at once", func() {
+		withTier(func(expect gomega.Gomega, load *load) {
+			load.steady(100, 2*time.Second)
+			load.reset()
+			for _, target := range load.tier.Targets() {
+				load.network.Silence(target.IP())
+			}
+			load.steady(100, time.Second)
+			expect.Expect(load.complete()).To(gomega.Equal(100))
+			load.bears(expect)
+		})
+	})
+
+	ginkgo.It("loses a bounded number of targets to a request that crashes each, sent again at every entry", func() {
+		withTier(func(expect gomega.Gomega, load *load) {
+			load.poison("poison")
+			for sending := range 60 {
+				load.send(sending, search("poison"))
+				load.send(sending, search(fmt.Sprintf("innocent %d", sending%3)))
+				time.Sleep(100 * time.Millisecond)
+			}
+			load.running.Wait()
+			expect.Expect(load.crashes()).To(gomega.BeNumerically("<=", 4))
+			for number := range 3 {
+				load.reset()
+				load.send(number, search(fmt.Sprintf("innocent %d", number)))
+				load.running.Wait()
+				expect.Expect(load.complete()).To(gomega.Equal(1))
+			}
+		})
+	})
+
+	ginkgo.It("keeps one snapshot in each answer while versions roll from target to target", func() {
+		withTier(func(expect gomega.Gomega, load *load) {
+			rolled := make(chan struct{})
+			go func() {
+				defer close(rolled)
+				for version := uint64(2); version < 5; version++ {
+					for _, changed := range load.tier.Targets() {
+						changed.Change(func(announcement *target.Announcement) { announcement.IndexVersions = []uint64{version} })
+						time.Sleep(20 * time.Millisecond)
+					}
+				}
+			}()
+			load.steady(200, 2*time.Second)
+			<-rolled
+			expect.Expect(load.answers).NotTo(gomega.BeEmpty())
+			for _, answer := range load.answers {
+				for _, part := range answer.Parts {
+					expect.Expect(string(part.Payload)).To(gomega.ContainSubstring(fmt.Sprintf(`"index_version":%d,`, answer.Snapshot.IndexVersion)))
+				}
+			}
+		})
+	})
+
+	ginkgo.It("keeps its goodput at twice and five times the capacity, and refuses at once and truly", func() {
+		withTier(func(expect gomega.Gomega, load *load) {
+			for _, slowed := range load.tier.Targets() {
+				slowed.Behave(func(behaviour *standin.Behaviour) {
+					behaviour.Work = func(*target.Run) time.Duration { return 20 * time.Millisecond }
+				})
+			}
+			load.steady(100, 2*time.Second)
+			load.minimum = 1
+			var goodputs []int
+			for _, perSecond := range []int{300, 600, 1500} {
+				load.reset()
+				before := load.runs()
+				load.steady(perSecond, time.Second/2)
+				goodputs = append(goodputs, load.complete())
+				// Four shards each, and the extra load of the budgets.
+				expect.Expect(load.runs() - before).To(gomega.BeNumerically("<=", perSecond/2*4*115/100))
+				for _, refusal := range load.refusals {
+					expect.Expect(refusal.RetryAfter).To(gomega.BeNumerically(">", 0))
+					expect.Expect(refusal.Kind).To(gomega.BeElementOf(caller.RefusedOverloaded, caller.RefusedCoverage, caller.RefusedDeadline))
+					if refusal.Run == caller.NotRun {
+						expect.Expect(load.tier.Runs(refusal.RequestID)).To(gomega.BeZero(), string(refusal.Kind))
+					}
+				}
+			}
+			for _, goodput := range goodputs {
+				expect.Expect(goodput).To(gomega.BeNumerically(">=", slices.Max(goodputs)*9/10))
+			}
+			load.bears(expect)
+		})
+	})
+
+	ginkgo.It("runs a request that may not be repeated at most once, whatever breaks, and tells the outcome truly", func() {
+		withTier(func(expect gomega.Gomega, load *load) {
+			requests := map[caller.RequestID]bool{}
+			for number := range 200 {
+				request := file(fmt.Sprintf("card %d", number))
+				requests[request.ID] = true
+				load.send(number, request)
+				load.send(number+1, request)
+				if number%20 == 10 {
+					load.network.Break(load.tier.Targets()[number%12].IP())
+				}
+				if number%20 == 15 {
+					load.network.Silence(load.tier.Targets()[number%12].IP())
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			load.running.Wait()
+			for id := range requests {
+				expect.Expect(load.tier.Runs(id)).To(gomega.BeNumerically("<=", 1))
+			}
+			for _, refusal := range load.refusals {
+				if refusal.Run == caller.NotRun && refusal.Kind != caller.RefusedRepeat {
+					expect.Expect(load.tier.Runs(refusal.RequestID)).To(gomega.BeZero(), refusal.Error())
+				}
+			}
+			load.bears(expect)
+		})
+	})
+
+	ginkgo.It("drops answers that are crossed or damaged and answers from the other replicas", func() {
+		withTier(func(expect gomega.Gomega, load *load) {
+			spoils := []func(*target.Result){
+				func(result *target.Result) { result.AttemptID = "another" },
+				func(result *target.Result) { result.Checksum++ },
+				func(result *target.Result) { result.IndexVersion = 9 },
+				func(result *target.Result) { result.RequestID = "another" },
+			}
+			for shard, spoil := range spoils {
+				load.byShard(shard)[0].Behave(func(behaviour *standin.Behaviour) { behaviour.Spoil = spoil })
+			}
+			load.steady(50, time.Second)
+			expect.Expect(load.complete()).To(gomega.Equal(50))
+			for _, answer := range load.answers {
+				for _, part := range answer.Parts {
+					expect.Expect(part.Target).NotTo(gomega.Equal(load.byShard(part.Shard)[0].Announcement().ID))
+				}
+			}
+			load.bears(expect)
+		})
+	})
+})
