Let operators' changes of replicas into the property test, and split long files

Removal and addition are actions now. On a copy, votes against the promise fail at case 739 (a confirmation up to 2 with 3 committed). Leaving out the leader's own sync passes 800 cases: a flush is atomic to the core, so nothing it could confirm comes between. internal/tier's spec of goodput failed once (150 of 152 wanted) under a load of 20 on 10 cores; it isn't touched here and was reported.

--- /dev/null
+++ b/internal/replica/answer.go
@@ -0,0 +1,101 @@
+// This file exists so that each caller gets its answer once it is certain.
+
+package replica
+
+import "time"
+
+type (
+	// confirmation is a Confirm that waits.
+	confirmation struct {
+		asked time.Time
+		index uint64
+		reply chan outcome
+	}
+)
+
+// refusal returns why this replica can't act as leader, or nil.
+func (driver *driver) refusal() error {
+	if driver.failed != nil {
+		return driver.failed
+	}
+	if !driver.core.canPropose() {
+		return &NotLeadingError{leaderID: driver.core.leader, leaderAddress: driver.core.leaderPlace}
+	}
+	return nil
+}
+
+func (driver *driver) propose(commands [][]byte, replies []chan outcome) {
+	if len(commands) == 0 {
+		return
+	}
+	if err := driver.refusal(); err != nil {
+		for _, reply := range replies {
+			reply <- outcome{err: err}
+		}
+		return
+	}
+	if driver.proposals == nil {
+		driver.proposals = map[uint64]chan outcome{}
+	}
+	first := driver.core.log.last() + 1
+	driver.proposalTerm = driver.core.Term
+	for position, reply := range replies {
+		driver.proposals[first+uint64(position)] = reply
+	}
+	driver.core.step(time.Now(), proposed{commands: commands})
+}
+
+func (driver *driver) confirm(now time.Time, reply chan outcome) {
+	if err := driver.refusal(); err != nil {
+		reply <- outcome{err: err}
+		return
+	}
+	index := max(driver.core.commit, driver.core.termStart)
+	driver.confirmations = append(driver.confirmations, confirmation{asked: now, index: index, reply: reply})
+	if driver.core.confirmedAt(now).Before(now) {
+		driver.core.heartbeatDue = now
+		driver.core.step(now, ticked{})
+	}
+}
+
+// settle answers what can be answered by now.
+func (driver *driver) settle() {
+	now := time.Now()
+	leading := driver.failed == nil && driver.core.role == roleLeader
+	if !leading || driver.core.Term != driver.proposalTerm {
+		for index, reply := range driver.proposals {
+			reply <- outcome{err: outcomeUnknown()}
+			delete(driver.proposals, index)
+		}
+	}
+	confirmedAt := driver.core.confirmedAt(now)
+	waiting := driver.confirmations[:0]
+	for _, confirmation := range driver.confirmations {
+		err := driver.refusal()
+		switch {
+		case err != nil:
+			confirmation.reply <- outcome{err: err}
+		case !confirmedAt.Before(confirmation.asked) && driver.core.applied >= confirmation.index:
+			confirmation.reply <- outcome{}
+		default:
+			waiting = append(waiting, confirmation)
+		}
+	}
+	driver.confirmations = waiting
+}
+
+func (driver *driver) publish() {
+	core := driver.core
+	leading := driver.failed == nil && core.role == roleLeader
+	published := &view{status: Status{
+		ID: core.id, Term: core.Term, Leading: leading,
+		LeaderID: core.leader, LeaderAddress: core.leaderPlace, Applied: core.applied,
+	}}
+	if leading {
+		published.leadingSince = core.leadingSince
+	}
+	for _, member := range core.members() {
+		published.status.Replicas = append(published.status.Replicas, core.statusOf(member))
+	}
+	driver.replica.view.Store(published)
+}
--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -84,7 +84,7 @@
 
 func drawAction(t *rapid.T) action {
 	return action{
-		kind: rapid.IntRange(0, 15).Draw(t, "kind"), node: rapid.IntRange(0, worldSize-1).Draw(t, "node"),
+		kind: rapid.IntRange(0, 17).Draw(t, "kind"), node: rapid.IntRange(0, worldSize-1).Draw(t, "node"),
 		other: rapid.IntRange(0, worldSize-1).Draw(t, "other"), size: rapid.IntRange(1, 300).Draw(t, "size"),
 	}
 }
@@ -126,13 +126,8 @@
 		world.crash(node)
 	case 12, 13:
 		world.restart(node)
-	case 14:
-		if node.core != nil && node.core.applied > node.core.snapshot.Index {
-			node.core.step(world.clock(node), snapshotTaken{index: node.core.applied, data: []byte(strings.Join(node.machine, "\n"))})
-			world.flush(node)
-		}
-	case 15:
-		world.lose(node, action.size%2 == 0)
+	default:
+		world.actOnState(node, other, &action)
 	}
 }
 
@@ -312,111 +307,6 @@
 	}
 }
 
-func (world *world) propose(node *node) {
-	if node.core == nil || !node.core.canPropose() {
-		return
-	}
-	world.next++
-	command := fmt.Sprint("command-", world.next)
-	node.mine[node.core.log.last()+1] = command
-	node.core.step(world.clock(node), proposed{commands: [][]byte{[]byte(command)}})
-	world.flush(node)
-}
-
-func (world *world) crash(node *node) {
-	node.core, node.crashIn = nil, 0
-}
-
-// begin starts a node on an empty disk.
-func (world *world) begin(node *node) {
-	world.next++
-	node.core = world.newCore(node)
-	node.core.proved = true
-	node.core.raiseMark()
-	node.core.start(world.clock(node))
-	node.disk, node.earlier, node.machine, node.mine = clone(node.core.durableState()), nil, nil, map[uint64]string{}
-	node.outdated = false
-}
-
-func (world *world) newCore(node *node) *core {
-	return &core{
-		id: fmt.Sprint(node.address, "#", world.next), address: node.address, peers: []string{"a0", "a1", "a2"},
-		random: rand.New(rand.NewPCG(world.random.Uint64(), 1)),
-	}
-}
-
-func (world *world) restart(node *node) {
-	if node.core != nil {
-		return
-	}
-	if len(node.disk.snapshot.Members)+len(node.disk.entries) == 0 {
-		world.begin(node)
-		return
-	}
-	node.earlier = append(node.earlier, clone(&node.disk))
-	node.core = world.newCore(node)
-	state := clone(&node.disk)
-	node.core.load(&state)
-	node.core.start(world.clock(node))
-	node.machine, node.mine = nil, map[uint64]string{}
-	world.flush(node)
-}
-
-// lose empties the disk of a node, or puts back an earlier state of it, where
-// no quorum of any configuration loses its disks by that.
-func (world *world) lose(victim *node, putBack bool) {
-	lost := victim.disk.id
-	for _, holder := range world.nodes {
-		for _, members := range holder.configurations() {
-			voters, alive := 0, 0
-			for _, member := range members {
-				if !member.Voter {
-					continue
-				}
-				voters++
-				if member.ID != lost && slices.ContainsFunc(world.nodes, func(holder *node) bool { return holder.disk.id == member.ID && !holder.outdated }) {
-					alive++
-				}
-			}
-			if alive <= voters/2 {
-				return
-			}
-		}
-	}
-	if !putBack {
-		world.begin(victim)
-		return
-	}
-	// The others must know of a later mark. Where the only one that does is
-	// lost as well, two of three have failed.
-	for _, other := range world.nodes {
-		if other != victim && (other.outdated || other.disk.hard.Marks[lost].Number < victim.disk.hard.Mark.Number) {
-			return
-		}
-	}
-	if len(victim.earlier) == 0 {
-		return
-	}
-	earlier := victim.earlier
-	world.crash(victim)
-	victim.disk = clone(&earlier[world.random.IntN(len(earlier))])
-	victim.outdated = true
-	world.restart(victim)
-}
-
-func (node *node) configurations() [][]member {
-	configurations := [][]member{}
-	if len(node.disk.snapshot.Members) > 0 {
-		configurations = append(configurations, node.disk.snapshot.Members)
-	}
-	for _, entry := range node.disk.entries {
-		if members, err := decodeMembers(entry.Data); entry.Kind == entryMembers && err == nil {
-			configurations = append(configurations, members)
-		}
-	}
-	return configurations
-}
-
 // calm ends all faults; the group must then serve, and every node must hold
 // every accepted command once.
 func (world *world) calm() {
@@ -427,6 +317,7 @@
 		world.restart(node)
 	}
 	world.run(30 * time.Second)
+	world.readmit()
 	before := len(world.accepted)
 	for _, node := range world.nodes {
 		world.propose(node)
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -44,13 +44,6 @@
 		err    error
 	}
 
-	// confirmation is a Confirm that waits.
-	confirmation struct {
-		asked time.Time
-		index uint64
-		reply chan outcome
-	}
-
 	// driver runs a core. Its fields belong to one goroutine.
 	driver struct {
 		replica *Replica
@@ -219,51 +212,6 @@
 	}
 }
 
-// refusal returns why this replica can't act as leader, or nil.
-func (driver *driver) refusal() error {
-	if driver.failed != nil {
-		return driver.failed
-	}
-	if !driver.core.canPropose() {
-		return &NotLeadingError{leaderID: driver.core.leader, leaderAddress: driver.core.leaderPlace}
-	}
-	return nil
-}
-
-func (driver *driver) propose(commands [][]byte, replies []chan outcome) {
-	if len(commands) == 0 {
-		return
-	}
-	if err := driver.refusal(); err != nil {
-		for _, reply := range replies {
-			reply <- outcome{err: err}
-		}
-		return
-	}
-	if driver.proposals == nil {
-		driver.proposals = map[uint64]chan outcome{}
-	}
-	first := driver.core.log.last() + 1
-	driver.proposalTerm = driver.core.Term
-	for position, reply := range replies {
-		driver.proposals[first+uint64(position)] = reply
-	}
-	driver.core.step(time.Now(), proposed{commands: commands})
-}
-
-func (driver *driver) confirm(now time.Time, reply chan outcome) {
-	if err := driver.refusal(); err != nil {
-		reply <- outcome{err: err}
-		return
-	}
-	index := max(driver.core.commit, driver.core.termStart)
-	driver.confirmations = append(driver.confirmations, confirmation{asked: now, index: index, reply: reply})
-	if driver.core.confirmedAt(now).Before(now) {
-		driver.core.heartbeatDue = now
-		driver.core.step(now, ticked{})
-	}
-}
-
 // flush does what the core asks until it asks for nothing more.
 func (driver *driver) flush() {
 	for driver.failed == nil {
@@ -341,32 +289,6 @@
 	return true
 }
 
-// settle answers what can be answered by now.
-func (driver *driver) settle() {
-	now := time.Now()
-	leading := driver.failed == nil && driver.core.role == roleLeader
-	if !leading || driver.core.Term != driver.proposalTerm {
-		for index, reply := range driver.proposals {
-			reply <- outcome{err: outcomeUnknown()}
-			delete(driver.proposals, index)
-		}
-	}
-	confirmedAt := driver.core.confirmedAt(now)
-	waiting := driver.confirmations[:0]
-	for _, confirmation := range driver.confirmations {
-		err := driver.refusal()
-		switch {
-		case err != nil:
-			confirmation.reply <- outcome{err: err}
-		case !confirmedAt.Before(confirmation.asked) && driver.core.applied >= confirmation.index:
-			confirmation.reply <- outcome{}
-		default:
-			waiting = append(waiting, confirmation)
-		}
-	}
-	driver.confirmations = waiting
-}
-
 // discard starts anew with an empty disk, as a replica that the group has
 // never counted.
 func (driver *driver) discard() {
@@ -399,19 +321,3 @@
 		driver.replica.options.Logger.Warn("close the data folder", zap.Error(err))
 	}
 }
-
-func (driver *driver) publish() {
-	core := driver.core
-	leading := driver.failed == nil && core.role == roleLeader
-	published := &view{status: Status{
-		ID: core.id, Term: core.Term, Leading: leading,
-		LeaderID: core.leader, LeaderAddress: core.leaderPlace, Applied: core.applied,
-	}}
-	if leading {
-		published.leadingSince = core.leadingSince
-	}
-	for _, member := range core.members() {
-		published.status.Replicas = append(published.status.Replicas, core.statusOf(member))
-	}
-	driver.replica.view.Store(published)
-}
