Tell a failed disk as unavailable, so that clients ask another replica

Cause: a replica whose sync had failed refused with the kind internal, which control's client takes for final. Shown failing first: the spec of failed disks got internal where unavailable is wanted; now it passes.

--- a/internal/replica/error.go
+++ b/internal/replica/error.go
@@ -52,11 +52,12 @@
 	return fault.New(fault.Unavailable, "the replica is stopping", "try again at another replica")
 }
 
-// failure reports a disk that is not used any more.
+// failure reports a disk that is not used any more. It is told as
+// unavailable, because another replica can serve.
 func failure(err error) error {
 	var typed *fault.Error
 	if errors.As(err, &typed) {
-		return typed
+		return fault.New(fault.Unavailable, typed.Message, typed.Remedy)
 	}
-	return fault.New(fault.Internal, "the replica's disk failed: "+err.Error(), "mend or replace the disk and restart the process")
+	return fault.New(fault.Unavailable, "the replica's disk failed: "+err.Error(), "mend or replace the disk and restart the process")
 }
--- a/internal/replica/fault_test.go
+++ b/internal/replica/fault_test.go
@@ -15,6 +15,7 @@
 
 	"gitlab.com/comfreythread/comfreythread/internal/bubble"
 	"gitlab.com/comfreythread/comfreythread/internal/replica"
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 )
 
 type (
@@ -236,6 +237,10 @@
 			expect.Expect(second).NotTo(gomega.Equal(first))
 			_, err := group.replicas[first].Propose(context.Background(), []byte("refused"))
 			expect.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("disk")))
+			// Clients ask another replica on this kind alone.
+			var refusal *fault.Error
+			expect.Expect(errors.As(err, &refusal)).To(gomega.BeTrue())
+			expect.Expect(refusal.Kind).To(gomega.Equal(fault.Unavailable))
 			expect.Expect(group.replicas[first].Confirm(context.Background())).NotTo(gomega.Succeed())
 			time.Sleep(time.Second)
 			expect.Expect(group.replicas[second].machine.text()).To(gomega.HaveSuffix("two\n"))
