--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 export GOFLAGS += -buildvcs=false
 
-.PHONY: bench build demo test format-check format lint vet
+.PHONY: bench build demo faults test format-check format lint vet
 
 build:
 	$(GO) build -o bin/comfreythread ./cmd/comfreythread
@@ -16,7 +16,12 @@
 # bench writes docs/MEASURES.md; BENCH=TEXT measures only what has the text in
 # its name and writes nothing.
 bench:
-	$(GO) test ./internal/bench -count=1 -v -timeout 30m -run TestMeasures $(if $(BENCH),-bench-only '$(BENCH)',-bench-report $(CURDIR)/docs)
+	$(GO) test ./internal/bench -count=1 -v -timeout 30m -parallel 4 -run TestMeasures $(if $(BENCH),-bench-only '$(BENCH)',-bench-report $(CURDIR)/docs)
+
+# faults runs the fault matrix: all of it, or with CELL='FAULT/STEP' one cell.
+# An empty FAULT or STEP stands for any; FAULT+FAULT is a pair.
+faults:
+	$(GO) test ./internal/faults -count=1 -v -timeout 30m -parallel 4 -run TestMatrix -seed $(SEED) -cell '$(or $(CELL),all)' | grep -v '^ *\(---\|===\)'
 
 test: format-check lint vet build
 	$(GO) test -race -timeout 9m ./...
@@ -38,3 +43,10 @@
 # Measures the slopes that docs/CAPACITY.md rests on.
 capacity:
 	$(GO) run ./internal/capacity
+
+CASES ?= 2000
+
+.PHONY: replica-faults
+replica-faults:
+	@echo "seed $(SEED), $(CASES) cases"
+	$(GO) test ./internal/replica -run TestCoreUnderFaults -timeout 60m -rapid.seed=$(SEED) -rapid.checks=$(CASES)
--- a/internal/standin/disk.go
+++ b/internal/standin/disk.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -45,6 +46,7 @@
 		failSync   bool
 		random     *rand.Rand
 		capacity   int
+		syncTime   time.Duration
 	}
 
 	// inode is a file's content: as written, and as it was last synced.
@@ -106,6 +108,13 @@
 	disk.capacity = capacity
 }
 
+// SetSyncTime sets how long each sync takes.
+func (disk *Disk) SetSyncTime(span time.Duration) {
+	disk.lock.Lock()
+	defer disk.lock.Unlock()
+	disk.syncTime = span
+}
+
 // Size returns the bytes that all files take.
 func (disk *Disk) Size() int {
 	disk.lock.Lock()
@@ -347,57 +356,3 @@
 	diskLock.disk.locked = false
 	return nil
 }
-
-// Write implements io.Writer.
-func (diskFile *diskFile) Write(data []byte) (int, error) {
-	disk := diskFile.disk
-	disk.lock.Lock()
-	defer disk.lock.Unlock()
-	written := len(data)
-	err := disk.begin()
-	if err != nil {
-		if disk.random == nil {
-			return 0, err
-		}
-		written = disk.random.IntN(len(data) + 1)
-	}
-	if disk.capacity > 0 && disk.size()+written > disk.capacity {
-		written, err = max(0, disk.capacity-disk.size()), syscall.ENOSPC
-	}
-	diskFile.inode.content = append(slices.Clone(diskFile.inode.content), data[:written]...)
-	return written, err
-}
-
-// Sync implements disk.File.
-func (diskFile *diskFile) Sync() error {
-	disk := diskFile.disk
-	disk.lock.Lock()
-	defer disk.lock.Unlock()
-	if err := disk.begin(); err != nil {
-		if disk.random != nil && disk.random.IntN(2) == 0 {
-			diskFile.inode.synced = slices.Clone(diskFile.inode.content)
-		}
-		return err
-	}
-	if disk.failSync {
-		disk.failSync = false
-		return ErrInput
-	}
-	diskFile.inode.synced = slices.Clone(diskFile.inode.content)
-	return nil
-}
-
-// Truncate implements disk.File.
-func (diskFile *diskFile) Truncate(size int64) error {
-	disk := diskFile.disk
-	disk.lock.Lock()
-	defer disk.lock.Unlock()
-	if err := disk.begin(); err != nil {
-		return err
-	}
-	diskFile.inode.content = slices.Clone(diskFile.inode.content[:size])
-	return nil
-}
-
-// Close implements io.Closer.
-func (diskFile *diskFile) Close() error { return nil }
