--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -1,7 +1,7 @@
 // Package blackboard holds the tables that the controllers of an entry read
 // and write. Each table has its own lock.
 //
-// Lock order: InForce, Membership, Directory, Verdicts. A goroutine that
+// Lock order: InForce, Membership, Directory, Verdicts, Loads. A goroutine that
 // holds the lock of one table may only take the lock of a later one. No table
 // calls out while it holds its lock.
 package blackboard
@@ -19,6 +19,7 @@
 		membership Membership
 		directory  Directory
 		verdicts   Verdicts
+		loads      Loads
 	}
 )
 
@@ -42,12 +43,12 @@
 	return &board.verdicts
 }
 
-// HomeOf returns the entry that is home to a target under the newest view and
-// the tables in force.
+// Loads returns how busy the entries are.
+func (board *Board) Loads() *Loads {
+	return &board.loads
+}
+
+// HomeOf returns the entry that is home to a target under the newest view.
 func (board *Board) HomeOf(announcement *target.Announcement) (membership.Member, bool) {
-	tables, _ := board.inForce.Tables()
-	view := board.membership.View()
-	return view.Home(announcement.ID, announcement.FailureDomain, func(member *membership.Member) bool {
-		return tables.Out(member.FailureDomain)
-	})
+	return board.membership.Placement().Home(announcement.ID, announcement.FailureDomain)
 }
--- a/internal/blackboard/in_force.go
+++ b/internal/blackboard/in_force.go
@@ -19,6 +19,9 @@
 		tables     *operator.Tables
 		leaseUntil time.Time
 		stopping   bool
+		// outSince is when the entry's own failure domain was found to be
+		// taken out; zero while it is not.
+		outSince time.Time
 	}
 )
 
@@ -82,3 +85,25 @@
 	defer inForce.lock.RUnlock()
 	return inForce.stopping
 }
+
+// SetOut records whether the entry's own failure domain is taken out.
+func (inForce *InForce) SetOut(out bool) {
+	inForce.lock.Lock()
+	defer inForce.lock.Unlock()
+	if !out {
+		inForce.outSince = time.Time{}
+	} else if inForce.outSince.IsZero() {
+		inForce.outSince = time.Now()
+	}
+}
+
+// OutFor returns for how long the entry's own failure domain has been taken
+// out.
+func (inForce *InForce) OutFor() time.Duration {
+	inForce.lock.RLock()
+	defer inForce.lock.RUnlock()
+	if inForce.outSince.IsZero() {
+		return 0
+	}
+	return time.Since(inForce.outSince)
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
@@ -26,6 +27,8 @@
 
 	// Server answers callers.
 	Server struct {
+		self        string
+		maxAge      time.Duration
 		board       *blackboard.Board
 		coordinator Coordinator
 
@@ -34,20 +37,30 @@
 	}
 )
 
-// NewServer returns the server for callers.
-func NewServer(board *blackboard.Board, coordinator Coordinator) *Server {
-	return &Server{board: board, coordinator: coordinator, cancels: map[caller.RequestID]context.CancelFunc{}}
+// NewServer returns the server for callers of the entry with the given ID.
+// Callers may use the addresses that it gives for maxAge.
+func NewServer(self string, maxAge time.Duration, board *blackboard.Board, coordinator Coordinator) *Server {
+	return &Server{self: self, maxAge: maxAge, board: board, coordinator: coordinator, cancels: map[caller.RequestID]context.CancelFunc{}}
 }
 
 // Register adds the server's routes.
 func (server *Server) Register(engine *gin.Engine) {
+	engine.Use(server.closeWhileStopping)
 	engine.GET("/v1/entries", server.entries)
 	engine.POST("/v1/requests", server.run)
 	engine.DELETE("/v1/requests/:id", server.cancel)
 }
 
 func (server *Server) entries(ginContext *gin.Context) {
-	ginContext.JSON(http.StatusOK, Addresses(server.board))
+	ginContext.JSON(http.StatusOK, Addresses(server.self, server.maxAge, server.board))
+}
+
+// closeWhileStopping lets callers open no further request on a connection
+// that is about to be closed: a request that meets the close would be cut.
+func (server *Server) closeWhileStopping(ginContext *gin.Context) {
+	if server.board.InForce().Stopping() {
+		ginContext.Header("Connection", "close")
+	}
 }
 
 func (server *Server) run(ginContext *gin.Context) {
@@ -56,6 +69,14 @@
 		server.refuse(ginContext, badRequest(err))
 		return
 	}
+	if server.board.InForce().OutFor() > server.maxAge {
+		server.refuse(ginContext, &caller.Refusal{
+			Kind: caller.RefusedStopping, RequestID: request.ID, Run: caller.NotRun, RetryAfter: duration.Of(time.Millisecond),
+			Message: "this entry's failure domain is taken out", Remedy: "use one of the entries listed",
+		})
+		return
+	}
+	defer server.board.Loads().Begin()()
 	ctx, cancel := context.WithCancel(ginContext.Request.Context())
 	defer cancel()
 	if !server.begin(request.ID, cancel) {
@@ -105,7 +126,7 @@
 
 func (server *Server) refuse(ginContext *gin.Context, refusal *caller.Refusal) {
 	if refusal.Run == caller.NotRun && (refusal.Kind == caller.RefusedFenced || refusal.Kind == caller.RefusedStopping) {
-		refusal.Entries = Addresses(server.board).Entries
+		refusal.Entries = Addresses(server.self, server.maxAge, server.board).Entries
 	}
 	if refusal.RetryAfter > 0 {
 		// The header takes whole seconds; the body has the exact span.
--- /dev/null
+++ b/internal/entry/handover.go
@@ -0,0 +1,106 @@
+// This file exists so that a target's next home learns at once that the target
+// is free for it.
+
+package entry
+
+import (
+	"context"
+	"time"
+
+	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/internal/membership"
+	"gitlab.com/comfreythread/comfreythread/internal/target"
+)
+
+const (
+	// MethodRelease hands targets over to their next home.
+	MethodRelease = "entry.release"
+
+	releaseTimeout = time.Second
+)
+
+type (
+	// Release tells that the sender has given up targets under a view in which
+	// they are the receiver's.
+	Release struct {
+		View    uint64            `msgpack:"v"`
+		Targets []target.Released `msgpack:"t"`
+	}
+
+	// Handover sends and takes releases. A lost release does no harm: the next
+	// home then waits until the view is settled.
+	Handover struct {
+		self  string
+		board *blackboard.Board
+		home  *target.Home
+		peers *Peers
+		// wake lets the leaseholder ask for a newer view.
+		wake func()
+	}
+)
+
+// NewHandover returns the handover of the entry with the given ID.
+func NewHandover(self string, board *blackboard.Board, home *target.Home, peers *Peers) *Handover {
+	return &Handover{self: self, board: board, home: home, peers: peers, wake: func() {}}
+}
+
+// Register takes releases from other entries. wake is called where a release
+// names a view that this entry hasn't received.
+func (handover *Handover) Register(server *frame.Server, wake func()) {
+	handover.wake = wake
+	frame.Handle(server, MethodRelease, func(_ context.Context, release *Release) (*Empty, error) {
+		handover.take(release)
+		return &Empty{}, nil
+	})
+}
+
+// Release implements target.Releaser.
+func (handover *Handover) Release(ctx context.Context, to membership.Member, view uint64, released []target.Released) {
+	release := &Release{View: view, Targets: released}
+	if to.ID == handover.self {
+		handover.take(release)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+		defer cancel()
+		_, _ = frame.Call[Release, Empty](ctx, handover.peers.Client(to.PeerAddress), MethodRelease, release)
+	}()
+}
+
+func (handover *Handover) take(release *Release) {
+	handover.home.Expect(release.Targets)
+	for _, released := range release.Targets {
+		handover.board.Membership().Release(released.TargetID, release.View)
+	}
+	if handover.board.Membership().View().Number < release.View {
+		handover.wake()
+	}
+}
+
+// NotifyWithdrawal waits for the view in which this entry withdraws and tells
+// all entries of it, so that they ask for it at once and not at their next
+// renewal. A message without targets does.
+func (handover *Handover) NotifyWithdrawal(ctx context.Context) {
+	for {
+		view := handover.board.Membership().View()
+		if member, present := view.Member(handover.self); !present || member.Stopping {
+			handover.notify(ctx, &view)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(settleInterval):
+		}
+	}
+}
+
+func (handover *Handover) notify(ctx context.Context, view *membership.View) {
+	for _, member := range view.Members {
+		if member.ID != handover.self {
+			handover.Release(ctx, member, view.Number, nil)
+		}
+	}
+}
--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -14,8 +14,6 @@
 const (
 	// MethodRun runs a batch of attempts at the targets of one home.
 	MethodRun = "entry.run"
-	// MethodAnnounce spreads announcements to another entry.
-	MethodAnnounce = "entry.announce"
 	// MethodStrike spreads the loss of a target to another entry.
 	MethodStrike = "entry.strike"
 
@@ -57,11 +55,6 @@
 		RetryAfter time.Duration        `msgpack:"t,omitempty"`
 	}
 
-	// Announcements spreads what targets announced.
-	Announcements struct {
-		Announcements []targetapi.Announcement `msgpack:"a"`
-	}
-
 	// Strike tells that a target was lost under a request.
 	Strike struct {
 		Fingerprint uint64 `msgpack:"f"`
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -2,10 +2,6 @@
 // rule that gives each target its one home.
 package membership
 
-import (
-	"github.com/cespare/xxhash/v2"
-)
-
 type (
 	// Member is one entry of a View.
 	Member struct {
@@ -18,7 +14,9 @@
 		Region        string `msgpack:"r"`
 		// Incarnation grows with each start of the entry's process.
 		Incarnation uint64 `msgpack:"n"`
-		// Stopping states that the entry withdraws and gets no homes.
+		// Stopping states that the entry withdraws: it is shutting down or its
+		// failure domain was taken out. It is home to no target and callers
+		// aren't sent to it.
 		Stopping bool `msgpack:"s"`
 	}
 
@@ -38,28 +36,3 @@
 	}
 	return Member{}, false
 }
-
-// Home returns the one entry that is home to a target: by rendezvous hashing
-// among the members in the target's failure domain, or among all members
-// where that domain has none. Members for which excluded returns true, and
-// members that stop, get no targets.
-func (view *View) Home(targetID, failureDomain string, excluded func(*Member) bool) (Member, bool) {
-	var best Member
-	var bestWeight uint64
-	found, near := false, false
-	for index := range view.Members {
-		member := &view.Members[index]
-		if member.Stopping || excluded(member) {
-			continue
-		}
-		isNear := member.FailureDomain == failureDomain
-		if near && !isNear {
-			continue
-		}
-		weight := xxhash.Sum64String(targetID + "\x00" + member.ID)
-		if !found || (isNear && !near) || weight > bestWeight {
-			best, bestWeight, found, near = *member, weight, true, isNear
-		}
-	}
-	return best, found
-}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -29,6 +29,10 @@
 		version  prometheus.Gauge
 		view     prometheus.Gauge
 		fenced   prometheus.Gauge
+		moved    prometheus.Counter
+		changes  *prometheus.CounterVec
+		synced   *prometheus.CounterVec
+		lag      prometheus.Gauge
 	}
 )
 
@@ -48,11 +52,16 @@
 		version:  prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "tables_version", Help: "Version of the tables in force."}),
 		view:     prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "view_number", Help: "Number of the view of entries."}),
 		fenced:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "fenced", Help: "1 while the entry holds no lease."}),
+		moved:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "targets_moved_total", Help: "Targets that this entry gave up to another home."}),
+		changes:  counter("directory_changes_total", "Changes of the directory of targets.", "from"),
+		synced:   counter("directory_exchanges_total", "Exchanges of directory digests with peers.", "result"),
+		lag:      prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "directory_unequal_seconds", Help: "Time since the directory was last equal to a peer's."}),
 	}
 	metrics.registry.MustRegister(
 		metrics.attempts, metrics.outcomes, metrics.refusals, metrics.sheds, metrics.dropped,
 		metrics.queue, metrics.slots, metrics.coverage, metrics.latency,
 		metrics.version, metrics.view, metrics.fenced,
+		metrics.moved, metrics.changes, metrics.synced, metrics.lag,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
@@ -97,6 +106,18 @@
 // Fenced is 1 while the entry holds no lease.
 func (metrics *Metrics) Fenced() prometheus.Gauge { return metrics.fenced }
 
+// Moved counts targets that this entry gave up to another home.
+func (metrics *Metrics) Moved() prometheus.Counter { return metrics.moved }
+
+// Changes counts changes of the directory, by where they came from.
+func (metrics *Metrics) Changes() *prometheus.CounterVec { return metrics.changes }
+
+// Synced counts exchanges of directory digests, by result.
+func (metrics *Metrics) Synced() *prometheus.CounterVec { return metrics.synced }
+
+// Lag is the time since the directory was last equal to a peer's, in seconds.
+func (metrics *Metrics) Lag() prometheus.Gauge { return metrics.lag }
+
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -26,17 +26,31 @@
 		return fx.Options()
 	}
 	return fx.Module("entry",
-		fx.Provide(newBoard, newHome, newPeers, newHomes, newCoordinator, newSpreader, newLeaseholder),
+		fx.Provide(newBoard, newHome, newPeers, newHomes, newCoordinator, newSpreader, newHandover, newLeaseholder),
 		fx.Invoke(registerEntry, runEntry),
 	)
 }
 
+// entryStopModule is invoked last, so that its stop comes first.
+func entryStopModule(settings *settings.Settings) fx.Option {
+	if !settings.Entry {
+		return fx.Options()
+	}
+	return fx.Invoke(withdrawEntry)
+}
+
 func newBoard() *blackboard.Board {
 	return new(blackboard.Board)
 }
 
-func newHome(settings *settings.Settings, board *blackboard.Board, network Network) *targetserver.Home {
-	return targetserver.NewHome(settings.Name, board, network.Dial)
+func newHome(settings *settings.Settings, board *blackboard.Board, network Network, metrics *metrics.Metrics) *targetserver.Home {
+	home := targetserver.NewHome(settings.Name, board, network.Dial)
+	home.Measure(metrics)
+	return home
+}
+
+func newHandover(settings *settings.Settings, board *blackboard.Board, home *targetserver.Home, peers *entry.Peers) *entry.Handover {
+	return entry.NewHandover(settings.Name, board, home, peers)
 }
 
 func newPeers(network Network) *entry.Peers {
@@ -51,11 +65,11 @@
 	return entry.NewCoordinator(settings.Name, board, homes, client, metrics)
 }
 
-func newSpreader(settings *settings.Settings, board *blackboard.Board, peers *entry.Peers) *entry.Spreader {
-	return entry.NewSpreader(settings.Name, board, peers)
+func newSpreader(settings *settings.Settings, board *blackboard.Board, peers *entry.Peers, metrics *metrics.Metrics) *entry.Spreader {
+	return entry.NewSpreader(settings.Name, board, peers, metrics)
 }
 
-func newLeaseholder(settings *settings.Settings, board *blackboard.Board, client *control.Client, logger *zap.Logger, metrics *metrics.Metrics) *entry.Leaseholder {
+func newLeaseholder(settings *settings.Settings, board *blackboard.Board, client *control.Client, home *targetserver.Home, handover *entry.Handover, logger *zap.Logger, metrics *metrics.Metrics) *entry.Leaseholder {
 	member := membership.Member{
 		ID:            settings.Name,
 		PeerAddress:   settings.PeerAddress,
@@ -64,27 +78,31 @@
 		Region:        settings.Region,
 		Incarnation:   uint64(time.Now().UnixNano()),
 	}
-	return entry.NewLeaseholder(member, board, client, logger, metrics)
+	return entry.NewLeaseholder(member, board, client, home, handover, logger, metrics)
 }
 
-func registerEntry(board *blackboard.Board, coordinator *entry.Coordinator, spreader *entry.Spreader, homes *entry.Homes, engine *gin.Engine, server *frame.Server) {
-	callerserver.NewServer(board, coordinator).Register(engine)
-	targetserver.NewServer(board, spreader).Register(engine)
+func registerEntry(settings *settings.Settings, board *blackboard.Board, coordinator *entry.Coordinator, spreader *entry.Spreader, homes *entry.Homes, handover *entry.Handover, leaseholder *entry.Leaseholder, engine *gin.Engine, server *frame.Server) {
+	callers := callerserver.NewServer(settings.Name, settings.AddressMaxAge.Std(), board, coordinator)
+	callers.Register(engine)
+	targetserver.NewServer(board).Register(engine)
 	homes.Register(server)
 	spreader.Register(server)
+	handover.Register(server, leaseholder.Wake)
 }
 
-// runEntry keeps the lease while the process runs. At a planned stop the
-// entry withdraws, serves on until no caller holds its address any more, and
-// leaves the view after its last request.
-func runEntry(leaseholder *entry.Leaseholder, home *targetserver.Home, peers *entry.Peers, lifecycle fx.Lifecycle, logger *zap.Logger) {
+// runEntry keeps the lease while the process runs. It stops after the HTTP
+// server, so that the entry leaves the view after its last request.
+func runEntry(leaseholder *entry.Leaseholder, home *targetserver.Home, spreader *entry.Spreader, peers *entry.Peers, lifecycle fx.Lifecycle, logger *zap.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go leaseholder.Run(ctx)
+			go home.Guard(ctx)
+			go spreader.Run(ctx)
 			return nil
 		},
 		OnStop: func(stopContext context.Context) error {
+			home.Drain(stopContext)
 			if err := leaseholder.Leave(stopContext); err != nil {
 				logger.Warn("left without telling control", zap.Error(err))
 			}
@@ -95,3 +113,22 @@
 		},
 	})
 }
+
+// withdrawEntry makes the first part of a planned stop, in which the entry
+// still serves: it withdraws from the view, hands its targets over, and waits
+// until no caller holds its address any more.
+func withdrawEntry(settings *settings.Settings, board *blackboard.Board, leaseholder *entry.Leaseholder, handover *entry.Handover, lifecycle fx.Lifecycle, logger *zap.Logger) {
+	lifecycle.Append(fx.StopHook(func(ctx context.Context) error {
+		board.InForce().Stop()
+		logger.Info("withdrawing", zap.Duration("address_max_age", settings.AddressMaxAge.Std()))
+		go handover.NotifyWithdrawal(ctx)
+		if err := leaseholder.Withdraw(ctx); err != nil {
+			logger.Warn("withdrawn without word from all entries", zap.Error(err))
+		}
+		select {
+		case <-time.After(settings.AddressMaxAge.Std()):
+		case <-ctx.Done():
+		}
+		return nil
+	}))
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -17,7 +17,6 @@
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 
-	callerserver "gitlab.com/comfreythread/comfreythread/internal/caller"
 	"gitlab.com/comfreythread/comfreythread/internal/control"
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
@@ -33,7 +32,7 @@
 	StartTimeout = 15 * time.Second
 	// StopTimeout bounds a graceful shutdown: the addresses' maximum age, the
 	// longest request and some room.
-	StopTimeout = callerserver.AddressMaxAge + time.Minute + 15*time.Second
+	StopTimeout = settings.MaximumAddressMaxAge + time.Minute + 15*time.Second
 )
 
 type (
@@ -63,8 +62,13 @@
 		fx.Provide(newControlClient, metrics.New, web.NewEngine, newPeerServer),
 		fx.Invoke(startTracing, registerCommon),
 		controlModule(settings),
+		// Stops run in the reverse order: the entry withdraws while it still
+		// serves, the HTTP server ends its last request, the entry leaves the
+		// view, and only then do peers lose this process.
+		fx.Invoke(startPeerServer),
 		entryModule(settings),
-		fx.Invoke(startServers),
+		fx.Invoke(startHTTPServer),
+		entryStopModule(settings),
 	)
 }
 
@@ -139,20 +143,28 @@
 	engine.GET("/v1/live", func(ginContext *gin.Context) { ginContext.Status(http.StatusNoContent) })
 }
 
-func startServers(listeners *Listeners, engine *gin.Engine, peers *frame.Server, logger *zap.Logger, lifecycle fx.Lifecycle) {
-	server := web.NewServer(engine)
+func startPeerServer(listeners *Listeners, peers *frame.Server, logger *zap.Logger, lifecycle fx.Lifecycle) {
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go report(logger, "HTTP server ended", func() error { return web.Serve(server, listeners.http) })
 			go report(logger, "peer server ended", func() error { return peers.Serve(listeners.peer) })
-			logger.Info("listening", zap.Stringer("http", listeners.http.Addr()), zap.Stringer("peer", listeners.peer.Addr()))
 			return nil
 		},
-		OnStop: func(ctx context.Context) error {
-			err := web.Shutdown(ctx, server)
+		OnStop: func(context.Context) error {
 			peers.Stop()
-			return err
+			return nil
+		},
+	})
+}
+
+func startHTTPServer(listeners *Listeners, engine *gin.Engine, logger *zap.Logger, lifecycle fx.Lifecycle) {
+	server := web.NewServer(engine)
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go report(logger, "HTTP server ended", func() error { return web.Serve(server, listeners.http) })
+			logger.Info("listening", zap.Stringer("http", listeners.http.Addr()), zap.Stringer("peer", listeners.peer.Addr()))
+			return nil
 		},
+		OnStop: func(ctx context.Context) error { return web.Shutdown(ctx, server) },
 	})
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,10 +6,12 @@
 	"net/netip"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	"gitlab.com/comfreythread/comfreythread/internal/web"
+	"gitlab.com/comfreythread/comfreythread/pkg/duration"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 )
 
@@ -21,6 +23,12 @@
 )
 
 const (
+	// DefaultAddressMaxAge is how long callers may use the addresses that an
+	// entry gave them, where the settings don't say.
+	DefaultAddressMaxAge = 5 * time.Second
+	// MaximumAddressMaxAge bounds it, because a planned stop takes longer.
+	MaximumAddressMaxAge = 30 * time.Second
+
 	maximumReplicas = 19
 )
 
@@ -37,6 +45,10 @@
 		// Entry and Control switch the roles on.
 		Entry   bool     `json:"entry,omitempty"`
 		Control *Control `json:"control,omitempty"`
+		// AddressMaxAge is how long callers may use the addresses that this
+		// entry gives them. A planned stop serves on for as long, so all
+		// entries should have the same.
+		AddressMaxAge duration.Duration `json:"address_max_age,omitempty"`
 		// ControlReplicas lists the IP:port peer addresses of all control
 		// replicas.
 		ControlReplicas []string `json:"control_replicas"`
@@ -76,6 +88,9 @@
 	if err := web.DecodeStrict(strings.NewReader(text), settings); err != nil {
 		return nil, err
 	}
+	if settings.AddressMaxAge == 0 {
+		settings.AddressMaxAge = duration.Of(DefaultAddressMaxAge)
+	}
 	return settings, settings.Check()
 }
 
@@ -99,6 +114,9 @@
 	for index, address := range settings.ControlReplicas {
 		check.address(fmt.Sprintf("control_replicas[%d]", index), address)
 	}
+	if settings.AddressMaxAge < 0 || settings.AddressMaxAge.Std() > MaximumAddressMaxAge {
+		check.add("address_max_age", "the span is out of range", "use a span up to "+MaximumAddressMaxAge.String()+", or leave it out")
+	}
 	check.oneOf("log_level", settings.LogLevel, "", "debug", "info", "warn", "error")
 	check.oneOf("tracing.exporter", settings.Tracing.Exporter, "", ExportNone, ExportStdout, ExportOTLP)
 	if settings.Tracing.Exporter == ExportOTLP {
--- /dev/null
+++ b/internal/target/handover.go
@@ -0,0 +1,361 @@
+// This file exists so that a target passes from one home to the next with its
+// runs ended, its connections closed and nothing lost.
+
+package target
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gitlab.com/comfreythread/comfreythread/internal/membership"
+	"gitlab.com/comfreythread/comfreythread/pkg/target"
+)
+
+const (
+	// guardInterval is the span between two looks at a lease that has run out.
+	guardInterval = 100 * time.Millisecond
+)
+
+type (
+	// Released is a target that a home has given up.
+	Released struct {
+		TargetID string `msgpack:"t"`
+		// Incarnation and Warm are what the earlier home knew.
+		Incarnation uint64 `msgpack:"i"`
+		Warm        bool   `msgpack:"w"`
+	}
+
+	// Releaser tells a target's next home that the target is free for it.
+	Releaser interface {
+		Release(ctx context.Context, to membership.Member, view uint64, released []Released)
+	}
+
+	// usage counts the attempts that are in a lane, waiting or running.
+	usage struct {
+		lock  sync.Mutex
+		count int
+		idle  chan struct{}
+		// waiting ends when the lane is given up, and running when the lease
+		// has run out. Both are nil until the first use.
+		waiting, running         context.Context
+		stopWaiting, stopRunning context.CancelFunc
+	}
+)
+
+// enter registers an attempt in the target's lane. The attempt must ask admit
+// again after it, so that a handover either waits for it or stops it. While it
+// waits for a slot it heeds the first context, and while it runs the second.
+func (home *Home) enter(ctx context.Context, announcement target.Announcement) (lane *lane, waiting, running context.Context, leave func()) {
+	home.lock.Lock()
+	lane = home.lane(announcement)
+	untilClosed, untilCut := lane.usage.begin()
+	home.lock.Unlock()
+	waiting, stopWaiting := joined(ctx, untilClosed)
+	running, stopRunning := joined(ctx, untilCut)
+	return lane, waiting, running, func() {
+		stopWaiting()
+		stopRunning()
+		lane.usage.end()
+	}
+}
+
+// joined returns a context that ends with either of two.
+func joined(ctx, other context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(other, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// Yield gives up every target that is no longer this entry's under the newest
+// view, and returns the view's number once no attempt at them runs any more
+// and their connections are closed. held lists the targets that this entry
+// could use until the view came. Each is released to its new home as soon as
+// it is free, so that a long run at one target delays no other.
+func (home *Home) Yield(ctx context.Context, held []target.Announcement, releaser Releaser) uint64 {
+	placement := home.board.Membership().Placement()
+	lost := map[string]target.Announcement{}
+	for _, announcement := range append(home.used(), held...) {
+		if next, found := placement.Home(announcement.ID, announcement.FailureDomain); !found || next.ID != home.self {
+			lost[announcement.ID] = announcement
+		}
+	}
+	home.moved(len(lost))
+	var free []target.Announcement
+	var busy sync.WaitGroup
+	for id, announcement := range lost {
+		idle := home.close(id)
+		select {
+		case <-idle:
+			free = append(free, announcement)
+		default:
+			busy.Go(func() {
+				select {
+				case <-idle:
+					home.release(ctx, releaser, []target.Announcement{announcement})
+				case <-ctx.Done():
+				}
+			})
+		}
+	}
+	home.release(ctx, releaser, free)
+	busy.Wait()
+	return placement.View().Number
+}
+
+// Held lists the targets that this entry may use now, and so may release later.
+func (home *Home) Held() []target.Announcement {
+	var held []target.Announcement
+	for _, announcement := range home.board.Directory().All() {
+		if home.board.Membership().Holds(home.self, announcement.ID, announcement.FailureDomain) {
+			held = append(held, announcement)
+		}
+	}
+	home.lock.Lock()
+	defer home.lock.Unlock()
+	for _, announcement := range held {
+		home.held[announcement.ID] = true
+	}
+	return held
+}
+
+// Expect takes what the earlier home of a target knew of it.
+func (home *Home) Expect(released []Released) {
+	home.lock.Lock()
+	defer home.lock.Unlock()
+	for _, known := range released {
+		home.expected[known.TargetID] = known
+	}
+}
+
+// Guard ends all runs and closes all connections once the lease has run out,
+// because another entry may be home to the targets from then on. It returns
+// when ctx ends.
+func (home *Home) Guard(ctx context.Context) {
+	inForce := home.board.InForce()
+	for {
+		wait := guardInterval
+		if inForce.Fenced() {
+			home.Cut()
+			home.fenced(true)
+		} else {
+			home.fenced(false)
+			wait = max(time.Millisecond, time.Until(inForce.LeaseUntil()))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+// Drain waits until no attempt is in any lane.
+func (home *Home) Drain(ctx context.Context) {
+	for _, announcement := range home.used() {
+		idle := home.close(announcement.ID)
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			home.Cut()
+			return
+		}
+	}
+}
+
+// used lists the targets that have lanes.
+func (home *Home) used() []target.Announcement {
+	home.lock.Lock()
+	defer home.lock.Unlock()
+	var used []target.Announcement
+	for _, lane := range home.lanes {
+		used = append(used, lane.announcement)
+	}
+	return used
+}
+
+// close stops the waiting attempts at a target and returns a channel that is
+// closed once the running ones have ended.
+func (home *Home) close(targetID string) <-chan struct{} {
+	home.lock.Lock()
+	defer home.lock.Unlock()
+	lane, known := home.lanes[targetID]
+	if !known {
+		idle := make(chan struct{})
+		close(idle)
+		return idle
+	}
+	return lane.usage.drain()
+}
+
+// release closes the connections to idle targets, forgets them and tells
+// their new homes.
+func (home *Home) release(ctx context.Context, releaser Releaser, free []target.Announcement) {
+	placement := home.board.Membership().Placement()
+	homes := map[string]membership.Member{}
+	released := map[string][]Released{}
+	for _, announcement := range free {
+		known, forgotten := home.forget(announcement.ID)
+		next, found := placement.Home(announcement.ID, announcement.FailureDomain)
+		if !forgotten || !found || home.board.InForce().Fenced() {
+			continue
+		}
+		homes[next.ID] = next
+		released[next.ID] = append(released[next.ID], known)
+	}
+	for id, list := range released {
+		releaser.Release(ctx, homes[id], placement.View().Number, list)
+	}
+}
+
+// forget drops the lane of an idle target. It returns false where the lane has
+// attempts in it, and where the target isn't this entry's to release: each
+// right to use a target is released once.
+func (home *Home) forget(targetID string) (Released, bool) {
+	home.lock.Lock()
+	defer home.lock.Unlock()
+	known := Released{TargetID: targetID}
+	lane, exists := home.lanes[targetID]
+	if exists && !lane.usage.isIdle() {
+		return known, false
+	}
+	held := home.held[targetID]
+	delete(home.held, targetID)
+	delete(home.expected, targetID)
+	if !exists {
+		return known, held
+	}
+	delete(home.lanes, targetID)
+	known.Incarnation, known.Warm = lane.known()
+	lane.closeIdle()
+	return known, held
+}
+
+// Cut ends every attempt and forgets every lane and every right to release.
+func (home *Home) Cut() {
+	home.lock.Lock()
+	defer home.lock.Unlock()
+	clear(home.expected)
+	clear(home.held)
+	for id, lane := range home.lanes {
+		delete(home.lanes, id)
+		lane.usage.cut()
+		lane.closeIdle()
+	}
+}
+
+func (home *Home) moved(count int) {
+	if home.metrics != nil {
+		home.metrics.Moved().Add(float64(count))
+	}
+}
+
+func (home *Home) fenced(fenced bool) {
+	if home.metrics == nil {
+		return
+	}
+	value := 0.0
+	if fenced {
+		value = 1
+	}
+	home.metrics.Fenced().Set(value)
+}
+
+func (lane *lane) known() (incarnation uint64, warm bool) {
+	lane.lock.Lock()
+	incarnation = lane.incarnation
+	lane.lock.Unlock()
+	lane.gate.lock.Lock()
+	defer lane.gate.lock.Unlock()
+	return incarnation, lane.gate.warm
+}
+
+// expect takes over what the earlier home of the target knew: a target that
+// was warm a moment ago in this incarnation still is.
+func (lane *lane) expect(released Released) {
+	lane.lock.Lock()
+	defer lane.lock.Unlock()
+	if released.Incarnation == lane.incarnation {
+		lane.gate.lock.Lock()
+		lane.gate.warm = released.Warm
+		lane.gate.lock.Unlock()
+	}
+}
+
+func (lane *lane) closeIdle() {
+	lane.lock.Lock()
+	defer lane.lock.Unlock()
+	for _, connection := range lane.idle {
+		_ = connection.Close()
+		lane.open--
+	}
+	lane.idle = nil
+	lane.closed = true
+}
+
+func (usage *usage) begin() (waiting, running context.Context) {
+	usage.lock.Lock()
+	defer usage.lock.Unlock()
+	if usage.running == nil {
+		usage.running, usage.stopRunning = context.WithCancel(context.Background())
+	}
+	if usage.waiting == nil {
+		usage.waiting, usage.stopWaiting = context.WithCancel(context.Background())
+	}
+	if usage.count == 0 {
+		usage.idle = make(chan struct{})
+	}
+	usage.count++
+	return usage.waiting, usage.running
+}
+
+func (usage *usage) end() {
+	usage.lock.Lock()
+	defer usage.lock.Unlock()
+	usage.count--
+	if usage.count == 0 {
+		close(usage.idle)
+	}
+}
+
+func (usage *usage) isIdle() bool {
+	usage.lock.Lock()
+	defer usage.lock.Unlock()
+	return usage.count == 0
+}
+
+// drain stops the waiting attempts; later ones are refused by admit.
+func (usage *usage) drain() <-chan struct{} {
+	usage.lock.Lock()
+	defer usage.lock.Unlock()
+	if usage.stopWaiting != nil {
+		usage.stopWaiting()
+		usage.waiting = nil
+	}
+	return usage.idle
+}
+
+func (usage *usage) cut() {
+	usage.lock.Lock()
+	defer usage.lock.Unlock()
+	if usage.stopRunning != nil {
+		usage.stopWaiting()
+		usage.waiting = nil
+		usage.stopRunning()
+	}
+}
+
+// leaving reports whether the target says that it takes no new work.
+func (reply *reply) leaving() bool {
+	return reply.result != nil && reply.result.Leaving || reply.shed != nil && reply.shed.Reason == target.ShedLeaving
+}
+
+func (reply *reply) incarnation() uint64 {
+	if reply.result != nil {
+		return reply.result.Incarnation
+	}
+	return reply.shed.Incarnation
+}
--- a/internal/target/home.go
+++ b/internal/target/home.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
+	"gitlab.com/comfreythread/comfreythread/internal/metrics"
 	"gitlab.com/comfreythread/comfreythread/internal/tcp"
 	"gitlab.com/comfreythread/comfreythread/pkg/caller"
 	"gitlab.com/comfreythread/comfreythread/pkg/target"
@@ -25,28 +26,42 @@
 type (
 	// Home runs attempts at the targets that this entry is home to.
 	Home struct {
-		self  string
-		board *blackboard.Board
-		dial  tcp.Dialer
+		self    string
+		board   *blackboard.Board
+		dial    tcp.Dialer
+		metrics *metrics.Metrics
 
 		lock  sync.Mutex
 		lanes map[string]*lane
+		// expected holds what earlier homes told of targets without a lane.
+		expected map[string]Released
+		// held names the targets whose use this entry may pass on.
+		held map[string]bool
 	}
 
 	// lane is the home's state of one target.
 	lane struct {
-		gate gate
+		announcement target.Announcement
+		gate         gate
+		usage        usage
 
 		lock        sync.Mutex
 		incarnation uint64
 		idle        []*connection
 		open        int
+		// closed states that the lane was given up.
+		closed bool
 	}
 )
 
 // NewHome returns the home role of the entry with the given ID.
 func NewHome(self string, board *blackboard.Board, dial tcp.Dialer) *Home {
-	return &Home{self: self, board: board, dial: dial, lanes: map[string]*lane{}}
+	return &Home{self: self, board: board, dial: dial, lanes: map[string]*lane{}, expected: map[string]Released{}, held: map[string]bool{}}
+}
+
+// Measure counts moves and fencing in the given metrics.
+func (home *Home) Measure(metrics *metrics.Metrics) {
+	home.metrics = metrics
 }
 
 // Run runs an attempt and says what became of it.
@@ -55,8 +70,9 @@
 	if refusal != nil {
 		return refusal
 	}
-	lane := home.lane(announcement)
-	if refusal := lane.gate.acquire(ctx, attempt.Run.Deadline, attempt.Hedge); refusal != nil {
+	lane, waiting, running, leave := home.enter(ctx, announcement)
+	defer leave()
+	if refusal := lane.gate.acquire(waiting, attempt.Run.Deadline, attempt.Hedge); refusal != nil {
 		return refusal
 	}
 	answered := false
@@ -65,7 +81,7 @@
 	if _, refusal := home.admit(attempt); refusal != nil {
 		return refusal
 	}
-	outcome := home.send(ctx, lane, announcement.Address, attempt)
+	outcome := home.send(running, lane, announcement.Address, attempt)
 	_, answered = outcome.(Answered)
 	return outcome
 }
@@ -89,25 +105,27 @@
 	if tables.Out(announcement.FailureDomain) {
 		return refuse(caller.MissingNoReplica)
 	}
-	member, found := home.board.HomeOf(&announcement)
-	if !found || member.ID != home.self || !home.board.Membership().Settled() {
+	if !home.board.Membership().Holds(home.self, announcement.ID, announcement.FailureDomain) {
 		return refuse(caller.MissingNoReplica)
 	}
 	return announcement, nil
 }
 
+// lane returns the lane of a target. The lock is held.
 func (home *Home) lane(announcement target.Announcement) *lane {
-	home.lock.Lock()
-	defer home.lock.Unlock()
 	found, known := home.lanes[announcement.ID]
 	if !known {
-		found = &lane{}
+		found = &lane{announcement: announcement}
 		home.lanes[announcement.ID] = found
 	}
 	tables, _ := home.board.InForce().Tables()
 	pool, _ := tables.Pool(announcement.Pool)
 	found.gate.limit(pool)
 	found.observe(announcement.Incarnation)
+	if expected, told := home.expected[announcement.ID]; told {
+		delete(home.expected, announcement.ID)
+		found.expect(expected)
+	}
 	return found
 }
 
@@ -140,6 +158,9 @@
 	} else {
 		lane.put(connection)
 	}
+	if reply.leaving() {
+		home.board.Directory().Leave(attempt.TargetID, reply.incarnation())
+	}
 	if reply.shed != nil {
 		return lane.shed(reply.shed)
 	}
@@ -201,6 +222,11 @@
 func (lane *lane) put(connection *connection) {
 	lane.lock.Lock()
 	defer lane.lock.Unlock()
+	if lane.closed {
+		_ = connection.Close()
+		lane.open--
+		return
+	}
 	lane.idle = append(lane.idle, connection)
 }
 
@@ -211,17 +237,7 @@
 	lane.open--
 }
 
-// Close closes the idle connections to all targets.
+// Close ends all attempts and closes the connections to all targets.
 func (home *Home) Close() {
-	home.lock.Lock()
-	defer home.lock.Unlock()
-	for _, lane := range home.lanes {
-		lane.lock.Lock()
-		for _, connection := range lane.idle {
-			_ = connection.Close()
-			lane.open--
-		}
-		lane.idle = nil
-		lane.lock.Unlock()
-	}
+	home.Cut()
 }
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -30,6 +30,8 @@
 	readyTimeout  = 20 * time.Second
 	// readyRequestTimeout bounds one query that looks for targets.
 	readyRequestTimeout = time.Second
+	// demoAddressMaxAge lets a tier on real sockets stop soon.
+	demoAddressMaxAge = 200 * time.Millisecond
 
 	httpPort = "80"
 	peerPort = "90"
@@ -148,11 +150,12 @@
 func (tier *Tier) newSettings(name, failureDomain, ip string) *settings.Settings {
 	created := &settings.Settings{
 		Name: name, FailureDomain: failureDomain, Region: failureDomain, LogLevel: "warn",
-		HTTPAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		HTTPAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", AddressMaxAge: duration.Of(demoAddressMaxAge),
 	}
 	if tier.options.Memory != nil {
 		created.HTTPAddress = net.JoinHostPort(ip, httpPort)
 		created.PeerAddress = net.JoinHostPort(ip, peerPort)
+		created.AddressMaxAge = duration.Of(settings.DefaultAddressMaxAge)
 	}
 	return created
 }
--- /dev/null
+++ b/pkg/caller/client.go
@@ -0,0 +1,283 @@
+// This file exists so that Go programs reach the system without a balancer:
+// the client asks entries which entries to use, and keeps to it.
+
+package caller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// avoidance is how long an entry that failed is tried last.
+	avoidance = 2 * time.Second
+	// addressTimeout bounds one question for addresses.
+	addressTimeout = time.Second
+	// maximumSendings bounds the entries that one request is sent to.
+	maximumSendings = 4
+)
+
+type (
+	// Dialer opens a connection; net.Dialer.DialContext is one.
+	Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+	// Client sends requests to the entries that the system names. Construct
+	// it with NewClient. It may be used by many goroutines.
+	Client struct {
+		dial  Dialer
+		seeds []string
+
+		lock    sync.Mutex
+		entries map[string]*entryState
+		// current lists the addresses to use until validUntil; they are asked
+		// for anew from renewAt on.
+		current             []string
+		renewAt, validUntil time.Time
+		renewing            chan struct{}
+	}
+
+	entryState struct {
+		*EntryClient
+		inFlight     int
+		avoidedUntil time.Time
+	}
+)
+
+// NewClient returns a client that asks the entries at the seeds, IP:port each,
+// for its first addresses. A nil dialer uses the HTTP library's own.
+func NewClient(seeds []string, dial Dialer) *Client {
+	return &Client{dial: dial, seeds: slices.Clone(seeds), entries: map[string]*entryState{}}
+}
+
+// Close closes idle connections.
+func (client *Client) Close() {
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	for _, entry := range client.entries {
+		entry.Close()
+	}
+}
+
+// Send sends a request and returns its answer, within the request's timeout.
+// The error is a *Refusal where an entry refused, and ErrNotSent where none
+// could be reached.
+//
+// A request that is idempotent is sent to another entry where one is dead or
+// silent. One that isn't is sent again only if the first entry's refusal
+// proves that it wasn't run, or if no byte of it was sent. After any other
+// error it may have run; send it again with the same ID to be told.
+func (client *Client) Send(ctx context.Context, request *Request) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, request.Timeout.Std())
+	defer cancel()
+	tried := map[string]bool{}
+	var last error
+	for range maximumSendings {
+		entry := client.choose(ctx, tried)
+		if entry == nil {
+			break
+		}
+		tried[entry.address] = true
+		answer, err := client.sendOnce(ctx, entry, request)
+		if err == nil {
+			return answer, nil
+		}
+		last = err
+		if !client.mayTryNext(ctx, err, request) {
+			return nil, err
+		}
+	}
+	if last == nil {
+		last = errors.Wrap(ErrNotSent, "no entry is known")
+	}
+	return nil, last
+}
+
+// Addresses returns the entries that the client uses at present.
+func (client *Client) Addresses(ctx context.Context) []string {
+	client.refresh(ctx)
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	return slices.Clone(client.current)
+}
+
+func (client *Client) sendOnce(ctx context.Context, entry *entryState, request *Request) (*Answer, error) {
+	attempt, cancel := ctx, context.CancelFunc(func() {})
+	if deadline, _ := ctx.Deadline(); request.Idempotent {
+		// Half of the time left, so that there is time for another entry.
+		attempt, cancel = context.WithTimeout(ctx, time.Until(deadline)/2)
+	}
+	defer cancel()
+	answer, err := entry.Send(attempt, request)
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	entry.inFlight--
+	var refusal *Refusal
+	if err != nil && ctx.Err() != context.Canceled && (!errors.As(err, &refusal) || leavesEntry(refusal)) {
+		entry.avoidedUntil = time.Now().Add(avoidance)
+	}
+	return answer, err
+}
+
+// mayTryNext reports whether another entry may get the request after an error.
+func (client *Client) mayTryNext(ctx context.Context, err error, request *Request) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		client.learn(refusal.Entries)
+		return leavesEntry(refusal)
+	}
+	return request.Idempotent || errors.Is(err, ErrNotSent)
+}
+
+// leavesEntry reports whether a refusal proves that the request wasn't run and
+// says that this entry, not the system, can't serve it.
+func leavesEntry(refusal *Refusal) bool {
+	return refusal.Run == NotRun && (refusal.Kind == RefusedFenced || refusal.Kind == RefusedStopping)
+}
+
+// learn puts addresses from a refusal before the known ones.
+func (client *Client) learn(addresses []string) {
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	for _, address := range addresses {
+		if !slices.Contains(client.current, address) {
+			client.current = append(client.current, address)
+		}
+	}
+	// The list named an entry that refuses, so it is out of date.
+	client.renewAt = time.Time{}
+}
+
+// choose returns the least busy of two random entries that weren't tried and
+// aren't avoided; avoided ones come last.
+func (client *Client) choose(ctx context.Context, tried map[string]bool) *entryState {
+	client.refresh(ctx)
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	var best *entryState
+	for _, address := range shuffled(append(slices.Clone(client.current), client.seedsIfNone()...)) {
+		entry := client.entry(address)
+		if tried[address] {
+			continue
+		}
+		if best == nil || entry.isAvoided() != best.isAvoided() && best.isAvoided() ||
+			entry.isAvoided() == best.isAvoided() && entry.inFlight < best.inFlight {
+			best = entry
+		}
+	}
+	if best != nil {
+		best.inFlight++
+	}
+	return best
+}
+
+// seedsIfNone returns the seeds where no address is known. The lock is held.
+func (client *Client) seedsIfNone() []string {
+	if len(client.current) > 0 {
+		return nil
+	}
+	return client.seeds
+}
+
+// entry returns the state of an entry. The lock is held.
+func (client *Client) entry(address string) *entryState {
+	entry, known := client.entries[address]
+	if !known {
+		entry = &entryState{EntryClient: NewEntryClient(address, client.dial)}
+		client.entries[address] = entry
+	}
+	return entry
+}
+
+func (entryState *entryState) isAvoided() bool {
+	return time.Now().Before(entryState.avoidedUntil)
+}
+
+// refresh asks for addresses anew before the present ones are too old. Only
+// once they are does a request wait for it.
+func (client *Client) refresh(ctx context.Context) {
+	client.lock.Lock()
+	now := time.Now()
+	if now.Before(client.renewAt) {
+		client.lock.Unlock()
+		return
+	}
+	if client.renewing == nil {
+		client.renewing = make(chan struct{})
+		go client.renew(context.WithoutCancel(ctx), client.renewing)
+	}
+	renewing, isValid := client.renewing, now.Before(client.validUntil)
+	client.lock.Unlock()
+	if isValid {
+		return
+	}
+	select {
+	case <-renewing:
+	case <-ctx.Done():
+	}
+}
+
+func (client *Client) renew(ctx context.Context, done chan struct{}) {
+	defer func() {
+		client.lock.Lock()
+		client.renewing = nil
+		client.lock.Unlock()
+		close(done)
+	}()
+	client.lock.Lock()
+	var entries []*entryState
+	for _, address := range append(shuffled(client.current), shuffled(client.seeds)...) {
+		entries = append(entries, client.entry(address))
+	}
+	slices.SortStableFunc(entries, func(a, b *entryState) int { return boolOrder(a.isAvoided(), b.isAvoided()) })
+	client.lock.Unlock()
+	for _, entry := range entries {
+		asked := time.Now()
+		attempt, cancel := context.WithTimeout(ctx, addressTimeout)
+		addresses, err := entry.Addresses(attempt)
+		cancel()
+		if err == nil && len(addresses.Entries) > 0 {
+			client.take(addresses, asked)
+			return
+		}
+	}
+}
+
+// take replaces the addresses. Their age counts from before the question.
+func (client *Client) take(addresses *Addresses, asked time.Time) {
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	client.current = addresses.Entries
+	client.renewAt = asked.Add(addresses.MaxAge.Std() / 2)
+	client.validUntil = asked.Add(addresses.MaxAge.Std())
+	for address, entry := range client.entries {
+		if entry.inFlight == 0 && !slices.Contains(client.current, address) {
+			entry.Close()
+			delete(client.entries, address)
+		}
+	}
+}
+
+func shuffled(addresses []string) []string {
+	shuffled := slices.Clone(addresses)
+	rand.Shuffle(len(shuffled), func(a, b int) { shuffled[a], shuffled[b] = shuffled[b], shuffled[a] })
+	return shuffled
+}
+
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- a/pkg/caller/entry_client.go
+++ b/pkg/caller/entry_client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -19,6 +20,15 @@
 const (
 	maximumAnswerBytes = 256 << 20
 	idleConnections    = 64
+	// idleTimeout is shorter than an entry's, so that no request meets the
+	// entry's close of an idle connection.
+	idleTimeout = 30 * time.Second
+)
+
+var (
+	// ErrNotSent reports a request of which no byte was sent, because there
+	// was no connection to the entry.
+	ErrNotSent = errors.New("the entry can't be reached; use another entry")
 )
 
 type (
@@ -33,7 +43,19 @@
 // NewEntryClient returns a client for the entry at an IP:port. A nil dial uses
 // the HTTP library's own.
 func NewEntryClient(address string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *EntryClient {
-	return &EntryClient{address: address, client: http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idleConnections}}}
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	marked := func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, errors.Wrap(ErrNotSent, err.Error())
+		}
+		return connection, nil
+	}
+	return &EntryClient{address: address, client: http.Client{Transport: &http.Transport{
+		DialContext: marked, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout,
+	}}}
 }
 
 // Close closes idle connections.
@@ -42,7 +64,8 @@
 }
 
 // Send sends one request, once. The error is a *Refusal where the entry
-// refused. Any other error means that the request may have run.
+// refused, and is ErrNotSent where no byte was sent. Any other error means that
+// the request may have run.
 func (entryClient *EntryClient) Send(ctx context.Context, request *Request) (*Answer, error) {
 	answer := new(Answer)
 	err := entryClient.exchange(ctx, http.MethodPost, "/v1/requests", request, answer, new(Refusal))
