--- a/internal/blackboard/directory.go
+++ b/internal/blackboard/directory.go
@@ -31,6 +31,8 @@
 		lock    sync.RWMutex
 		self    string
 		records map[string]*known
+		// pools holds the same records by pool and ID.
+		pools   map[string]map[string]*known
 		digest  Digest
 		buckets [DirectoryBuckets]Digest
 		log     changeLog
@@ -132,9 +134,9 @@
 func (directory *Directory) Layout(pool, layout, targetID string) (int, bool) {
 	directory.lock.RLock()
 	defer directory.lock.RUnlock()
-	for _, known := range directory.records {
+	for _, known := range directory.pools[pool] {
 		announcement := &known.Announcement
-		if !known.Gone && announcement.Pool == pool && announcement.Layout == layout && announcement.ID != targetID {
+		if !known.Gone && announcement.Layout == layout && announcement.ID != targetID {
 			return announcement.Shards, true
 		}
 	}
@@ -160,15 +162,23 @@
 func (directory *Directory) put(record Record, until time.Time, local bool) {
 	if directory.records == nil {
 		directory.records = map[string]*known{}
+		directory.pools = map[string]map[string]*known{}
 	}
 	id := record.Announcement.ID
 	added := record.digest()
 	if previous, exists := directory.records[id]; exists {
 		added -= previous.digest()
+		delete(directory.pools[previous.Announcement.Pool], id)
 	}
 	directory.digest += added
 	directory.buckets[bucket(id)] += added
-	directory.records[id] = &known{Record: record, until: until}
+	replaced := &known{Record: record, until: until}
+	directory.records[id] = replaced
+	pool := record.Announcement.Pool
+	if directory.pools[pool] == nil {
+		directory.pools[pool] = map[string]*known{}
+	}
+	directory.pools[pool][id] = replaced
 	directory.log.add(directory.digest, id, local)
 	if directory.changed != nil {
 		close(directory.changed)
@@ -217,6 +227,7 @@
 		}
 		if known.Gone {
 			delete(directory.records, id)
+			delete(directory.pools[known.Announcement.Pool], id)
 			continue
 		}
 		gone := known.Record
@@ -251,12 +262,16 @@
 
 // Pool returns the valid announcements of a pool's targets.
 func (directory *Directory) Pool(pool string) []target.Announcement {
-	return directory.list(func(announcement *target.Announcement) bool { return announcement.Pool == pool })
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	return valid(directory.pools[pool])
 }
 
 // All returns every valid announcement.
 func (directory *Directory) All() []target.Announcement {
-	return directory.list(func(*target.Announcement) bool { return true })
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	return valid(directory.records)
 }
 
 // Records returns every record, those of targets that are gone included.
@@ -270,13 +285,11 @@
 	return records
 }
 
-func (directory *Directory) list(matches func(*target.Announcement) bool) []target.Announcement {
-	directory.lock.RLock()
-	defer directory.lock.RUnlock()
+func valid(records map[string]*known) []target.Announcement {
 	now := time.Now()
-	var announcements []target.Announcement
-	for _, known := range directory.records {
-		if known.valid(now) && matches(&known.Announcement) {
+	announcements := make([]target.Announcement, 0, len(records))
+	for _, known := range records {
+		if known.valid(now) {
 			announcements = append(announcements, known.Announcement)
 		}
 	}
