--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -49,9 +49,10 @@
 		// wake asks for a renewal at once.
 		wake chan struct{}
 
-		// renewing is held during a renewal, so that replies are taken in
-		// the order of the renewals.
-		renewing sync.Mutex
+		// renewing holds an element during a renewal, so that replies are
+		// taken in the order of the renewals. It is a channel because a
+		// renewal waits for the network.
+		renewing chan struct{}
 
 		lock     sync.Mutex
 		member   membership.Member
@@ -66,7 +67,7 @@
 func NewLeaseholder(member membership.Member, board *blackboard.Board, renewer Renewer, yielder Yielder, releaser target.Releaser, logger *zap.Logger, metrics *metrics.Metrics) *Leaseholder {
 	return &Leaseholder{
 		member: member, board: board, renewer: renewer, yielder: yielder, releaser: releaser, logger: logger, metrics: metrics,
-		wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), renewing: make(chan struct{}, 1),
 	}
 }
 
@@ -98,8 +99,8 @@
 // Renew renews the lease once. The lease counts from before the renewal was
 // sent, less what the clock rates may differ by.
 func (leaseholder *Leaseholder) Renew(ctx context.Context) error {
-	leaseholder.renewing.Lock()
-	defer leaseholder.renewing.Unlock()
+	leaseholder.renewing <- struct{}{}
+	defer func() { <-leaseholder.renewing }()
 	attempt, cancel := context.WithTimeout(ctx, control.LeaseDuration)
 	defer cancel()
 	sent := time.Now()
@@ -205,8 +206,8 @@
 
 // Leave removes the entry from the view.
 func (leaseholder *Leaseholder) Leave(ctx context.Context) error {
-	leaseholder.renewing.Lock()
-	defer leaseholder.renewing.Unlock()
+	leaseholder.renewing <- struct{}{}
+	defer func() { <-leaseholder.renewing }()
 	_, err := leaseholder.renewer.Renew(ctx, &control.Renewal{Member: leaseholder.member, Leave: true})
 	return err
 }
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -44,9 +44,7 @@
 }
 
 func newHome(settings *settings.Settings, board *blackboard.Board, network Network, metrics *metrics.Metrics) *targetserver.Home {
-	home := targetserver.NewHome(settings.Name, board, network.Dial)
-	home.Measure(metrics)
-	return home
+	return targetserver.NewHome(settings.Name, board, network.Dial, metrics)
 }
 
 func newHandover(settings *settings.Settings, board *blackboard.Board, home *targetserver.Home, peers *entry.Peers) *entry.Handover {
@@ -57,8 +55,8 @@
 	return entry.NewPeers(network.Dial)
 }
 
-func newHomes(settings *settings.Settings, home *targetserver.Home, peers *entry.Peers) *entry.Homes {
-	return entry.NewHomes(settings.Name, home, peers)
+func newHomes(settings *settings.Settings, board *blackboard.Board, home *targetserver.Home, peers *entry.Peers) *entry.Homes {
+	return entry.NewHomes(settings.Name, board, home, peers)
 }
 
 func newCoordinator(settings *settings.Settings, board *blackboard.Board, homes *entry.Homes, client *control.Client, metrics *metrics.Metrics) *entry.Coordinator {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -68,6 +68,7 @@
 		fx.Invoke(startPeerServer),
 		entryModule(settings),
 		fx.Invoke(startHTTPServer),
+		controlLifecycle(settings),
 		entryStopModule(settings),
 	)
 }
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -7,9 +7,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +41,11 @@
 		warm         bool
 		answered     int
 		started      []time.Time
+		// cancels ends the runs in progress, by attempt ID; nil marks an
+		// attempt that was cancelled before it came.
+		cancels map[string]context.CancelFunc
+		// ended is closed and replaced when a run ends.
+		ended chan struct{}
 	}
 
 	// Behaviour says how a target acts. The zero value answers at once and
@@ -75,8 +80,35 @@
 		Runs    map[string]int
 		Crashes int
 		Sheds   int
+		Cancels int
 		// LastRun is the time at which the newest run began.
 		LastRun time.Time
+		// Arrivals lists all that was sent to the target.
+		Arrivals []Arrival
+		// LeavingSince is the time at which the target announced that it
+		// takes no new work, or zero.
+		LeavingSince time.Time
+	}
+
+	// Arrival is one run as it arrived at a target.
+	Arrival struct {
+		At        time.Time
+		RequestID string
+		Shard     int
+		// Shed states that the target refused the run without running it.
+		Shed bool
+	}
+
+	// Lines is the payload of a stand-in target's result. It tells where the
+	// result is from, so that a caller's record can be checked.
+	Lines struct {
+		RequestID    string `json:"request_id"`
+		Target       string `json:"target"`
+		Kind         string `json:"kind"`
+		Shard        int    `json:"shard"`
+		Shards       int    `json:"shards"`
+		IndexVersion uint64 `json:"index_version"`
+		Layout       string `json:"layout"`
 	}
 )
 
@@ -85,10 +117,11 @@
 	standin := &Target{
 		dial: dial, announcement: announcement, behaviour: behaviour,
 		warm: announcement.State == target.Warm, record: Record{Runs: map[string]int{}},
+		cancels: map[string]context.CancelFunc{}, ended: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+target.RunPath, standin.run)
-	mux.HandleFunc("POST "+target.CancelPath, func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("POST "+target.CancelPath, standin.cancel)
 	mux.HandleFunc("GET "+target.HealthPath, func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) })
 	standin.server = &http.Server{Handler: mux, ConnState: standin.track, ReadHeaderTimeout: time.Minute}
 	return standin
@@ -121,6 +154,11 @@
 	defer standin.lock.Unlock()
 	change(&standin.announcement)
 	standin.announcement.Revision++
+	if standin.announcement.State != target.Leaving {
+		standin.record.LeavingSince = time.Time{}
+	} else if standin.record.LeavingSince.IsZero() {
+		standin.record.LeavingSince = time.Now()
+	}
 }
 
 // Behave changes how the target acts.
@@ -130,6 +168,13 @@
 	change(&standin.behaviour)
 }
 
+// Behaviour returns how the target acts at present.
+func (standin *Target) Behaviour() Behaviour {
+	standin.lock.Lock()
+	defer standin.lock.Unlock()
+	return standin.behaviour
+}
+
 // TurnCold returns the target to cold start without telling anybody. The
 // caller breaks the target's connections where a restart is meant.
 func (standin *Target) TurnCold() {
@@ -151,6 +196,7 @@
 	standin.lock.Lock()
 	defer standin.lock.Unlock()
 	record := standin.record
+	record.Arrivals = slices.Clone(standin.record.Arrivals)
 	record.Runs = map[string]int{}
 	for requestID, runs := range standin.record.Runs {
 		record.Runs[requestID] = runs
@@ -222,12 +268,19 @@
 		_ = json.NewEncoder(writer).Encode(shed)
 		return
 	}
-	defer standin.end()
+	// A target need not notice that a connection has closed, so that only a
+	// cancel or the deadline ends a run early.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(request.Context()), run.Deadline)
+	defer cancel()
+	defer standin.end(&run)
+	standin.register(&run, cancel)
 	if behaviour.Crashes != nil && behaviour.Crashes(&run) {
 		standin.crash(writer)
 		return
 	}
-	if behaviour.Work != nil && sleep(request.Context(), behaviour.Work(&run)) != nil {
+	if behaviour.Work != nil && sleep(ctx, behaviour.Work(&run)) != nil {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(writer).Encode(&target.Shed{RequestID: run.RequestID, AttemptID: run.AttemptID, Reason: target.ShedCancelled, Ran: true})
 		return
 	}
 	result := standin.result(&run)
@@ -248,8 +301,10 @@
 	if indexVersion == 0 && len(standin.announcement.IndexVersions) > 0 {
 		indexVersion = standin.announcement.IndexVersions[len(standin.announcement.IndexVersions)-1]
 	}
-	payload, _ := json.Marshal(map[string]string{
-		"lines": fmt.Sprintf("%s from shard %d at version %d of %s", run.Kind, run.Shard, indexVersion, standin.announcement.Layout),
+	payload, _ := json.Marshal(&Lines{
+		RequestID: run.RequestID, Target: standin.announcement.ID, Kind: run.Kind,
+		Shard: standin.announcement.Shard, Shards: standin.announcement.Shards,
+		IndexVersion: indexVersion, Layout: standin.announcement.Layout,
 	})
 	return &target.Result{
 		RequestID: run.RequestID, AttemptID: run.AttemptID, IndexVersion: indexVersion,
@@ -262,7 +317,9 @@
 func (standin *Target) begin(run *target.Run) (Behaviour, *target.Shed) {
 	standin.lock.Lock()
 	defer standin.lock.Unlock()
-	if reason := standin.shedReason(run); reason != "" {
+	reason := standin.shedReason(run)
+	standin.record.Arrivals = append(standin.record.Arrivals, Arrival{At: time.Now(), RequestID: run.RequestID, Shard: standin.announcement.Shard, Shed: reason != ""})
+	if reason != "" {
 		standin.record.Sheds++
 		return Behaviour{}, &target.Shed{RequestID: run.RequestID, AttemptID: run.AttemptID, Reason: reason, Incarnation: standin.announcement.Incarnation}
 	}
@@ -279,7 +336,10 @@
 
 func (standin *Target) shedReason(run *target.Run) target.ShedReason {
 	announcement := &standin.announcement
+	cancel, known := standin.cancels[run.AttemptID]
 	switch {
+	case known && cancel == nil:
+		return target.ShedCancelled
 	case announcement.State == target.Leaving:
 		return target.ShedLeaving
 	case run.Layout != announcement.Layout || run.Shard != announcement.Shard || run.IndexVersion != 0 && !announcement.Serves(run.IndexVersion):
@@ -299,10 +359,46 @@
 	standin.record.PeakColdPerSecond = max(standin.record.PeakColdPerSecond, len(standin.started))
 }
 
-func (standin *Target) end() {
+func (standin *Target) register(run *target.Run, cancel context.CancelFunc) {
+	standin.lock.Lock()
+	defer standin.lock.Unlock()
+	standin.cancels[run.AttemptID] = cancel
+}
+
+func (standin *Target) end(run *target.Run) {
 	standin.lock.Lock()
 	defer standin.lock.Unlock()
 	standin.running--
+	delete(standin.cancels, run.AttemptID)
+	close(standin.ended)
+	standin.ended = make(chan struct{})
+}
+
+// cancel drops a run and replies once it occupies no slot.
+func (standin *Target) cancel(writer http.ResponseWriter, request *http.Request) {
+	var cancelled target.Cancel
+	if err := json.NewDecoder(request.Body).Decode(&cancelled); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	standin.lock.Lock()
+	standin.record.Cancels++
+	for {
+		cancel, known := standin.cancels[cancelled.AttemptID]
+		if cancel == nil {
+			if !known {
+				standin.cancels[cancelled.AttemptID] = nil
+			}
+			break
+		}
+		cancel()
+		ended := standin.ended
+		standin.lock.Unlock()
+		<-ended
+		standin.lock.Lock()
+	}
+	standin.lock.Unlock()
+	writer.WriteHeader(http.StatusNoContent)
 }
 
 // crash ends the process that the target stands for: this connection breaks
--- a/internal/target/handover.go
+++ b/internal/target/handover.go
@@ -31,6 +31,24 @@
 		Release(ctx context.Context, to membership.Member, view uint64, released []Released)
 	}
 
+	// expectation is what an earlier home told, and when.
+	expectation struct {
+		Released
+		at time.Time
+	}
+
+	// use is one attempt in a lane.
+	use struct {
+		// waiting ends when the lane is given up, running when the lease has
+		// run out, and both with the attempt's own context.
+		waiting, running context.Context
+		cut              context.Context
+		// leave ends the use, once the target has certainly ended the run.
+		leave func()
+		// stop ends the contexts, once the attempt has its outcome.
+		stop func()
+	}
+
 	// usage counts the attempts that are in a lane, waiting or running.
 	usage struct {
 		lock  sync.Mutex
@@ -44,20 +62,23 @@
 )
 
 // enter registers an attempt in the target's lane. The attempt must ask admit
-// again after it, so that a handover either waits for it or stops it. While it
-// waits for a slot it heeds the first context, and while it runs the second.
-func (home *Home) enter(ctx context.Context, announcement target.Announcement) (lane *lane, waiting, running context.Context, leave func()) {
+// again after it, so that a handover either waits for it or stops it.
+func (home *Home) enter(ctx context.Context, announcement *target.Announcement) (*lane, *use) {
 	home.lock.Lock()
-	lane = home.lane(announcement)
+	lane := home.lane(announcement)
 	untilClosed, untilCut := lane.usage.begin()
 	home.lock.Unlock()
 	waiting, stopWaiting := joined(ctx, untilClosed)
 	running, stopRunning := joined(ctx, untilCut)
-	return lane, waiting, running, func() {
+	stop := func() {
 		stopWaiting()
 		stopRunning()
-		lane.usage.end()
 	}
+	return lane, &use{waiting: waiting, running: running, cut: untilCut, stop: stop, leave: sync.OnceFunc(lane.usage.end)}
+}
+
+func (use *use) isCut() bool {
+	return use.cut.Err() != nil
 }
 
 // joined returns a context that ends with either of two.
@@ -127,7 +148,7 @@
 	home.lock.Lock()
 	defer home.lock.Unlock()
 	for _, known := range released {
-		home.expected[known.TargetID] = known
+		home.expected[known.TargetID] = expectation{Released: known, at: time.Now()}
 	}
 }
 
@@ -248,15 +269,10 @@
 }
 
 func (home *Home) moved(count int) {
-	if home.metrics != nil {
-		home.metrics.Moved().Add(float64(count))
-	}
+	home.metrics.Moved().Add(float64(count))
 }
 
 func (home *Home) fenced(fenced bool) {
-	if home.metrics == nil {
-		return
-	}
 	value := 0.0
 	if fenced {
 		value = 1
@@ -264,6 +280,20 @@
 	home.metrics.Fenced().Set(value)
 }
 
+// takeOver starts a new lane with what the earlier home knew: a target that was
+// warm a moment ago in this incarnation still is, and the cold rate of another
+// one may have been used up until then. The lock is held.
+func (home *Home) takeOver(lane *lane) {
+	at := home.seenAt
+	expected, told := home.expected[lane.announcement.ID]
+	if told {
+		delete(home.expected, lane.announcement.ID)
+		at = expected.at
+		lane.expect(expected.Released)
+	}
+	lane.gate.assumeFull(at)
+}
+
 func (lane *lane) known() (incarnation uint64, warm bool) {
 	lane.lock.Lock()
 	incarnation = lane.incarnation
@@ -285,17 +315,6 @@
 	}
 }
 
-func (lane *lane) closeIdle() {
-	lane.lock.Lock()
-	defer lane.lock.Unlock()
-	for _, connection := range lane.idle {
-		_ = connection.Close()
-		lane.open--
-	}
-	lane.idle = nil
-	lane.closed = true
-}
-
 func (usage *usage) begin() (waiting, running context.Context) {
 	usage.lock.Lock()
 	defer usage.lock.Unlock()
@@ -347,15 +366,3 @@
 		usage.stopRunning()
 	}
 }
-
-// leaving reports whether the target says that it takes no new work.
-func (reply *reply) leaving() bool {
-	return reply.result != nil && reply.result.Leaving || reply.shed != nil && reply.shed.Reason == target.ShedLeaving
-}
-
-func (reply *reply) incarnation() uint64 {
-	if reply.result != nil {
-		return reply.result.Incarnation
-	}
-	return reply.shed.Incarnation
-}
--- a/internal/target/home.go
+++ b/internal/target/home.go
@@ -5,10 +5,14 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
@@ -18,6 +22,7 @@
 )
 
 const (
+	tracerName = "gitlab.com/comfreythread/comfreythread/internal/target"
 	// notHomeRetryAfter is the span that a refusal names while a target
 	// moves between homes.
 	notHomeRetryAfter = 500 * time.Millisecond
@@ -34,58 +39,95 @@
 		lock  sync.Mutex
 		lanes map[string]*lane
 		// expected holds what earlier homes told of targets without a lane.
-		expected map[string]Released
+		expected map[string]expectation
 		// held names the targets whose use this entry may pass on.
 		held map[string]bool
-	}
-
-	// lane is the home's state of one target.
-	lane struct {
-		announcement target.Announcement
-		gate         gate
-		usage        usage
-
-		lock        sync.Mutex
-		incarnation uint64
-		idle        []*connection
-		open        int
-		// closed states that the lane was given up.
-		closed bool
+		// view is the newest settled view that was seen, since seenAt.
+		view   uint64
+		seenAt time.Time
 	}
 )
 
 // NewHome returns the home role of the entry with the given ID.
-func NewHome(self string, board *blackboard.Board, dial tcp.Dialer) *Home {
-	return &Home{self: self, board: board, dial: dial, lanes: map[string]*lane{}, expected: map[string]Released{}, held: map[string]bool{}}
-}
-
-// Measure counts moves and fencing in the given metrics.
-func (home *Home) Measure(metrics *metrics.Metrics) {
-	home.metrics = metrics
+func NewHome(self string, board *blackboard.Board, dial tcp.Dialer, metrics *metrics.Metrics) *Home {
+	return &Home{self: self, board: board, dial: dial, metrics: metrics, lanes: map[string]*lane{}, expected: map[string]expectation{}, held: map[string]bool{}}
 }
 
 // Run runs an attempt and says what became of it.
 func (home *Home) Run(ctx context.Context, attempt *Attempt) Outcome {
+	ctx, cancel := context.WithDeadline(ctx, attempt.Run.Deadline)
+	defer cancel()
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "target attempt", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
 	announcement, refusal := home.admit(attempt)
 	if refusal != nil {
 		return refusal
 	}
-	lane, waiting, running, leave := home.enter(ctx, announcement)
-	defer leave()
-	if refusal := lane.gate.acquire(waiting, attempt.Run.Deadline, attempt.Hedge); refusal != nil {
+	outcome := home.run(ctx, &announcement, attempt)
+	home.metrics.Outcomes().WithLabelValues(announcement.Pool, name(outcome)).Inc()
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("comfreythread.target", attempt.TargetID),
+			attribute.String("comfreythread.why", string(attempt.Why)), attribute.String("comfreythread.outcome", name(outcome)))
+	}
+	return outcome
+}
+
+// Load returns what this home knows of a target's load.
+func (home *Home) Load(targetID string) Load {
+	home.lock.Lock()
+	found, known := home.lanes[targetID]
+	home.lock.Unlock()
+	if !known {
+		return Load{}
+	}
+	return found.gate.load()
+}
+
+func (home *Home) run(ctx context.Context, announcement *target.Announcement, attempt *Attempt) Outcome {
+	lane, use := home.enter(ctx, announcement)
+	defer use.stop()
+	queuedAt := time.Now()
+	admission, refusal := lane.gate.acquire(use.waiting, attempt.Run.Deadline, attempt.Why != First)
+	home.metrics.Queue().WithLabelValues(announcement.Pool).Observe(time.Since(queuedAt).Seconds())
+	if refusal != nil {
+		use.leave()
 		return refusal
 	}
-	answered := false
-	defer func() { lane.gate.release(answered) }()
+	home.metrics.Slots().WithLabelValues(announcement.Pool).Inc()
+	admitted := &run{home: home, lane: lane, use: use, pool: announcement.Pool, attempt: attempt, admission: admission, outcomes: make(chan Outcome, 1), ended: make(chan struct{})}
 	// The wait may have been long: what allowed the run may have ended.
 	if _, refusal := home.admit(attempt); refusal != nil {
+		admitted.release(false)
 		return refusal
 	}
-	outcome := home.send(running, lane, announcement.Address, attempt)
-	_, answered = outcome.(Answered)
+	message, err := encode(ctx, http.MethodPost, announcement.Address, target.RunPath, &attempt.Run)
+	if err != nil {
+		admitted.release(false)
+		return NotRun{Reason: caller.MissingLost}
+	}
+	if err := admitted.connect(use.running); err != nil {
+		return home.unconnected(use.running, admitted, err)
+	}
+	home.metrics.Attempts().WithLabelValues(announcement.Pool, string(attempt.Why)).Inc()
+	outcome := admitted.do(use.running, message)
+	if use.isCut() {
+		admitted.expire()
+	}
 	return outcome
 }
 
+// unconnected ends a run for which no connection could be had.
+func (home *Home) unconnected(ctx context.Context, unsent *run, err error) Outcome {
+	if !errors.Is(err, errNoConnection) && ctx.Err() == nil {
+		unsent.lane.gate.turnCold()
+	}
+	unsent.release(false)
+	if ctx.Err() != nil {
+		return NotRun{Reason: caller.MissingDeadline, RetryAfter: overloadRetryAfter}
+	}
+	return NotRun{Reason: caller.MissingNoReplica, RetryAfter: notHomeRetryAfter}
+}
+
 // admit says whether the attempt may go to its target at present.
 func (home *Home) admit(attempt *Attempt) (target.Announcement, Outcome) {
 	refuse := func(reason caller.MissingReason) (target.Announcement, Outcome) {
@@ -106,135 +148,41 @@
 		return refuse(caller.MissingNoReplica)
 	}
 	if !home.board.Membership().Holds(home.self, announcement.ID, announcement.FailureDomain) {
-		return refuse(caller.MissingNoReplica)
+		return target.Announcement{}, NotRun{Reason: caller.MissingNoReplica, RetryAfter: notHomeRetryAfter, Moving: true}
 	}
 	return announcement, nil
 }
 
-// lane returns the lane of a target. The lock is held.
-func (home *Home) lane(announcement target.Announcement) *lane {
+// lane returns the state of a target. A target that is new here is cold, and
+// an earlier home may have used up its cold rate until the view settled or the
+// target was released. The lock is held.
+func (home *Home) lane(announcement *target.Announcement) *lane {
+	tables, _ := home.board.InForce().Tables()
+	pool, _ := tables.Pool(announcement.Pool)
+	if view := home.board.Membership().View().Number; view != home.view {
+		home.view, home.seenAt = view, time.Now()
+	}
 	found, known := home.lanes[announcement.ID]
 	if !known {
-		found = &lane{announcement: announcement}
+		found = &lane{dial: home.dial, announcement: *announcement}
 		home.lanes[announcement.ID] = found
 	}
-	tables, _ := home.board.InForce().Tables()
-	pool, _ := tables.Pool(announcement.Pool)
-	found.gate.limit(pool)
-	found.observe(announcement.Incarnation)
-	if expected, told := home.expected[announcement.ID]; told {
-		delete(home.expected, announcement.ID)
-		found.expect(expected)
+	found.update(announcement, pool)
+	if !known {
+		home.takeOver(found)
 	}
 	return found
 }
 
-// observe turns the target cold where its incarnation is new.
-func (lane *lane) observe(incarnation uint64) {
-	lane.lock.Lock()
-	defer lane.lock.Unlock()
-	if incarnation > lane.incarnation {
-		lane.incarnation = incarnation
-		lane.gate.turnCold()
-	}
-}
-
-func (home *Home) send(ctx context.Context, lane *lane, address string, attempt *Attempt) Outcome {
-	tables, _ := home.board.InForce().Tables()
-	announcement, _ := home.board.Directory().Get(attempt.TargetID)
-	pool, _ := tables.Pool(announcement.Pool)
-	connection, err := lane.take(ctx, home.dial, address, pool.Connections, pool.ConnectTimeout.Std())
-	if err != nil {
-		lane.gate.turnCold()
-		return NotRun{Reason: caller.MissingNoReplica, RetryAfter: notHomeRetryAfter}
-	}
-	reply, err := connection.exchange(ctx, &attempt.Run)
-	if err != nil {
-		lane.discard(connection)
-		return home.failed(ctx, lane, connection, attempt, err)
-	}
-	if !reply.reusable {
-		lane.discard(connection)
-	} else {
-		lane.put(connection)
-	}
-	if reply.leaving() {
-		home.board.Directory().Leave(attempt.TargetID, reply.incarnation())
-	}
-	if reply.shed != nil {
-		return lane.shed(reply.shed)
-	}
-	return Answered{Result: *reply.result}
-}
-
-func (home *Home) failed(ctx context.Context, lane *lane, connection *connection, attempt *Attempt, err error) Outcome {
-	if ctx.Err() == nil && !errors.Is(err, errCrossed) {
-		// A restart breaks every connection, so a broken one may mean one.
-		lane.gate.turnCold()
-		home.board.Verdicts().Strike(blackboard.Fingerprint(attempt.Fingerprint), attempt.TargetID)
-	}
-	if connection.written == 0 {
-		return NotRun{Reason: caller.MissingLost, RetryAfter: notHomeRetryAfter}
-	}
-	if ctx.Err() != nil {
-		return Lost{Reason: caller.MissingDeadline}
-	}
-	return Lost{Reason: caller.MissingLost}
-}
-
-func (lane *lane) shed(shed *target.Shed) Outcome {
-	if shed.Reason == target.ShedCold || shed.Reason == target.ShedOverloaded {
-		lane.gate.turnCold()
-	}
-	if shed.Ran {
-		return Lost{Reason: caller.MissingLost}
-	}
-	return NotRun{Reason: caller.MissingOverloaded, RetryAfter: shed.RetryAfter.Std()}
-}
-
-// take returns an idle connection or opens one within the limit.
-func (lane *lane) take(ctx context.Context, dial tcp.Dialer, address string, limit int, timeout time.Duration) (*connection, error) {
-	lane.lock.Lock()
-	if last := len(lane.idle) - 1; last >= 0 {
-		taken := lane.idle[last]
-		lane.idle = lane.idle[:last]
-		lane.lock.Unlock()
-		return taken, nil
-	}
-	if lane.open >= limit {
-		lane.lock.Unlock()
-		return nil, errors.New("all of the target's connections are in use; raise the pool's connections")
-	}
-	lane.open++
-	lane.lock.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	opened, err := dial(ctx, "tcp", address)
-	if err != nil {
-		lane.lock.Lock()
-		lane.open--
-		lane.lock.Unlock()
-		return nil, errors.Wrap(err, "connect to target")
-	}
-	return newConnection(opened), nil
-}
-
-func (lane *lane) put(connection *connection) {
-	lane.lock.Lock()
-	defer lane.lock.Unlock()
-	if lane.closed {
-		_ = connection.Close()
-		lane.open--
-		return
-	}
-	lane.idle = append(lane.idle, connection)
+// leaving stops new work for a target that says that it leaves, before its
+// announcement does.
+func (home *Home) leaving(targetID string, incarnation uint64) {
+	home.board.Directory().Leave(targetID, incarnation)
 }
 
-func (lane *lane) discard(connection *connection) {
-	_ = connection.Close()
-	lane.lock.Lock()
-	defer lane.lock.Unlock()
-	lane.open--
+// strike records that a target was lost while it ran the attempt's request.
+func (home *Home) strike(attempt *Attempt) {
+	home.board.Verdicts().Strike(blackboard.Fingerprint(attempt.Fingerprint), attempt.TargetID)
 }
 
 // Close ends all attempts and closes the connections to all targets.
