Prove a rolling restart under load, six partitions and the directory's rules

Partitions: an entry cut off from control, both ways or one way, and a region cut off from the others fence and say "not run" with other addresses; entries cut off from peers or from targets don't fence; the others serve whole answers within the lease and 2 s, and all do so again after the heal.

Ruled out on the way: two rows ended in blocked goroutines though all expectations held. The stand-in network's dial into a cut waited for good where its context had no end, as net/http's has none; it now ends after two minutes, as the operating system's does.

--- /dev/null
+++ b/internal/blackboard/directory_test.go
@@ -0,0 +1,128 @@
+package blackboard_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+	"gitlab.com/comfreythread/comfreythread/pkg/duration"
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
+	"gitlab.com/comfreythread/comfreythread/pkg/target"
+)
+
+func announcementOf(id string) target.Announcement {
+	return target.Announcement{
+		ID: id, Address: "10.1.2.1:80", Pool: "bay-log", FailureDomain: "luzon", Layout: "layout-1", Shards: 3,
+		Incarnation: 2, Revision: 1, State: target.Warm, TTL: duration.Of(3 * time.Second),
+	}
+}
+
+var _ = ginkgo.DescribeTable("an announcement that contradicts what is known is refused", func(change func(announcement *target.Announcement)) {
+	directory := new(blackboard.Directory)
+	announcement := announcementOf("target-1")
+	_, err := directory.Put(announcement)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	change(&announcement)
+	changed, err := directory.Put(announcement)
+	var typed *fault.Error
+	gomega.Expect(errors.As(err, &typed)).To(gomega.BeTrue())
+	gomega.Expect(typed.Kind).To(gomega.Equal(fault.Conflict))
+	gomega.Expect(changed).To(gomega.BeFalse())
+	present, _ := directory.Get("target-1")
+	gomega.Expect(present).To(gomega.Equal(announcementOf("target-1")))
+},
+	ginkgo.Entry("an old incarnation speaks late", func(announcement *target.Announcement) { announcement.Incarnation = 1 }),
+	ginkgo.Entry("two processes have one ID", func(announcement *target.Announcement) { announcement.Address = "10.1.2.2:80" }),
+	ginkgo.Entry("a target changes its pool", func(announcement *target.Announcement) { announcement.Pool, announcement.Incarnation = "x", 3 }),
+	ginkgo.Entry("a target changes its failure domain", func(announcement *target.Announcement) { announcement.FailureDomain, announcement.Incarnation = "x", 3 }),
+)
+
+var _ = ginkgo.Describe("the directories of entries", func() {
+	ginkgo.It("refuse a flood of new targets, and still take renewals", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			directory := new(blackboard.Directory)
+			refused := 0
+			for number := range 2000 {
+				if _, err := directory.Put(announcementOf(fmt.Sprintf("target-%d", number))); err != nil {
+					refused++
+				}
+			}
+			expect.Expect(refused).To(gomega.Equal(1600))
+			_, err := directory.Put(announcementOf("target-0"))
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+		})
+	})
+
+	ginkgo.It("hold a target while its keeper renews it, and drop it when it dies, with the keeper or alone", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			keeper, other := new(blackboard.Directory), new(blackboard.Directory)
+			keeper.SetSelf("keeper")
+			other.SetSelf("other")
+			_, _ = keeper.Put(announcementOf("target-1"))
+			other.Merge(keeper.Records())
+			keeperIsMember := true
+			step := func() {
+				time.Sleep(time.Second)
+				for _, directory := range []*blackboard.Directory{keeper, other} {
+					directory.Expire(func(entry string) bool { return entry == "other" || keeperIsMember })
+				}
+			}
+			for range 10 {
+				_, _ = keeper.Put(announcementOf("target-1"))
+				step()
+			}
+			_, known := other.Get("target-1")
+			expect.Expect(known).To(gomega.BeTrue(), "renewals don't travel, but the record must last")
+			for range 4 {
+				step()
+			}
+			other.Merge(keeper.Records())
+			_, known = other.Get("target-1")
+			expect.Expect(known).To(gomega.BeFalse(), "the keeper tells of the end")
+
+			_, _ = keeper.Put(announcementOf("target-2"))
+			other.Merge(keeper.Records())
+			keeperIsMember = false
+			step()
+			_, known = other.Get("target-2")
+			expect.Expect(known).To(gomega.BeTrue(), "the target has its TTL to renew elsewhere")
+			for range 4 {
+				step()
+			}
+			_, known = other.Get("target-2")
+			expect.Expect(known).To(gomega.BeFalse())
+		})
+	})
+
+	ginkgo.It("become equal by the difference where the log reaches back, and by buckets where it doesn't", func() {
+		left, right := new(blackboard.Directory), new(blackboard.Directory)
+		left.SetSelf("left")
+		right.SetSelf("right")
+		for number := range 100 {
+			_, _ = left.Put(announcementOf(fmt.Sprintf("target-%d", number)))
+		}
+		records, found := left.Since(right.Digest())
+		gomega.Expect(found).To(gomega.BeTrue())
+		gomega.Expect(records).To(gomega.HaveLen(100))
+		right.Merge(records)
+		gomega.Expect(right.Digest()).To(gomega.Equal(left.Digest()))
+		// Both change at once, so that neither has seen the other's digest.
+		_, _ = left.Put(announcementOf("target-left"))
+		_, _ = right.Put(announcementOf("target-right"))
+		left.Leave("target-3", 2)
+		_, found = left.Since(right.Digest())
+		gomega.Expect(found).To(gomega.BeFalse())
+		records, buckets := left.Differing(right.Summary())
+		gomega.Expect(len(records)).To(gomega.BeNumerically("<", 20))
+		left.Merge(right.Buckets(buckets))
+		right.Merge(records)
+		gomega.Expect(right.Digest()).To(gomega.Equal(left.Digest()))
+		present, _ := right.Get("target-3")
+		gomega.Expect(present.State).To(gomega.Equal(target.Leaving))
+	})
+})
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -17,6 +17,9 @@
 const (
 	// maximumBuffered bounds the bytes on their way in one direction.
 	maximumBuffered = 1 << 20
+	// dialLimit is how long a dial into a cut waits where its context sets no
+	// limit, as the operating system's does.
+	dialLimit = 2 * time.Minute
 )
 
 type (
@@ -126,6 +129,8 @@
 		return nil, errors.Errorf("connection to %s refused", address)
 	}
 	if network.isCut(there) || network.isCut(back) {
+		ctx, cancel := context.WithTimeout(ctx, dialLimit)
+		defer cancel()
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
--- /dev/null
+++ b/internal/tier/partition_test.go
@@ -0,0 +1,125 @@
+package tier_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+	"gitlab.com/comfreythread/comfreythread/internal/control"
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+	"gitlab.com/comfreythread/comfreythread/internal/tier"
+	"gitlab.com/comfreythread/comfreythread/pkg/caller"
+	"gitlab.com/comfreythread/comfreythread/pkg/duration"
+)
+
+const (
+	// victim is the IP of the entry that is cut off.
+	victim = "10.1.1.1"
+	// recovery is within what others may need to serve whole answers again:
+	// the lease, its removal and two renewals.
+	recovery = control.LeaseDuration + 2*time.Second
+)
+
+type (
+	// cut tells whether what one IP sends to another is lost.
+	cut func(from, to string) bool
+)
+
+var (
+	controls = []string{"10.1.0.1", "10.2.0.1", "10.3.0.1"}
+	entries  = []string{"10.1.1.1", "10.1.1.2", "10.2.1.1", "10.2.1.2", "10.3.1.1", "10.3.1.2"}
+)
+
+// The rows are those of docs/design/partitions.md.
+var _ = ginkgo.DescribeTable("in a partition", func(lost cut, victimFences bool) {
+	bubble.Run(suite, func(expect gomega.Gomega) {
+		network := &standin.Network{}
+		network.SetLatency(atelierLatency)
+		started, err := tier.Start(context.Background(), tier.Options{
+			Deployment: standin.Atelier, EntriesPerFailureDomain: 2, Memory: network, Logs: io.Discard,
+		})
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = started.Stop(context.Background()) }()
+		all := append(append([]string{}, controls...), entries...)
+		for _, target := range started.Targets() {
+			all = append(all, target.IP())
+		}
+		each := func(do func(from, to string)) {
+			for _, from := range all {
+				for _, to := range all {
+					if from != to && lost(from, to) {
+						do(from, to)
+					}
+				}
+			}
+		}
+		each(network.Cut)
+		defer each(network.Heal)
+		time.Sleep(recovery)
+		answer, err := query(started, 0)
+		if victimFences {
+			var refusal *caller.Refusal
+			expect.Expect(errors.As(err, &refusal)).To(gomega.BeTrue(), "answer %v, error %v", answer, err)
+			expect.Expect(refusal.Kind).To(gomega.Equal(caller.RefusedFenced))
+			expect.Expect(refusal.Run).To(gomega.Equal(caller.NotRun))
+			expect.Expect(refusal.Entries).NotTo(gomega.ContainElement(victim + ":80"))
+			expect.Expect(refusal.Entries).NotTo(gomega.BeEmpty())
+		} else {
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		for number := 2; number < len(entries); number++ {
+			answer, err := query(started, number)
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			expect.Expect(answer.Coverage.Complete).To(gomega.BeTrue(), "entry %s: %v", entries[number], answer.Coverage)
+		}
+		each(network.Heal)
+		time.Sleep(recovery)
+		for number := range entries {
+			answer, err := query(started, number)
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			expect.Expect(answer.Coverage.Complete).To(gomega.BeTrue(), "entry %s: %v", entries[number], answer.Coverage)
+		}
+	})
+},
+	ginkgo.Entry("an entry cut off from control", cut(func(from, to string) bool {
+		return from == victim && isControl(to) || isControl(from) && to == victim
+	}), true),
+	ginkgo.Entry("an entry whose messages to control are lost", cut(func(from, to string) bool {
+		return from == victim && isControl(to)
+	}), true),
+	ginkgo.Entry("an entry that control's replies don't reach", cut(func(from, to string) bool {
+		return isControl(from) && to == victim
+	}), true),
+	ginkgo.Entry("an entry cut off from the other entries", cut(func(from, to string) bool {
+		return from == victim && isEntry(to) || isEntry(from) && to == victim
+	}), false),
+	ginkgo.Entry("an entry cut off from its targets", cut(func(from, to string) bool {
+		return from == victim && !isEntry(to) && !isControl(to) || !isEntry(from) && !isControl(from) && to == victim
+	}), false),
+	ginkgo.Entry("a region cut off from the others", cut(func(from, to string) bool {
+		return strings.HasPrefix(from, "10.1.") != strings.HasPrefix(to, "10.1.")
+	}), true),
+)
+
+func query(started *tier.Tier, entry int) (*caller.Answer, error) {
+	client := started.Client(started.Entries()[entry])
+	defer client.Close()
+	return client.Send(context.Background(), &caller.Request{
+		ID: caller.NewRequestID(time.Now().Add(time.Minute)), Kind: "buyer-desk.search", Idempotent: true, RunsPerShard: 3, Timeout: duration.Of(time.Second),
+	})
+}
+
+func isControl(ip string) bool {
+	return strings.HasSuffix(ip, ".0.1") && net.ParseIP(ip) != nil
+}
+
+func isEntry(ip string) bool {
+	return strings.Contains(ip, ".1.") && strings.Split(ip, ".")[2] == "1"
+}
--- /dev/null
+++ b/internal/tier/planned_stop_test.go
@@ -0,0 +1,149 @@
+package tier_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+	"gitlab.com/comfreythread/comfreythread/internal/tier"
+	"gitlab.com/comfreythread/comfreythread/pkg/caller"
+	"gitlab.com/comfreythread/comfreythread/pkg/duration"
+	"gitlab.com/comfreythread/comfreythread/pkg/target"
+)
+
+const (
+	// latencyBound is the users' bound for 99 requests in 100.
+	latencyBound = 52 * time.Millisecond
+	workTime     = 3 * time.Millisecond
+)
+
+type (
+	// load sends requests at a fixed rate until it is stopped.
+	load struct {
+		client  *caller.Client
+		stopped chan struct{}
+		running sync.WaitGroup
+
+		lock      sync.Mutex
+		latencies []time.Duration
+		failures  []string
+		partial   int
+	}
+)
+
+var _ = ginkgo.Describe("planned stops under load", func() {
+	ginkgo.It("cut and refuse no request in a rolling restart of all entries", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			started, load := startUnderLoad(expect)
+			defer func() { _ = started.Stop(context.Background()) }()
+			for _, entry := range started.Entries() {
+				expect.Expect(started.StopProcess(context.Background(), entry)).To(gomega.Succeed())
+				expect.Expect(started.StartProcess(context.Background(), entry)).To(gomega.Succeed())
+				time.Sleep(2 * time.Second)
+			}
+			load.stop()
+			ginkgo.GinkgoWriter.Println(load.summary())
+			expect.Expect(load.failures).To(gomega.BeEmpty())
+			expect.Expect(load.partial).To(gomega.BeZero())
+			expect.Expect(load.percentile(99)).To(gomega.BeNumerically("<=", latencyBound), load.summary())
+		})
+	})
+})
+
+// startUnderLoad starts Atelier's system on six entries, and callers that use
+// the Go client.
+func startUnderLoad(expect gomega.Gomega) (*tier.Tier, *load) {
+	network := &standin.Network{}
+	network.SetLatency(atelierLatency)
+	started, err := tier.Start(context.Background(), tier.Options{
+		Deployment: standin.Atelier, EntriesPerFailureDomain: 2, Memory: network, Logs: io.Discard,
+		Behave: func(*target.Announcement) standin.Behaviour {
+			return standin.Behaviour{Work: func(*target.Run) time.Duration { return workTime }}
+		},
+	})
+	expect.Expect(err).NotTo(gomega.HaveOccurred())
+	seeds := []string{}
+	for _, entry := range started.Entries() {
+		seeds = append(seeds, entry.Settings().HTTPAddress)
+	}
+	load := &load{client: caller.NewClient(seeds, caller.Dialer(network.Dialer("10.0.0.2"))), stopped: make(chan struct{})}
+	load.running.Go(func() { load.run(20 * time.Millisecond) })
+	return started, load
+}
+
+// atelierLatency gives the latencies of Atelier: the second number of an
+// address is its failure domain, 0 is for clients.
+func atelierLatency(from, to string) time.Duration {
+	var here, there int
+	_, _ = fmt.Sscanf(from, "10.%d.", &here)
+	_, _ = fmt.Sscanf(to, "10.%d.", &there)
+	switch {
+	case here == 0 || there == 0:
+		return standin.Atelier.ToClients
+	case here != there:
+		return standin.Atelier.BetweenRegions
+	}
+	return 250 * time.Microsecond
+}
+
+func (load *load) run(interval time.Duration) {
+	pools := standin.Atelier.Pools
+	for number := 0; ; number++ {
+		select {
+		case <-load.stopped:
+			return
+		case <-time.After(interval):
+		}
+		pool := pools[number%len(pools)]
+		load.running.Go(func() { load.send(pool.Name, number%20 == 0) })
+	}
+}
+
+// send sends a query, or a request that runs at most once on one shard.
+func (load *load) send(pool string, once bool) {
+	request := &caller.Request{
+		ID: caller.NewRequestID(time.Now().Add(time.Minute)), Kind: pool + ".search",
+		Idempotent: true, RunsPerShard: 3, Timeout: duration.Of(time.Second),
+	}
+	if once {
+		request.Kind, request.Idempotent, request.RunsPerShard, request.ShardKey = pool+".file", false, 0, string(request.ID)
+	}
+	sent := time.Now()
+	answer, err := load.client.Send(context.Background(), request)
+	load.lock.Lock()
+	defer load.lock.Unlock()
+	if err != nil {
+		load.failures = append(load.failures, fmt.Sprintf("%s at %s: %v", request.Kind, time.Now().Format(time.StampMilli), err))
+		return
+	}
+	if !answer.Coverage.Complete {
+		load.partial++
+	}
+	if !once {
+		load.latencies = append(load.latencies, time.Since(sent))
+	}
+}
+
+func (load *load) stop() {
+	close(load.stopped)
+	load.running.Wait()
+	load.client.Close()
+}
+
+func (load *load) percentile(percent int) time.Duration {
+	slices.Sort(load.latencies)
+	return load.latencies[(len(load.latencies)-1)*percent/100]
+}
+
+func (load *load) summary() string {
+	return fmt.Sprintf("requests %d, failures %d, partial %d, p50 %s, p99 %s, longest %s",
+		len(load.latencies), len(load.failures), load.partial, load.percentile(50), load.percentile(99), load.percentile(100))
+}
--- a/pkg/caller/entry_client.go
+++ b/pkg/caller/entry_client.go
@@ -23,6 +23,7 @@
 	// idleTimeout is shorter than an entry's, so that no request meets the
 	// entry's close of an idle connection.
 	idleTimeout = 30 * time.Second
+	dialTimeout = 2 * time.Second
 )
 
 var (
@@ -47,6 +48,8 @@
 		dial = new(net.Dialer).DialContext
 	}
 	marked := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
 		connection, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, errors.Wrap(ErrNotSent, err.Error())
