--- a/internal/blackboard/membership.go
+++ b/internal/blackboard/membership.go
@@ -5,6 +5,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"gitlab.com/comfreythread/comfreythread/internal/membership"
 )
@@ -29,6 +30,8 @@
 		// this one was fenced.
 		floor    uint64
 		released map[string]uint64
+		// changedAt is when the newest view came, or was found to be settled.
+		changedAt time.Time
 	}
 )
 
@@ -39,8 +42,12 @@
 	defer table.lock.Unlock()
 	if view != nil && view.Number > table.newest().View().Number {
 		table.chain = append(table.chain, membership.NewPlacement(*view))
+		table.changedAt = time.Now()
+	}
+	if settled > table.settled {
+		table.settled = settled
+		table.changedAt = time.Now()
 	}
-	table.settled = max(table.settled, settled)
 	if table.floor == 0 {
 		table.floor = table.newest().View().Number
 	}
@@ -90,6 +97,14 @@
 	return table.newest()
 }
 
+// ChangedAt returns the time after which no earlier home has used the targets
+// that this entry holds, but for those that were released to it.
+func (table *Membership) ChangedAt() time.Time {
+	table.lock.RLock()
+	defer table.lock.RUnlock()
+	return table.changedAt
+}
+
 // Settled reports whether the newest view is settled.
 func (table *Membership) Settled() bool {
 	table.lock.RLock()
--- a/internal/target/home.go
+++ b/internal/target/home.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -42,9 +44,6 @@
 		expected map[string]expectation
 		// held names the targets whose use this entry may pass on.
 		held map[string]bool
-		// view is the newest settled view that was seen, since seenAt.
-		view   uint64
-		seenAt time.Time
 	}
 )
 
@@ -87,7 +86,7 @@
 	lane, use := home.enter(ctx, announcement)
 	defer use.stop()
 	queuedAt := time.Now()
-	admission, refusal := lane.gate.acquire(use.waiting, attempt.Run.Deadline, attempt.Why != First)
+	admission, refusal := lane.gate.acquire(use.waiting, attempt.Run.Deadline, priorityOf(attempt.Run.RequestID), attempt.Why != First)
 	home.metrics.Queue().WithLabelValues(announcement.Pool).Observe(time.Since(queuedAt).Seconds())
 	if refusal != nil {
 		use.leave()
@@ -116,6 +115,11 @@
 	return outcome
 }
 
+// priorityOf spreads requests evenly from 0 to 1, alike at all homes.
+func priorityOf(requestID string) float64 {
+	return float64(xxhash.Sum64String(requestID)) / math.MaxUint64
+}
+
 // unconnected ends a run for which no connection could be had.
 func (home *Home) unconnected(ctx context.Context, unsent *run, err error) Outcome {
 	if !errors.Is(err, errNoConnection) && ctx.Err() == nil {
@@ -159,9 +163,6 @@
 func (home *Home) lane(announcement *target.Announcement) *lane {
 	tables, _ := home.board.InForce().Tables()
 	pool, _ := tables.Pool(announcement.Pool)
-	if view := home.board.Membership().View().Number; view != home.view {
-		home.view, home.seenAt = view, time.Now()
-	}
 	found, known := home.lanes[announcement.ID]
 	if !known {
 		found = &lane{dial: home.dial, announcement: *announcement}
--- a/internal/target/start_log.go
+++ b/internal/target/start_log.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// recent counts the starts that the cold rate still holds against the target.
+func (startLog *startLog) recent(now time.Time) int {
+	recent := 0
+	for _, started := range startLog.times {
+		if !started.IsZero() && now.Sub(started) < rateWindow {
+			recent++
+		}
+	}
+	return recent
+}
+
 // wait returns how long the next start must wait.
 func (startLog *startLog) wait(now time.Time) time.Duration {
 	if len(startLog.times) == 0 {
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -17,6 +17,7 @@
 	"go.uber.org/fx"
 
 	"gitlab.com/comfreythread/comfreythread/internal/control"
+	"gitlab.com/comfreythread/comfreythread/internal/disk"
 	"gitlab.com/comfreythread/comfreythread/internal/process"
 	"gitlab.com/comfreythread/comfreythread/internal/settings"
 	"gitlab.com/comfreythread/comfreythread/internal/standin"
@@ -51,6 +52,9 @@
 		Behave func(announcement *target.Announcement) standin.Behaviour
 		// Tables replaces the deployment's tables where it is not nil.
 		Tables *operator.Tables
+		// Files gives each process the files of its disk; nil uses the operating
+		// system's.
+		Files func(process string) disk.FileSystem
 		// Logs takes the logs of all processes.
 		Logs io.Writer
 	}
@@ -72,9 +76,11 @@
 	Process struct {
 		settings  *settings.Settings
 		listeners *process.Listeners
-		app       *fx.App
+		// starting is held while the process starts or stops.
+		starting sync.Mutex
+		app      *fx.App
 		// killed states that nothing of the running app may reach the network.
-		killed *atomic.Bool
+		killed atomic.Pointer[atomic.Bool]
 	}
 
 	// Target is a running stand-in target.
@@ -189,16 +195,12 @@
 	if err := started.settings.Check(); err != nil {
 		return err
 	}
-	killed := new(atomic.Bool)
-	started.killed = killed
-	network := tier.network(started.settings.HTTPAddress)
-	dial := network.Dial
-	network.Dial = func(ctx context.Context, kind, address string) (net.Conn, error) {
-		if killed.Load() {
-			return nil, errors.New("this process was killed")
-		}
-		return dial(ctx, kind, address)
+	started.starting.Lock()
+	defer started.starting.Unlock()
+	if started.app != nil {
+		return nil
 	}
+	network := tier.processNetwork(started)
 	if started.listeners == nil {
 		listeners, err := process.Listen(ctx, started.settings, network)
 		if err != nil {
@@ -217,8 +219,29 @@
 	return nil
 }
 
+// processNetwork returns the network of a process from its start until it is
+// killed.
+func (tier *Tier) processNetwork(started *Process) process.Network {
+	killed := new(atomic.Bool)
+	started.killed.Store(killed)
+	network := tier.network(started.settings.HTTPAddress)
+	dial := network.Dial
+	network.Dial = func(ctx context.Context, kind, address string) (net.Conn, error) {
+		if killed.Load() {
+			return nil, errors.New("this process was killed")
+		}
+		return dial(ctx, kind, address)
+	}
+	if tier.options.Files != nil {
+		network.FileSystem = tier.options.Files(started.settings.Name)
+	}
+	return network
+}
+
 // StopProcess stops a process gracefully.
 func (tier *Tier) StopProcess(ctx context.Context, stopped *Process) error {
+	stopped.starting.Lock()
+	defer stopped.starting.Unlock()
 	if stopped.app == nil {
 		return nil
 	}
@@ -248,7 +271,9 @@
 	tier.version = accepted.Version
 	for {
 		status, err := tier.client.Status(ctx)
-		if err == nil && status.InForce && len(status.Entries) == len(tier.entries) {
+		if err == nil && status.InForce && len(status.Entries) == len(tier.entries) && isSettled(status) {
+			// The entries learn of it with their next renewal.
+			time.Sleep(control.RenewInterval)
 			return nil
 		}
 		if err := pause(ctx); err != nil {
@@ -257,6 +282,17 @@
 	}
 }
 
+// isSettled reports whether all entries have acknowledged the newest view, so
+// that no failure domain's targets are usable before those of another.
+func isSettled(status *operator.Status) bool {
+	for _, entry := range status.Entries {
+		if entry.View < status.View {
+			return false
+		}
+	}
+	return true
+}
+
 func (tier *Tier) startTargets(ctx context.Context) error {
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	tier.cancel = cancel
