--- /dev/null
+++ b/internal/membership/placement_test.go
@@ -0,0 +1,50 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/membership"
+)
+
+func TestMembership(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "membership")
+}
+
+var _ = ginkgo.DescribeTable("the leave of one entry moves its targets and no other", func(entries, targets, failureDomains int) {
+	view := membership.View{Number: 1}
+	for number := range entries {
+		view.Members = append(view.Members, membership.Member{ID: fmt.Sprintf("entry-%d", number), FailureDomain: fmt.Sprint(number % failureDomains)})
+	}
+	before, after := membership.NewPlacement(view), membership.NewPlacement(membership.View{Number: 2, Members: view.Members[1:]})
+	loads, moved := map[string]int{}, 0
+	for number := range targets {
+		id, failureDomain := fmt.Sprintf("target-%d", number), fmt.Sprint(number%failureDomains)
+		old, _ := before.Home(id, failureDomain)
+		next, found := after.Home(id, failureDomain)
+		gomega.Expect(found).To(gomega.BeTrue())
+		loads[old.ID]++
+		if old.ID != next.ID {
+			moved++
+			gomega.Expect(old.ID).To(gomega.Equal("entry-0"))
+		}
+	}
+	gomega.Expect(moved).To(gomega.Equal(loads["entry-0"]))
+	least, most, outside := targets, 0, 0
+	even := float64(targets) / float64(entries)
+	for _, member := range view.Members {
+		load := loads[member.ID]
+		least, most = min(least, load), max(most, load)
+		if float64(load) < even*0.8 || float64(load) > even*1.2 {
+			outside++
+		}
+	}
+	ginkgo.GinkgoWriter.Printf("%d targets over %d entries: even %.1f, least %d, most %d, outside of 20%% %d, moved %d\n", targets, entries, even, least, most, outside, moved)
+},
+	ginkgo.Entry("at today's size", 6, 88, 3),
+	ginkgo.Entry("at the size to come", 1600, 12000, 8),
+)
