--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -42,9 +42,7 @@
 		before := heap()
 		directory := new(blackboard.Directory)
 		for number := range size {
-			if _, err := directory.Put(announcement(number)); err != nil {
-				return nil, errors.Wrap(err, "fill directory")
-			}
+			directory.Merge([]blackboard.Record{{Announcement: announcement(number), Keeper: "entry-1"}})
 		}
 		memory.add(float64(size), float64(heap()-before)/1024)
 		all = directory.All()
@@ -65,9 +63,7 @@
 	for _, size := range []int{1100, 4400, 12100} {
 		directory := new(blackboard.Directory)
 		for number := range size {
-			if _, err := directory.Put(announcement(number)); err != nil {
-				return nil, errors.Wrap(err, "fill directory")
-			}
+			directory.Merge([]blackboard.Record{{Announcement: announcement(number), Keeper: "entry-1"}})
 		}
 		before := processorTime()
 		for range planRounds {
@@ -77,10 +73,10 @@
 	}
 	home := &series{name: "finding one target's home", per: "entry in the view", unit: "µs"}
 	for _, size := range []int{6, 60, 600, 1600} {
-		view := view(size)
+		placement := membership.NewPlacement(view(size))
 		before := processorTime()
 		for number := range homeRounds {
-			view.Home(fmt.Sprintf("leafs-%05d", number), "domain-1", func(*membership.Member) bool { return false })
+			placement.Home(fmt.Sprintf("leafs-%05d", number), "domain-1")
 		}
 		home.add(float64(size), float64((processorTime()-before).Microseconds())/homeRounds)
 	}
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -29,6 +29,7 @@
 	run struct {
 		home      *Home
 		lane      *lane
+		use       *use
 		pool      string
 		attempt   *Attempt
 		admission admission
@@ -112,6 +113,7 @@
 			run.limit.Stop()
 		}
 		run.home.metrics.Slots().WithLabelValues(run.pool).Dec()
+		run.use.leave()
 	})
 }
 
