--- a/internal/caller/fuzz_test.go
+++ b/internal/caller/fuzz_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
 	callerserver "gitlab.com/comfreythread/comfreythread/internal/caller"
@@ -35,7 +36,7 @@
 	f.Add([]byte(`{"id":"a.1","id":"b.1","payload":{"deep":[[[[]]]]}}`))
 	f.Add([]byte(`{"timeout":"9999999h"`))
 	engine := web.NewEngine()
-	callerserver.NewServer(new(blackboard.Board), strictCoordinator{}).Register(engine)
+	callerserver.NewServer("entry", time.Second, new(blackboard.Board), strictCoordinator{}).Register(engine)
 	f.Fuzz(func(t *testing.T, body []byte) {
 		recorder := httptest.NewRecorder()
 		engine.ServeHTTP(recorder, httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/v1/requests", bytes.NewReader(body)))
--- a/internal/target/lane.go
+++ b/internal/target/lane.go
@@ -34,10 +34,14 @@
 type (
 	// lane is the home's state of one target. Lock order: lane, gate.
 	lane struct {
-		gate gate
-		dial tcp.Dialer
+		announcement target.Announcement
+		gate         gate
+		usage        usage
+		dial         tcp.Dialer
 
-		lock        sync.Mutex
+		lock sync.Mutex
+		// closed states that the lane was given up.
+		closed      bool
 		address     string
 		pool        operator.Pool
 		incarnation uint64
@@ -123,9 +127,15 @@
 // put makes a connection idle. The newest used is taken first.
 func (lane *lane) put(connection *connection) {
 	lane.lock.Lock()
-	defer lane.lock.Unlock()
-	lane.idle = append(lane.idle, connection)
-	lane.signal()
+	closed := lane.closed
+	if !closed {
+		lane.idle = append(lane.idle, connection)
+		lane.signal()
+	}
+	lane.lock.Unlock()
+	if closed {
+		lane.close(connection, closingSpan)
+	}
 }
 
 // unexpected deals with an idle connection that broke, which is a sign of a
@@ -246,11 +256,12 @@
 	}
 }
 
-// closeIdle closes the connections that no run uses.
+// closeIdle closes the connections that no run uses, and from then on each one
+// that comes back.
 func (lane *lane) closeIdle() {
 	lane.lock.Lock()
 	idle := lane.idle
-	lane.idle = nil
+	lane.idle, lane.closed = nil, true
 	lane.lock.Unlock()
 	for _, connection := range idle {
 		lane.close(connection, closingSpan)
