--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -16,8 +16,6 @@
 	MethodRun = "entry.run"
 	// MethodCancel drops attempts of a batch.
 	MethodCancel = "entry.cancel"
-	// MethodAnnounce spreads announcements to another entry.
-	MethodAnnounce = "entry.announce"
 	// MethodStrike spreads verdicts on requests to another entry.
 	MethodStrike = "entry.strike"
 
@@ -80,11 +78,6 @@
 		unreachable bool
 	}
 
-	// Announcements spreads what targets announced.
-	Announcements struct {
-		Announcements []targetapi.Announcement `msgpack:"a"`
-	}
-
 	// Empty is a message without content.
 	Empty struct{}
 )
--- a/internal/target/home.go
+++ b/internal/target/home.go
@@ -40,15 +40,16 @@
 
 		lock  sync.Mutex
 		lanes map[string]*lane
-		// view is the newest settled view that was seen, since seenAt.
-		view   uint64
-		seenAt time.Time
+		// expected holds what earlier homes told of targets without a lane.
+		expected map[string]expectation
+		// held names the targets whose use this entry may pass on.
+		held map[string]bool
 	}
 )
 
 // NewHome returns the home role of the entry with the given ID.
 func NewHome(self string, board *blackboard.Board, dial tcp.Dialer, metrics *metrics.Metrics) *Home {
-	return &Home{self: self, board: board, dial: dial, metrics: metrics, lanes: map[string]*lane{}}
+	return &Home{self: self, board: board, dial: dial, metrics: metrics, lanes: map[string]*lane{}, expected: map[string]expectation{}, held: map[string]bool{}}
 }
 
 // Run runs an attempt and says what became of it.
@@ -82,15 +83,17 @@
 }
 
 func (home *Home) run(ctx context.Context, announcement *target.Announcement, attempt *Attempt) Outcome {
-	lane := home.lane(announcement)
+	lane, use := home.enter(ctx, announcement)
+	defer use.stop()
 	queuedAt := time.Now()
-	admission, refusal := lane.gate.acquire(ctx, attempt.Run.Deadline, priorityOf(attempt.Run.RequestID), attempt.Why != First)
+	admission, refusal := lane.gate.acquire(use.waiting, attempt.Run.Deadline, priorityOf(attempt.Run.RequestID), attempt.Why != First)
 	home.metrics.Queue().WithLabelValues(announcement.Pool).Observe(time.Since(queuedAt).Seconds())
 	if refusal != nil {
+		use.leave()
 		return refusal
 	}
 	home.metrics.Slots().WithLabelValues(announcement.Pool).Inc()
-	admitted := &run{home: home, lane: lane, pool: announcement.Pool, attempt: attempt, admission: admission, outcomes: make(chan Outcome, 1), ended: make(chan struct{})}
+	admitted := &run{home: home, lane: lane, use: use, pool: announcement.Pool, attempt: attempt, admission: admission, outcomes: make(chan Outcome, 1), ended: make(chan struct{})}
 	// The wait may have been long: what allowed the run may have ended.
 	if _, refusal := home.admit(attempt); refusal != nil {
 		admitted.release(false)
@@ -101,11 +104,15 @@
 		admitted.release(false)
 		return NotRun{Reason: caller.MissingLost}
 	}
-	if err := admitted.connect(ctx); err != nil {
-		return home.unconnected(ctx, admitted, err)
+	if err := admitted.connect(use.running); err != nil {
+		return home.unconnected(use.running, admitted, err)
 	}
 	home.metrics.Attempts().WithLabelValues(announcement.Pool, string(attempt.Why)).Inc()
-	return admitted.do(ctx, message)
+	outcome := admitted.do(use.running, message)
+	if use.isCut() {
+		admitted.expire()
+	}
+	return outcome
 }
 
 // priorityOf spreads requests evenly from 0 to 1, alike at all homes.
@@ -144,31 +151,26 @@
 	if tables.Out(announcement.FailureDomain) {
 		return refuse(caller.MissingNoReplica)
 	}
-	member, found := home.board.HomeOf(&announcement)
-	if !found || member.ID != home.self || !home.board.Membership().Settled() {
+	if !home.board.Membership().Holds(home.self, announcement.ID, announcement.FailureDomain) {
 		return target.Announcement{}, NotRun{Reason: caller.MissingNoReplica, RetryAfter: notHomeRetryAfter, Moving: true}
 	}
 	return announcement, nil
 }
 
 // lane returns the state of a target. A target that is new here is cold, and
-// an earlier home may have used up its cold rate until the view settled.
+// an earlier home may have used up its cold rate until the view settled or the
+// target was released. The lock is held.
 func (home *Home) lane(announcement *target.Announcement) *lane {
 	tables, _ := home.board.InForce().Tables()
 	pool, _ := tables.Pool(announcement.Pool)
-	home.lock.Lock()
-	defer home.lock.Unlock()
-	if view := home.board.Membership().View().Number; view != home.view {
-		home.view, home.seenAt = view, time.Now()
-	}
 	found, known := home.lanes[announcement.ID]
 	if !known {
-		found = &lane{dial: home.dial}
+		found = &lane{dial: home.dial, announcement: *announcement}
 		home.lanes[announcement.ID] = found
 	}
 	found.update(announcement, pool)
 	if !known {
-		found.gate.assumeFull(home.seenAt)
+		home.takeOver(found)
 	}
 	return found
 }
@@ -176,12 +178,7 @@
 // leaving stops new work for a target that says that it leaves, before its
 // announcement does.
 func (home *Home) leaving(targetID string, incarnation uint64) {
-	announcement, known := home.board.Directory().Get(targetID)
-	if known && announcement.Incarnation == incarnation && announcement.State != target.Leaving {
-		announcement.State = target.Leaving
-		announcement.Revision++
-		_, _ = home.board.Directory().Put(announcement)
-	}
+	home.board.Directory().Leave(targetID, incarnation)
 }
 
 // strike records that a target was lost while it ran the attempt's request.
@@ -189,11 +186,7 @@
 	home.board.Verdicts().Strike(blackboard.Fingerprint(attempt.Fingerprint), attempt.TargetID)
 }
 
-// Close closes the idle connections to all targets.
+// Close ends all attempts and closes the connections to all targets.
 func (home *Home) Close() {
-	home.lock.Lock()
-	defer home.lock.Unlock()
-	for _, lane := range home.lanes {
-		lane.closeIdle()
-	}
+	home.Cut()
 }
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -32,6 +32,8 @@
 	readyTimeout  = 20 * time.Second
 	// readyRequestTimeout bounds one query that looks for targets.
 	readyRequestTimeout = time.Second
+	// demoAddressMaxAge lets a tier on real sockets stop soon.
+	demoAddressMaxAge = 200 * time.Millisecond
 
 	httpPort = "80"
 	peerPort = "90"
@@ -157,11 +159,12 @@
 func (tier *Tier) newSettings(name, failureDomain, ip string) *settings.Settings {
 	created := &settings.Settings{
 		Name: name, FailureDomain: failureDomain, Region: failureDomain, LogLevel: "warn",
-		HTTPAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		HTTPAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", AddressMaxAge: duration.Of(demoAddressMaxAge),
 	}
 	if tier.options.Memory != nil {
 		created.HTTPAddress = net.JoinHostPort(ip, httpPort)
 		created.PeerAddress = net.JoinHostPort(ip, peerPort)
+		created.AddressMaxAge = duration.Of(settings.DefaultAddressMaxAge)
 	}
 	return created
 }
@@ -268,7 +271,9 @@
 	tier.version = accepted.Version
 	for {
 		status, err := tier.client.Status(ctx)
-		if err == nil && status.InForce && len(status.Entries) == len(tier.entries) {
+		if err == nil && status.InForce && len(status.Entries) == len(tier.entries) && isSettled(status) {
+			// The entries learn of it with their next renewal.
+			time.Sleep(control.RenewInterval)
 			return nil
 		}
 		if err := pause(ctx); err != nil {
@@ -277,6 +282,17 @@
 	}
 }
 
+// isSettled reports whether all entries have acknowledged the newest view, so
+// that no failure domain's targets are usable before those of another.
+func isSettled(status *operator.Status) bool {
+	for _, entry := range status.Entries {
+		if entry.View < status.View {
+			return false
+		}
+	}
+	return true
+}
+
 func (tier *Tier) startTargets(ctx context.Context) error {
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	tier.cancel = cancel
