--- a/internal/faults/matrix_test.go
+++ b/internal/faults/matrix_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -52,7 +53,7 @@
 		if result.clean() {
 			continue
 		}
-		if result.known(known) {
+		if result.known(cell.name(), known) {
 			red++
 			fmt.Printf("known red (KNOWN-RED.txt): %s\n", cell.name())
 		} else {
@@ -137,26 +138,32 @@
 	return found
 }
 
-// knownRed reads the promises that are known to be broken for a real fault.
-func knownRed() map[string]bool {
-	known := map[string]bool{}
+// knownRed reads the breaches that are known and have a real fault: the text
+// that a cell's name has, and the promise that is broken.
+func knownRed() [][2]string {
+	var known [][2]string
 	data, err := os.ReadFile(knownRedFile)
 	if err != nil {
 		return known
 	}
 	for line := range strings.Lines(string(data)) {
-		if _, rest, found := strings.Cut(line, "PROMISE='"); found {
-			name, _, _ := strings.Cut(rest, "'")
-			known[name] = true
+		_, cell, found := strings.Cut(line, "CELL='")
+		_, promise, also := strings.Cut(line, "PROMISE='")
+		if found && also {
+			cell, _, _ = strings.Cut(cell, "'")
+			promise, _, _ = strings.Cut(promise, "'")
+			known = append(known, [2]string{cell, promise})
 		}
 	}
 	return known
 }
 
-// known reports whether nothing but known breaches was found.
-func (outcome *outcome) known(promises map[string]bool) bool {
+// known reports whether nothing but known breaches was found in the cell.
+func (outcome *outcome) known(cell string, known [][2]string) bool {
 	for _, violation := range outcome.violations {
-		if !promises[string(violation.Promise)] {
+		if !slices.ContainsFunc(known, func(entry [2]string) bool {
+			return strings.Contains(cell, entry[0]) && string(violation.Promise) == entry[1]
+		}) {
 			return false
 		}
 	}
