Send no heartbeat where other messages show that the peer is alive

Cause: each link sent a heartbeat every 500 ms, also while it carried calls. A node that serves 237 requests a second over 1,600 homes has all links in use, so heartbeats would be 3,200 messages a second each way for nothing. Ruled out: slower heartbeats, which let a silent peer go unnoticed for longer.

--- a/internal/frame/call_test.go
+++ b/internal/frame/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -103,6 +104,25 @@
 		})
 	})
 
+	ginkgo.It("needs no heartbeats where it is made often enough, and lives on by them where it isn't", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			network := &standin.Network{}
+			var messages atomic.Int64
+			network.Watch(func(standin.Traffic) { messages.Add(1) })
+			client, stop := serve(network)
+			defer stop()
+			for range 100 {
+				_, err := frame.Call[number, number](context.Background(), client, "double", &number{})
+				expect.Expect(err).NotTo(gomega.HaveOccurred())
+				time.Sleep(100 * time.Millisecond)
+			}
+			// The opening, and a hello and 100 messages each way.
+			expect.Expect(messages.Load()).To(gomega.Equal(int64(203)))
+			time.Sleep(10 * time.Second)
+			expect.Expect(messages.Load()).To(gomega.BeNumerically(">=", 203+2*19))
+		})
+	})
+
 	ginkgo.It("is not sent where the peer can't be reached", func() {
 		bubble.Run(suite, func(expect gomega.Gomega) {
 			client := frame.NewClient("10.0.0.9:1", (&standin.Network{}).Dialer("10.0.0.2"))
--- a/internal/frame/link.go
+++ b/internal/frame/link.go
@@ -34,6 +34,7 @@
 		waiting atomic.Int64
 		writing sync.Mutex
 		writer  *bufio.Writer
+		wroteAt time.Time
 		closed  chan struct{}
 		closing sync.Once
 	}
@@ -61,7 +62,8 @@
 	link.waiting.Add(1)
 	link.writing.Lock()
 	defer link.writing.Unlock()
-	_ = link.connection.SetWriteDeadline(time.Now().Add(writeTimeout))
+	link.wroteAt = time.Now()
+	_ = link.connection.SetWriteDeadline(link.wroteAt.Add(writeTimeout))
 	err := writeMessage(link.writer, message)
 	if link.waiting.Add(-1) == 0 && err == nil {
 		err = link.writer.Flush()
@@ -99,7 +101,8 @@
 	return link.connection.SetDeadline(time.Time{})
 }
 
-// beat sends heartbeats until the connection closes.
+// beat sends heartbeats until the connection closes, but none while other
+// messages show the peer that this end is alive.
 func (link *link) beat() {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
@@ -108,9 +111,16 @@
 		case <-link.closed:
 			return
 		case <-ticker.C:
-			if link.write(&message{Type: typePing}) != nil {
+			if link.quiet() && link.write(&message{Type: typePing}) != nil {
 				return
 			}
 		}
 	}
 }
+
+// quiet reports whether nothing was written for the span between heartbeats.
+func (link *link) quiet() bool {
+	link.writing.Lock()
+	defer link.writing.Unlock()
+	return time.Since(link.wroteAt) >= heartbeatInterval
+}
