Don't hold an answer back for its record in the ledger

Cause: after a run that may not be repeated the entry waited up to 2 s for control to record the outcome. With control lost the caller's deadline passed without any answer: the fault matrix showed requests cut at a planned stop while a disk of control failed. Now the answer waits for at most half of the time left, and the recording goes on behind it. A right whose grant got no reply is recorded as not run, so that a resend may run. Ruled out: answering before the record in all cases, because a resend right after the answer would be told less than is known.

--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -29,6 +29,9 @@
 	fencedRetryAfter = time.Second
 	// recordTimeout bounds the recording of a run's outcome.
 	recordTimeout = 2 * time.Second
+	// recordShare is the share of the time left that an answer waits for its
+	// record.
+	recordShare = 2
 )
 
 type (
@@ -157,6 +160,9 @@
 func (coordinator *Coordinator) takeRunRight(ctx context.Context, request *caller.Request, nonce uint64) *caller.Refusal {
 	grant, err := coordinator.ledger.Grant(ctx, &control.GrantRequest{RequestID: request.ID, Nonce: nonce})
 	if err != nil {
+		// The right may have been granted though the reply was lost. Nothing
+		// was sent, so that a resend may run.
+		go coordinator.record(ctx, request, nonce, caller.NotRun)
 		return refuse(caller.RefusedUnavailable, caller.NotRun, fencedRetryAfter, "no run right could be had: "+err.Error(), "send the request again with the same ID")
 	}
 	if grant.Expired {
@@ -168,12 +174,26 @@
 	return nil
 }
 
-// record is best effort: without it a resend is told that the request may
-// have run, which is true.
+// record tells the ledger what became of a run. It holds the answer back for
+// no longer than half of the time that the request has left, and goes on
+// behind it: without the record a resend is told that the request may have
+// run, which is true.
 func (coordinator *Coordinator) record(ctx context.Context, request *caller.Request, nonce uint64, outcome caller.RunOutcome) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
-	defer cancel()
-	_ = coordinator.ledger.Record(ctx, &control.RecordRequest{RequestID: request.ID, Nonce: nonce, Outcome: outcome})
+	recorded := make(chan struct{})
+	go func() {
+		defer close(recorded)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+		defer cancel()
+		_ = coordinator.ledger.Record(ctx, &control.RecordRequest{RequestID: request.ID, Nonce: nonce, Outcome: outcome})
+	}()
+	deadline, _ := ctx.Deadline()
+	timer := time.NewTimer(time.Until(deadline) / recordShare)
+	defer timer.Stop()
+	select {
+	case <-recorded:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 func refuse(kind caller.RefusalKind, run caller.RunOutcome, retryAfter time.Duration, message, remedy string) *caller.Refusal {
--- a/internal/tier/request_test.go
+++ b/internal/tier/request_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -345,6 +346,26 @@
 		})
 	})
 
+	ginkgo.It("answers a request that may not be repeated in time when control is lost while it runs", func() {
+		withTier(func(expect gomega.Gomega, load *load) {
+			for _, slowed := range load.tier.Targets() {
+				slowed.Behave(func(behaviour *standin.Behaviour) {
+					behaviour.Work = func(*target.Run) time.Duration { return 50 * time.Millisecond }
+				})
+			}
+			request := file("card")
+			load.send(0, request)
+			time.Sleep(30 * time.Millisecond)
+			for _, replica := range load.tier.Replicas() {
+				ip, _, _ := net.SplitHostPort(replica.Settings().PeerAddress)
+				load.network.Down(ip)
+			}
+			load.running.Wait()
+			expect.Expect(load.answers).To(gomega.HaveLen(1))
+			expect.Expect(load.quantile(1)).To(gomega.BeNumerically("<=", request.Timeout.Std()))
+		})
+	})
+
 	ginkgo.It("drops answers that are crossed or damaged and answers from the other replicas", func() {
 		withTier(func(expect gomega.Gomega, load *load) {
 			spoils := []func(*target.Result){
