Close the listener of a server that was stopped before it served

Cause: Stop closed only a listener that Serve had taken already. A process that stopped right after its start, before the goroutine of Serve had run, kept the address for good: a test of the control replicas that crash and return failed once with 'address taken'. Ruled out: the crash itself, which leaves no listener. The new test failed before (Serve did not return).

--- a/internal/frame/call_test.go
+++ b/internal/frame/call_test.go
@@ -123,6 +123,22 @@
 		})
 	})
 
+	ginkgo.It("finds nobody where the server was stopped before it began to serve", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			network := &standin.Network{}
+			listener, err := network.Listen("10.0.0.1:1")
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			server := new(frame.Server)
+			server.Stop()
+			served := make(chan error, 1)
+			go func() { served <- server.Serve(listener) }()
+			time.Sleep(time.Second)
+			expect.Expect(served).To(gomega.Receive(gomega.BeNil()))
+			_, err = network.Listen("10.0.0.1:1")
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+		})
+	})
+
 	ginkgo.It("is not sent where the peer can't be reached", func() {
 		bubble.Run(suite, func(expect gomega.Gomega) {
 			client := frame.NewClient("10.0.0.9:1", (&standin.Network{}).Dialer("10.0.0.2"))
--- a/internal/frame/server.go
+++ b/internal/frame/server.go
@@ -85,9 +85,9 @@
 
 // Serve accepts connections until Stop. It returns nil after Stop.
 func (server *Server) Serve(listener net.Listener) error {
-	server.lock.Lock()
-	server.listener = listener
-	server.lock.Unlock()
+	if !server.listen(listener) {
+		return nil
+	}
 	for {
 		connection, err := listener.Accept()
 		if err != nil {
@@ -105,6 +105,18 @@
 	}
 }
 
+// listen takes the listener, or closes it where the server is stopped.
+func (server *Server) listen(listener net.Listener) bool {
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	if server.stopped {
+		_ = listener.Close()
+		return false
+	}
+	server.listener = listener
+	return true
+}
+
 // Stop closes the listener and all connections and waits for calls to end.
 func (server *Server) Stop() {
 	server.lock.Lock()
