Give no addresses from an entry without a lease

Cause: a stopping entry serves on until every entry with a lease knows of the stop and the addresses' maximum age has passed. An entry that was cut off from control lost its lease and still gave out addresses, among them that of an entry that had stopped. Ruled out: a longer wait of the stopping entry, which no wait could make long enough.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -51,7 +51,13 @@
 	engine.DELETE("/v1/requests/:id", server.cancel)
 }
 
+// entries tells which entries to use. An entry without a lease may know of
+// entries that have stopped since, so that it sends callers elsewhere.
 func (server *Server) entries(ginContext *gin.Context) {
+	if server.board.InForce().Fenced() {
+		web.Fail(ginContext, fault.New(fault.Unavailable, "this entry holds no lease from control, so that it can't tell which entries serve", "ask another entry that you know"))
+		return
+	}
 	ginContext.JSON(http.StatusOK, Addresses(server.self, server.maxAge, server.board))
 }
 
