--- a/internal/capacity/fan_out.go
+++ b/internal/capacity/fan_out.go
@@ -52,7 +52,7 @@
 		Tables: &operator.Tables{
 			Pools: []operator.Pool{{
 				Name: fanOutPool, Slots: pool.Slots, Connections: pool.Connections, QueueLimit: 1000,
-				Cold: operator.Cold{Slots: pool.Slots, RunsPerSecond: 100000, WarmAfterRuns: 1},
+				Cold: operator.Cold{Slots: pool.Slots, RunsPerSecond: 1000, WarmAfterRuns: 1},
 			}},
 			Routes: []operator.Route{{Kind: fanOutKind, Pool: fanOutPool}},
 		},
--- a/internal/frame/link.go
+++ b/internal/frame/link.go
@@ -22,7 +22,7 @@
 	writeTimeout = 2 * time.Second
 	helloTimeout = 2 * time.Second
 
-	writeBufferBytes = 64 << 10
+	writeBufferBytes = 8 << 10
 )
 
 type (
