Give operators and targets clients in pkg, and one exchange for all

Cause: the command line and the stand-in target wrote their own HTTP beside the callers' client, and programs had no client for operators or targets. Package exchange sends one JSON document and reads the typed reply; the three clients, the verbs and the stand-in use it. Messages and exit codes stay.

--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -4,7 +4,6 @@
 package standin
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -21,8 +20,7 @@
 )
 
 const (
-	announceTimeout = time.Second
-	renewalsPerTTL  = 3
+	renewalsPerTTL = 3
 )
 
 type (
@@ -208,26 +206,8 @@
 // Announce announces the target to the entry at an IP:port.
 func (standin *Target) Announce(ctx context.Context, entry string) error {
 	announcement := standin.Announcement()
-	body, err := json.Marshal(&announcement)
-	if err != nil {
-		return errors.Wrap(err, "encode announcement")
-	}
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/v1/targets", bytes.NewReader(body))
-	if err != nil {
-		return errors.Wrap(err, "build announcement")
-	}
-	client := http.Client{Transport: &http.Transport{DialContext: standin.dial, DisableKeepAlives: true}}
-	response, err := client.Do(request)
-	if err != nil {
-		return errors.Wrap(err, "announce")
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return errors.Errorf("announce: the entry answered with status %d", response.StatusCode)
-	}
-	return nil
+	_, err := target.NewAnnouncer(standin.dial).Announce(ctx, entry, &announcement)
+	return err
 }
 
 // Renew announces the target to the entry until ctx ends.
--- a/internal/verb/apply.go
+++ b/internal/verb/apply.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -50,7 +49,7 @@
 		ID: command.String("change-id"), Base: command.Uint64("base"), Tables: *tables,
 		AllowAllOut: command.Bool("allow-all-out"), DryRun: command.Bool("dry-run"),
 	}
-	accepted, err := exchange[operator.Accepted](ctx, command, http.MethodPut, "/v1/tables", change)
+	accepted, err := newOperator(command).Change(ctx, change)
 	if err != nil {
 		return err
 	}
@@ -78,7 +77,7 @@
 	ctx, cancel := context.WithTimeout(ctx, command.Duration("timeout"))
 	defer cancel()
 	for {
-		status, err := exchange[operator.Status](ctx, command, http.MethodGet, "/v1/status", nil)
+		status, err := newOperator(command).Status(ctx)
 		if err == nil && status.InForceVersion >= version {
 			return nil
 		}
--- a/internal/verb/get.go
+++ b/internal/verb/get.go
@@ -5,9 +5,7 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
-	"net/http"
 
 	"github.com/urfave/cli/v3"
 
@@ -38,5 +36,5 @@
 }
 
 func getTables(ctx context.Context, command *cli.Command, version uint64) (*operator.Versioned, error) {
-	return exchange[operator.Versioned](ctx, command, http.MethodGet, fmt.Sprintf("/v1/tables?version=%d", version), nil)
+	return newOperator(command).Tables(ctx, version)
 }
--- a/internal/verb/replica.go
+++ b/internal/verb/replica.go
@@ -6,8 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
-	"net/url"
 
 	"github.com/urfave/cli/v3"
 
@@ -51,7 +49,7 @@
 	if err := added.Check(); err != nil {
 		return err
 	}
-	done, err := exchange[operator.Done](ctx, command, http.MethodPost, "/v1/replicas", added)
+	done, err := newOperator(command).AddReplica(ctx, added)
 	if err != nil {
 		return err
 	}
@@ -62,7 +60,7 @@
 
 func removeReplica(ctx context.Context, command *cli.Command) error {
 	id := command.String("id")
-	done, err := exchange[operator.Done](ctx, command, http.MethodDelete, "/v1/replicas/"+url.PathEscape(id), nil)
+	done, err := newOperator(command).RemoveReplica(ctx, id)
 	if err != nil {
 		return err
 	}
--- a/internal/verb/status.go
+++ b/internal/verb/status.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"text/tabwriter"
 
 	"github.com/urfave/cli/v3"
@@ -21,7 +20,7 @@
 		Description: "Example: comfreythread status --address 10.0.0.7:8080 --output json",
 		Flags:       []cli.Flag{addressFlag(), outputFlag()},
 		Action: func(ctx context.Context, command *cli.Command) error {
-			status, err := exchange[operator.Status](ctx, command, http.MethodGet, "/v1/status", nil)
+			status, err := newOperator(command).Status(ctx)
 			if err != nil {
 				return err
 			}
--- a/pkg/caller/entry_client.go
+++ b/pkg/caller/entry_client.go
@@ -4,22 +4,19 @@
 package caller
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"gitlab.com/comfreythread/comfreythread/internal/exchange"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 )
 
 const (
-	maximumAnswerBytes = 256 << 20
-	idleConnections    = 64
+	idleConnections = 64
 	// idleTimeout is shorter than an entry's, so that no request meets the
 	// entry's close of an idle connection.
 	idleTimeout = 30 * time.Second
@@ -88,33 +85,5 @@
 }
 
 func (entryClient *EntryClient) exchange(ctx context.Context, method, path string, body, into any, refused error) error {
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		return errors.Wrap(err, "encode request")
-	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+entryClient.address+path, bytes.NewReader(encoded))
-	if err != nil {
-		return errors.Wrap(err, "build request; check the address")
-	}
-	// Without GetBody the HTTP client can't send the request again on its own.
-	request.GetBody = nil
-	response, err := entryClient.client.Do(request)
-	if err != nil {
-		return errors.Wrap(err, "send request")
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswerBytes))
-	if err != nil {
-		return errors.Wrap(err, "read answer")
-	}
-	if response.StatusCode == http.StatusOK {
-		if err := json.Unmarshal(data, into); err != nil {
-			return errors.Wrap(err, "decode answer")
-		}
-		return nil
-	}
-	if err := json.Unmarshal(data, refused); err != nil {
-		return errors.Errorf("the entry answered with status %d; check the address", response.StatusCode)
-	}
-	return refused
+	return exchange.JSON(ctx, &entryClient.client, method, "http://"+entryClient.address+path, body, into, refused)
 }
