Check the shape of a peer's message before it is decoded

Deep nesting could exhaust the stack as well. Now a walk over the frame, with a bound on the depth, refuses what is not there. Ruled out: a bound on lengths alone, because the codec offers none for slices of structs. The test of processes now follows a caller's trace over entry, home and target attempt.

--- a/internal/frame/message.go
+++ b/internal/frame/message.go
@@ -87,7 +87,8 @@
 		return nil, err
 	}
 	var read message
-	if err := msgpack.Unmarshal(body, &read); err != nil {
+	// The check of the frame holds for the body in it too.
+	if err := Unmarshal(body, &read); err != nil {
 		return nil, fault.New(fault.BadRequest, "the peer's frame can't be decoded", "check that both processes run the same release")
 	}
 	return &read, nil
--- a/internal/replica/message.go
+++ b/internal/replica/message.go
@@ -6,7 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/vmihailenco/msgpack/v5"
+
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
 )
 
 type (
@@ -223,7 +224,7 @@
 
 func decodeMembers(data []byte) ([]member, error) {
 	var members []member
-	if err := msgpack.Unmarshal(data, &members); err != nil {
+	if err := frame.Unmarshal(data, &members); err != nil {
 		return nil, errors.Wrap(err, "decode configuration")
 	}
 	return members, nil
--- a/internal/verb/processes_test.go
+++ b/internal/verb/processes_test.go
@@ -5,15 +5,19 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"gitlab.com/comfreythread/comfreythread/internal/settings"
 	"gitlab.com/comfreythread/comfreythread/internal/standin"
@@ -26,6 +30,7 @@
 	// asCommand makes the test binary act as the program.
 	asCommand = "COMFREYTHREAD_TEST_AS_COMMAND"
 	patience  = time.Minute
+	traceID   = "0af7651916cd43dd8448eb211c80319c"
 )
 
 // run runs a verb in this process.
@@ -35,6 +40,18 @@
 	return code, stdout.String() + stderr.String()
 }
 
+// traced sends a query under a trace of the caller's.
+func traced(ctx context.Context, address string) {
+	body := fmt.Sprintf(`{"id":"traced.%d","kind":"bay-log.search","timeout":"1s","idempotent":true}`, time.Now().Add(time.Minute).Unix())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/requests", strings.NewReader(body))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	request.Header.Set("traceparent", "00-"+traceID+"-b7ad6b7169203331-01")
+	response, err := http.DefaultClient.Do(request)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(response.Body.Close()).To(gomega.Succeed())
+	gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
+}
+
 // freeAddress returns an address on a loopback IP that nothing else uses.
 func freeAddress(ip string) string {
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", ip+":0")
@@ -44,14 +61,14 @@
 }
 
 // startProcess starts serve with the settings as a process of its own.
-func startProcess(folder string, started *settings.Settings) *exec.Cmd {
+func startProcess(folder string, started *settings.Settings, stdout io.Writer) *exec.Cmd {
 	path := filepath.Join(folder, started.Name+".json")
 	data, err := json.Marshal(started)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	gomega.Expect(os.WriteFile(path, data, 0o600)).To(gomega.Succeed())
 	command := exec.Command(os.Args[0], "serve", "--settings", path)
 	command.Env = append(os.Environ(), asCommand+"=1")
-	command.Stdout, command.Stderr = ginkgo.GinkgoWriter, ginkgo.GinkgoWriter
+	command.Stdout, command.Stderr = stdout, ginkgo.GinkgoWriter
 	gomega.Expect(command.Start()).To(gomega.Succeed())
 	return command
 }
@@ -79,9 +96,12 @@
 			entries = append(entries, made)
 		}
 		var commands []*exec.Cmd
+		// The entries write their spans here.
+		spans := gbytes.NewBuffer()
 		for _, made := range append(replicas, entries...) {
 			made.ControlReplicas = addresses
-			command := startProcess(folder, made)
+			made.Tracing.Exporter = settings.ExportStdout
+			command := startProcess(folder, made, spans)
 			commands = append(commands, command)
 			defer func() {
 				_ = command.Process.Kill()
@@ -125,6 +145,11 @@
 		gomega.Eventually(query).WithTimeout(patience).Should(gomega.BeTrue())
 		code, output := run("status", "--address", entries[2].HTTPAddress)
 		gomega.Expect(code).To(gomega.Equal(verb.ExitOK), output)
+		traced(ctx, entries[1].HTTPAddress)
+		for _, hop := range []string{"request", "home batch", "target attempt"} {
+			gomega.Eventually(func() string { return string(spans.Contents()) }).WithTimeout(patience).
+				Should(gomega.MatchRegexp(`"Name":"%s","SpanContext":{"TraceID":"%s"`, hop, traceID))
+		}
 		// A planned stop ends well.
 		gomega.Expect(commands[8].Process.Signal(syscall.SIGTERM)).To(gomega.Succeed())
 		gomega.Expect(commands[8].Wait()).To(gomega.Succeed())
