--- /dev/null
+++ b/internal/control/fuzz_test.go
@@ -0,0 +1,37 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+)
+
+// FuzzCall reads any bytes as the messages of entries and operators: a change
+// is checked, and an ID that isn't one grants nothing.
+func FuzzCall(f *testing.F) {
+	change, _ := msgpack.Marshal(&operator.Change{ID: "a", Tables: operator.Tables{Pools: []operator.Pool{{Name: "p", Slots: 1, Connections: 1}}}})
+	grant, _ := msgpack.Marshal(&GrantRequest{RequestID: "a.1893456000", Nonce: 7})
+	renewal, _ := msgpack.Marshal(&Renewal{Version: 1})
+	f.Add(change)
+	f.Add(grant)
+	f.Add(renewal)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var change operator.Change
+		if frame.Unmarshal(data, &change) == nil {
+			_ = change.Tables.Check()
+		}
+		var renewal Renewal
+		_ = frame.Unmarshal(data, &renewal)
+		var request GrantRequest
+		if frame.Unmarshal(data, &request) != nil {
+			return
+		}
+		if expiry, err := request.RequestID.Expiry(); err == nil && !expiry.After(time.Unix(0, 0)) {
+			t.Fatalf("ID %q expires at %s", request.RequestID, expiry)
+		}
+	})
+}
--- /dev/null
+++ b/internal/replica/fuzz_test.go
@@ -0,0 +1,29 @@
+package replica
+
+import (
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
+)
+
+// FuzzParcel reads any bytes as a message of another replica: it is one known
+// message, or an error.
+func FuzzParcel(f *testing.F) {
+	for _, message := range []message{voteRequest{Term: 3}, appendRequest{Term: 3}, installRequest{Term: 3}} {
+		wire := (&parcel{from: "a#1", to: "b#1", message: message}).wire()
+		data, _ := msgpack.Marshal(&wire)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var wire wireParcel
+		if frame.Unmarshal(data, &wire) != nil {
+			return
+		}
+		read, err := wire.parcel()
+		if (read.message == nil) != (err != nil) {
+			t.Fatalf("%+v with error %v", read, err)
+		}
+	})
+}
--- a/internal/target/gate.go
+++ b/internal/target/gate.go
@@ -120,6 +120,15 @@
 	return added.admission, nil
 }
 
+// stands reports whether a run may still be sent: not where the target has
+// turned cold since the run was admitted, because it was admitted under other
+// limits.
+func (gate *gate) stands(admitted admission) bool {
+	gate.lock.Lock()
+	defer gate.lock.Unlock()
+	return admitted.epoch == gate.epoch
+}
+
 // release gives a slot back and says whether the target answered.
 func (gate *gate) release(admitted admission, answered bool) {
 	gate.lock.Lock()
--- a/internal/target/home.go
+++ b/internal/target/home.go
@@ -122,7 +122,7 @@
 
 // unconnected ends a run for which no connection could be had.
 func (home *Home) unconnected(ctx context.Context, unsent *run, err error) Outcome {
-	if !errors.Is(err, errNoConnection) && ctx.Err() == nil {
+	if !errors.Is(err, errNoConnection) && !errors.Is(err, errTurnedCold) && ctx.Err() == nil {
 		unsent.lane.gate.turnCold()
 	}
 	unsent.release(false)
--- a/internal/target/lane.go
+++ b/internal/target/lane.go
@@ -28,6 +28,7 @@
 
 var (
 	errNoConnection = errors.New("no connection to the target was free in time; raise the pool's connections")
+	errTurnedCold   = errors.New("the target has turned cold since the run was admitted; use another replica")
 	errBroken       = errors.New("the connection to the target broke; another one is opened")
 )
 
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -55,6 +55,10 @@
 		if err != nil {
 			return err
 		}
+		if !run.lane.gate.stands(run.admission) {
+			run.lane.put(connection)
+			return errTurnedCold
+		}
 		if run.begin(connection) {
 			return nil
 		}
