Read a leaving process's member under its lock in the test of leases

Cause: the harness of TestNoConclusionFromLeasesIsEverWrong read the member of a process that leaves without its lock, while a later step may change it; the race detector failed the test now and then. The test's checks are unchanged.

--- a/internal/control/leases_test.go
+++ b/internal/control/leases_test.go
@@ -269,11 +269,12 @@
 func (process *process) leave() {
 	process.lock.Lock()
 	process.left = true
+	member := process.member
 	process.lock.Unlock()
 	process.cancel()
 	go func() {
 		for range 5 {
-			if process.ask(Renewal{Member: process.member, Leave: true}) != nil {
+			if process.ask(Renewal{Member: member, Leave: true}) != nil {
 				return
 			}
 		}
