Read the leader under its lock in the test of leases

Cause: ask read the leader, and whether faults have ended, without the lock of the group; the race detector failed the test now and then. The test's checks are unchanged.

--- a/internal/control/leases_test.go
+++ b/internal/control/leases_test.go
@@ -101,6 +101,14 @@
 	group.replicas[number].catchUp()
 }
 
+// present returns the leader, below 0 where there is none, and whether all
+// faults have ended.
+func (group *group) present() (leader int, calm bool) {
+	group.lock.Lock()
+	defer group.lock.Unlock()
+	return group.leader, group.calm
+}
+
 func (group *group) intn(most int) int {
 	group.lock.Lock()
 	defer group.lock.Unlock()
@@ -185,10 +193,11 @@
 func (process *process) ask(renewal Renewal) *Lease {
 	group := process.group
 	number := group.intn(3)
-	if group.leader >= 0 && group.intn(8) > 0 {
-		number = group.leader
+	leader, calm := group.present()
+	if leader >= 0 && group.intn(8) > 0 {
+		number = leader
 	}
-	if !group.calm && group.intn(10) == 0 {
+	if !calm && group.intn(10) == 0 {
 		again, late := renewal, time.Duration(group.intn(5000))*time.Millisecond
 		go func() {
 			time.Sleep(late)
@@ -208,7 +217,7 @@
 		replied <- lease
 	}()
 	patience := renewAttempt
-	if !group.calm && group.intn(10) == 0 {
+	if _, calm := group.present(); !calm && group.intn(10) == 0 {
 		// The entry is frozen too, and finds the reply when it wakes.
 		patience *= 10
 	}
@@ -326,7 +335,8 @@
 }
 
 func (group *group) change(number int) {
-	service := group.replicas[max(0, group.leader)].service
+	leader, _ := group.present()
+	service := group.replicas[max(0, leader)].service
 	_, _ = service.change(context.Background(), &operator.Change{ID: fmt.Sprint(number), Base: service.state.Newest().Version})
 }
 
