Turn a target cold where its connection fails, not at each caller

Both callers of lane.take told a failed dial from a wait that ended and from a run that no longer stands, by a list of errors that had grown. The dial itself knows: it turns the target cold unless the caller gave up first.

--- a/internal/target/home.go
+++ b/internal/target/home.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -105,7 +104,7 @@
 		return NotRun{Reason: caller.MissingLost}
 	}
 	if err := admitted.connect(use.running); err != nil {
-		return home.unconnected(use.running, admitted, err)
+		return unconnected(use.running, admitted)
 	}
 	home.metrics.Attempts().WithLabelValues(announcement.Pool, string(attempt.Why)).Inc()
 	outcome := admitted.do(use.running, message)
@@ -121,10 +120,7 @@
 }
 
 // unconnected ends a run for which no connection could be had.
-func (home *Home) unconnected(ctx context.Context, unsent *run, err error) Outcome {
-	if !errors.Is(err, errNoConnection) && !errors.Is(err, errTurnedCold) && ctx.Err() == nil {
-		unsent.lane.gate.turnCold()
-	}
+func unconnected(ctx context.Context, unsent *run) Outcome {
 	unsent.release(false)
 	if ctx.Err() != nil {
 		return NotRun{Reason: caller.MissingDeadline, RetryAfter: overloadRetryAfter}
--- a/internal/target/lane.go
+++ b/internal/target/lane.go
@@ -111,11 +111,16 @@
 	}
 }
 
+// connect opens a connection. That the target can't be connected to is a sign
+// of a restart, but not where the caller gave up first.
 func (lane *lane) connect(ctx context.Context, address string, timeout time.Duration) (*connection, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	dialing, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	opened, err := lane.dial(ctx, "tcp", address)
+	opened, err := lane.dial(dialing, "tcp", address)
 	if err != nil {
+		if ctx.Err() == nil {
+			lane.gate.turnCold()
+		}
 		// The target may have accepted what this side gave up on.
 		lane.forgetAfter(closingSpan)
 		return nil, errors.Wrap(err, "connect to target")
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
 	"gitlab.com/comfreythread/comfreythread/pkg/caller"
 	"gitlab.com/comfreythread/comfreythread/pkg/target"
@@ -247,9 +245,6 @@
 	defer stop()
 	connection, err := lane.take(ctx, run.exchange.begunAt)
 	if err != nil {
-		if !errors.Is(err, errNoConnection) && ctx.Err() == nil {
-			lane.gate.turnCold()
-		}
 		return false
 	}
 	message := &target.Cancel{RequestID: run.attempt.Run.RequestID, AttemptID: run.attempt.Run.AttemptID, Deadline: run.attempt.Run.Deadline}
