Bring about a change of control replicas in the fault matrix

Now the fault "control replica change" starts a fourth replica at each step, adds it and removes the one that leads.

--- a/internal/faults/fault_test.go
+++ b/internal/faults/fault_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"gitlab.com/comfreythread/comfreythread/internal/control"
 	"gitlab.com/comfreythread/comfreythread/internal/standin"
 	"gitlab.com/comfreythread/comfreythread/internal/tier"
@@ -81,6 +83,7 @@
 		cell.restart(cell.replica(1), time.Second)
 		cell.restart(cell.replica(2), 5*time.Second)
 	}},
+	{"control replica change", changeReplica},
 	{"restart after hundreds of changes", func(cell *cell, _ standin.Traffic) {
 		for number := range 200 {
 			cell.repeatChange(1000+number, 0)
@@ -199,6 +202,26 @@
 	}
 }
 
+// changeReplica lets a new control replica take the leader's place.
+func changeReplica(cell *cell, _ standin.Traffic) {
+	newcomer, err := cell.tier.StartReplica(cell.ctx, "control-new", "nord", "10.1.0.2")
+	if err != nil {
+		cell.note("start a replica: " + err.Error())
+		return
+	}
+	client := cell.operator(0)
+	defer client.Close()
+	added := &operator.Replica{Name: newcomer.Settings().Name, Address: newcomer.Settings().PeerAddress}
+	_, addErr := client.AddReplica(cell.ctx, added)
+	_, removeErr := client.RemoveReplica(cell.ctx, cell.leader.Settings().Name)
+	// Beside another fault, control may rightly refuse.
+	if err := errors.Join(addErr, removeErr); err != nil && len(cell.faults) == 1 {
+		cell.note("change the replicas: " + err.Error())
+	}
+	<-cell.ended
+	_ = cell.tier.StopProcess(cell.ctx, newcomer)
+}
+
 func (cell *cell) takeOut(failureDomains []string) bool {
 	for range 3 {
 		base, changes, changed := cell.proposal(0)
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -156,6 +156,19 @@
 	return nil
 }
 
+// StartReplica starts a control replica beside those that founded the group,
+// which may then add it. The caller stops it with StopProcess.
+func (tier *Tier) StartReplica(ctx context.Context, name, failureDomain, ip string) (*Process, error) {
+	replica := tier.newSettings(name, failureDomain, ip)
+	replica.Control = &settings.Control{DataFolder: filepath.Join(tier.folder, name)}
+	replica.ControlReplicas = tier.replicas[0].settings.ControlReplicas
+	bound, err := tier.bind(ctx, replica)
+	if err != nil {
+		return nil, err
+	}
+	return bound, tier.StartProcess(ctx, bound)
+}
+
 func (tier *Tier) newSettings(name, failureDomain, ip string) *settings.Settings {
 	created := &settings.Settings{
 		Name: name, FailureDomain: failureDomain, Region: failureDomain, LogLevel: "warn",
