--- a/internal/verb/processes_test.go
+++ b/internal/verb/processes_test.go
@@ -24,6 +24,7 @@
 	"gitlab.com/comfreythread/comfreythread/internal/tcp"
 	"gitlab.com/comfreythread/comfreythread/internal/verb"
 	"gitlab.com/comfreythread/comfreythread/pkg/caller"
+	"gitlab.com/comfreythread/comfreythread/pkg/target"
 )
 
 const (
@@ -73,66 +74,90 @@
 	return command
 }
 
+// processes is a tier of processes of their own, and targets in this one.
+type processes struct {
+	replicas, entries []*settings.Settings
+	// commands are first those of the replicas and then those of the entries.
+	commands []*exec.Cmd
+	tables   string
+	targets  []*standin.Target
+	// spans is what the processes wrote to their stdout.
+	spans *gbytes.Buffer
+}
+
+// startProcesses starts three control replicas and a number of entries, and
+// applies the deployment's tables. All end with the spec.
+func startProcesses(deployment standin.Deployment, entries int) *processes {
+	folder := ginkgo.GinkgoT().TempDir()
+	started := &processes{tables: filepath.Join(folder, "tables.json"), spans: gbytes.NewBuffer()}
+	var addresses []string
+	for number := range 3 + entries {
+		ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%64, 1+os.Getpid()/64%250, number+1)
+		made := &settings.Settings{
+			Name: fmt.Sprintf("vm-%d", number), FailureDomain: deployment.FailureDomains[number%3],
+			HTTPAddress: freeAddress(ip), PeerAddress: freeAddress(ip), LogLevel: "warn",
+		}
+		if number < 3 {
+			made.Control = &settings.Control{DataFolder: filepath.Join(folder, made.Name)}
+			addresses = append(addresses, made.PeerAddress)
+			started.replicas = append(started.replicas, made)
+			continue
+		}
+		made.Entry = true
+		started.entries = append(started.entries, made)
+	}
+	for _, made := range append(started.replicas[:3:3], started.entries...) {
+		made.ControlReplicas = addresses
+		made.Tracing.Exporter = settings.ExportStdout
+		command := startProcess(folder, made, started.spans)
+		started.commands = append(started.commands, command)
+		ginkgo.DeferCleanup(func() {
+			_ = command.Process.Kill()
+			_ = command.Wait()
+		})
+	}
+	data, _ := json.Marshal(deployment.Tables())
+	gomega.Expect(os.WriteFile(started.tables, data, 0o600)).To(gomega.Succeed())
+	gomega.Eventually(func() string {
+		_, output := run("apply", "--tables", started.tables, "--change-id", "first", "--address", started.entries[0].HTTPAddress)
+		return output
+	}).WithTimeout(patience).Should(gomega.ContainSubstring("is version 1"))
+	return started
+}
+
+// startTargets starts the targets of a pool, which announce themselves to all
+// entries but the first.
+func (processes *processes) startTargets(announcements []target.Announcement, behaviour standin.Behaviour) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ginkgo.DeferCleanup(cancel)
+	for index, announcement := range announcements {
+		listener, err := tcp.Listen(ctx, "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		announcement.Address = listener.Addr().String()
+		started := standin.NewTarget(announcement, behaviour, tcp.Dial)
+		processes.targets = append(processes.targets, started)
+		go func() { _ = started.Serve(listener) }()
+		ginkgo.DeferCleanup(started.Stop)
+		entry := processes.entries[1+index%(len(processes.entries)-1)].HTTPAddress
+		gomega.Eventually(started.Announce).WithArguments(ctx, entry).WithTimeout(patience).Should(gomega.Succeed())
+		go started.Renew(ctx, entry)
+	}
+}
+
+// isWhole reports whether a query through the second entry is answered whole.
+func (processes *processes) isWhole() bool {
+	code, output := run("query", "--kind", "bay-log.search", "--idempotent", "--runs", "3", "--address", processes.entries[1].HTTPAddress, "--output", "json")
+	var answer caller.Answer
+	return code == verb.ExitOK && json.Unmarshal([]byte(output), &answer) == nil && answer.Coverage.Complete
+}
+
 var _ = ginkgo.Describe("a tier of processes", func() {
 	ginkgo.It("answers a query while one of its entries is killed", func(ctx context.Context) {
-		folder := ginkgo.GinkgoT().TempDir()
 		deployment := standin.Banaag
 		deployment.Pools = deployment.Pools[2:3]
-		var replicas, entries []*settings.Settings
-		var addresses []string
-		for number := range 9 {
-			ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%64, 1+os.Getpid()/64%250, number+1)
-			made := &settings.Settings{
-				Name: fmt.Sprintf("vm-%d", number), FailureDomain: deployment.FailureDomains[number%3],
-				HTTPAddress: freeAddress(ip), PeerAddress: freeAddress(ip), LogLevel: "warn",
-			}
-			if number < 3 {
-				made.Control = &settings.Control{DataFolder: filepath.Join(folder, made.Name)}
-				addresses = append(addresses, made.PeerAddress)
-				replicas = append(replicas, made)
-				continue
-			}
-			made.Entry = true
-			entries = append(entries, made)
-		}
-		var commands []*exec.Cmd
-		// The entries write their spans here.
-		spans := gbytes.NewBuffer()
-		for _, made := range append(replicas, entries...) {
-			made.ControlReplicas = addresses
-			made.Tracing.Exporter = settings.ExportStdout
-			command := startProcess(folder, made, spans)
-			commands = append(commands, command)
-			defer func() {
-				_ = command.Process.Kill()
-				_ = command.Wait()
-			}()
-		}
-		tables := filepath.Join(folder, "tables.json")
-		data, _ := json.Marshal(deployment.Tables())
-		gomega.Expect(os.WriteFile(tables, data, 0o600)).To(gomega.Succeed())
-		gomega.Eventually(func() string {
-			_, output := run("apply", "--tables", tables, "--change-id", "first", "--address", entries[0].HTTPAddress)
-			return output
-		}).WithTimeout(patience).Should(gomega.ContainSubstring("is version 1"))
-		for index, announcement := range deployment.Announcements(deployment.Pools[0]) {
-			listener, err := tcp.Listen(ctx, "127.0.0.1:0")
-			gomega.Expect(err).NotTo(gomega.HaveOccurred())
-			announcement.Address = listener.Addr().String()
-			target := standin.NewTarget(announcement, standin.Behaviour{}, tcp.Dial)
-			go func() { _ = target.Serve(listener) }()
-			defer target.Stop()
-			entry := entries[1+index%5].HTTPAddress
-			gomega.Eventually(target.Announce).WithArguments(ctx, entry).WithTimeout(patience).Should(gomega.Succeed())
-			renewing, cancel := context.WithCancel(ctx)
-			defer cancel()
-			go target.Renew(renewing, entry)
-		}
-		query := func() bool {
-			code, output := run("query", "--kind", "bay-log.search", "--idempotent", "--runs", "3", "--address", entries[1].HTTPAddress, "--output", "json")
-			var answer caller.Answer
-			return code == verb.ExitOK && json.Unmarshal([]byte(output), &answer) == nil && answer.Coverage.Complete
-		}
+		started := startProcesses(deployment, 6)
+		entries, commands, tables, query := started.entries, started.commands, started.tables, started.isWhole
+		started.startTargets(deployment.Announcements(deployment.Pools[0]), standin.Behaviour{})
 		gomega.Eventually(query).WithTimeout(patience).Should(gomega.BeTrue())
 		gomega.Expect(commands[3].Process.Kill()).To(gomega.Succeed())
 		gomega.Eventually(query).WithTimeout(patience).Should(gomega.BeTrue())
@@ -147,7 +172,7 @@
 		gomega.Expect(code).To(gomega.Equal(verb.ExitOK), output)
 		traced(ctx, entries[1].HTTPAddress)
 		for _, hop := range []string{"request", "home batch", "target attempt"} {
-			gomega.Eventually(func() string { return string(spans.Contents()) }).WithTimeout(patience).
+			gomega.Eventually(func() string { return string(started.spans.Contents()) }).WithTimeout(patience).
 				Should(gomega.MatchRegexp(`"Name":"%s","SpanContext":{"TraceID":"%s"`, hop, traceID))
 		}
 		// A planned stop ends well.
