Write each index once in the records of one sync

A replica that took the appends of two leaders before one write of its disk put both into one record: entries 2, 3, 4 of one term and then 3 of the next. Read back after a restart, the second 3 stood at index 5. The driver writes once for up to 512 requests, so this needed two leaders within one write.

--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -149,7 +149,8 @@
 		world.flying = later
 		world.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 		for _, flying := range due {
-			world.deliver(flying.parcel)
+			// What arrives together may share one write of the disk.
+			world.deliver(flying.parcel, world.random.IntN(2) == 0)
 		}
 		for _, node := range world.nodes {
 			if node.core != nil {
@@ -160,10 +161,13 @@
 	}
 }
 
-func (world *world) deliver(parcel parcel) {
+func (world *world) deliver(parcel parcel, flush bool) {
 	for _, node := range world.nodes {
-		if node.address == parcel.toAddress && node.core != nil {
-			node.core.step(world.clock(node), arrived{parcel: copyOf(parcel)})
+		if node.address != parcel.toAddress || node.core == nil {
+			continue
+		}
+		node.core.step(world.clock(node), arrived{parcel: copyOf(parcel)})
+		if flush {
 			world.flush(node)
 		}
 	}
--- a/internal/replica/replication.go
+++ b/internal/replica/replication.go
@@ -65,10 +65,20 @@
 	}
 	core.durable = min(core.durable, first-1)
 	core.log.append(entries...)
-	core.out.entries = append(core.out.entries, entries...)
+	core.write(entries)
 	core.noteMembers(entries)
 }
 
+// write adds entries to what must become durable. One record holds each index
+// once: entries that have not been written yet are replaced too.
+func (core *core) write(entries []entry) {
+	kept := len(core.out.entries)
+	for kept > 0 && core.out.entries[kept-1].Index >= entries[0].Index {
+		kept--
+	}
+	core.out.entries = append(core.out.entries[:kept], entries...)
+}
+
 func (core *core) noteMembers(entries []entry) {
 	for _, added := range entries {
 		if added.Kind != entryMembers {
