Go back to the match where a replica names an older index

A replica whose log ends in entries of an earlier term names, when it refuses an append, the index before that term's first entry. The leader took a name older than what the replica had acknowledged for a late answer and ignored it. Where the entries after the acknowledged ones were lost on their way, every later answer was the same: the replica lagged until the next election, and wasn't there to bear the loss of another.

Before, go test ./internal/replica -run TestRejectionFalls: probe_test.go:34: the leader doesn't send b what follows entry 3 After: passes, and so does go test -race -cpu 1 ./internal/replica.

--- a/internal/replica/replication.go
+++ b/internal/replica/replication.go
@@ -266,11 +266,13 @@
 		core.send(member.ID, member.Address, outdated{Term: core.Term})
 		return
 	}
-	if reply.Match < progress.match || progress.sending != nil {
+	if progress.sending != nil {
 		return
 	}
+	// The replica may name an older index than the match, because it knows only
+	// where the term of its differing entry begins.
 	progress.probing, progress.inFlight = true, nil
-	progress.next = min(progress.next, reply.Match+1)
+	progress.next = min(progress.next, max(reply.Match, progress.match)+1)
 }
 
 // advanceCommit commits what a quorum holds durably. Only an entry of this
