--- a/internal/replica/replication.go
+++ b/internal/replica/replication.go
@@ -65,10 +65,20 @@
 	}
 	core.durable = min(core.durable, first-1)
 	core.log.append(entries...)
-	core.out.entries = append(core.out.entries, entries...)
+	core.write(entries)
 	core.noteMembers(entries)
 }
 
+// write adds entries to what must become durable. One record holds each index
+// once: entries that have not been written yet are replaced too.
+func (core *core) write(entries []entry) {
+	kept := len(core.out.entries)
+	for kept > 0 && core.out.entries[kept-1].Index >= entries[0].Index {
+		kept--
+	}
+	core.out.entries = append(core.out.entries[:kept], entries...)
+}
+
 func (core *core) noteMembers(entries []entry) {
 	for _, added := range entries {
 		if added.Kind != entryMembers {
@@ -256,11 +266,13 @@
 		core.send(member.ID, member.Address, outdated{Term: core.Term})
 		return
 	}
-	if reply.Match < progress.match || progress.sending != nil {
+	if progress.sending != nil {
 		return
 	}
+	// The replica may name an older index than the match, because it knows only
+	// where the term of its differing entry begins.
 	progress.probing, progress.inFlight = true, nil
-	progress.next = min(progress.next, reply.Match+1)
+	progress.next = min(progress.next, max(reply.Match, progress.match)+1)
 }
 
 // advanceCommit commits what a quorum holds durably. Only an entry of this
