Let the Go client pass a silent entry with an old list, and an unreachable one

Cause, found by the new tests of the client, each seen failing first: - 'unreachable with a list past its age', 'mute with ...': a request waited for new addresses until its deadline where the entry asked first was silent, for a second each ('request 0: ... context deadline exceeded'). - 'unreachable', not idempotent: the whole time of the request went into one connection, and the error didn't say that no byte was sent.

Now entries are asked for addresses 100 ms apart, a request waits for a quarter of its time and then uses the old list; and a request without a connection after half of its time goes to the next entry, as the HTTP library's trace tells that nothing was written.

go test ./pkg/caller: those three failed before, none now. The other tests were shown to fail on variants: any error leads to the next entry (sent 3 times), a refusal that may have run too (sent 2 times), the first address by name (400 of 400 at one entry), no addresses from a refusal (never used), renewal only at the end of the list (waited 80 ms).

--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -19,6 +19,9 @@
 	avoidance = 2 * time.Second
 	// addressTimeout bounds one question for addresses.
 	addressTimeout = time.Second
+	// addressHedge is how long an entry may be silent on a question for
+	// addresses before another one is asked too.
+	addressHedge = 100 * time.Millisecond
 	// maximumSendings bounds the entries that one request is sent to.
 	maximumSendings = 4
 )
@@ -42,6 +45,13 @@
 		renewing            chan struct{}
 	}
 
+	// listing is an entry's answer to a question for addresses, and when it
+	// was asked. The addresses are nil where there was none.
+	listing struct {
+		addresses *Addresses
+		asked     time.Time
+	}
+
 	entryState struct {
 		*EntryClient
 		inFlight     int
@@ -107,13 +117,14 @@
 }
 
 func (client *Client) sendOnce(ctx context.Context, entry *entryState, request *Request) (*Answer, error) {
+	// Half of the time left, so that there is time for another entry.
+	half := timeLeft(ctx) / 2
 	attempt, cancel := ctx, context.CancelFunc(func() {})
-	if deadline, _ := ctx.Deadline(); request.Idempotent {
-		// Half of the time left, so that there is time for another entry.
-		attempt, cancel = context.WithTimeout(ctx, time.Until(deadline)/2)
+	if request.Idempotent {
+		attempt, cancel = context.WithTimeout(ctx, half)
 	}
 	defer cancel()
-	answer, err := entry.Send(attempt, request)
+	answer, err := entry.sendConnecting(attempt, half, request)
 	client.lock.Lock()
 	defer client.lock.Unlock()
 	entry.inFlight--
@@ -214,11 +225,17 @@
 		client.renewing = make(chan struct{})
 		go client.renew(context.WithoutCancel(ctx), client.renewing)
 	}
-	renewing, isValid := client.renewing, now.Before(client.validUntil)
+	renewing, isValid, isKnown := client.renewing, now.Before(client.validUntil), len(client.current) > 0
 	client.lock.Unlock()
 	if isValid {
 		return
 	}
+	if isKnown {
+		// An old list is better than none: its entries serve or name others.
+		wait, cancel := context.WithTimeout(ctx, timeLeft(ctx)/4)
+		defer cancel()
+		ctx = wait
+	}
 	select {
 	case <-renewing:
 	case <-ctx.Done():
@@ -226,38 +243,68 @@
 }
 
 func (client *Client) renew(ctx context.Context, done chan struct{}) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	defer func() {
 		client.lock.Lock()
 		client.renewing = nil
 		client.lock.Unlock()
 		close(done)
 	}()
+	entries := client.askable()
+	answers := make(chan listing, len(entries))
+	asked, pending := 0, 0
+	for asked < len(entries) || pending > 0 {
+		// Once none is left to ask, each question ends by itself.
+		wait := addressTimeout
+		if asked < len(entries) {
+			entry := entries[asked]
+			go func() { answers <- entry.ask(ctx) }()
+			asked, pending, wait = asked+1, pending+1, addressHedge
+		}
+		select {
+		case answer := <-answers:
+			pending--
+			if answer.addresses != nil {
+				client.take(&answer)
+				return
+			}
+		case <-time.After(wait):
+		}
+	}
+}
+
+// askable returns all known entries in the order in which to ask them.
+func (client *Client) askable() []*entryState {
 	client.lock.Lock()
+	defer client.lock.Unlock()
 	var entries []*entryState
 	for _, address := range append(shuffled(client.current), shuffled(client.seeds)...) {
 		entries = append(entries, client.entry(address))
 	}
 	slices.SortStableFunc(entries, func(a, b *entryState) int { return boolOrder(a.isAvoided(), b.isAvoided()) })
-	client.lock.Unlock()
-	for _, entry := range entries {
-		asked := time.Now()
-		attempt, cancel := context.WithTimeout(ctx, addressTimeout)
-		addresses, err := entry.Addresses(attempt)
-		cancel()
-		if err == nil && len(addresses.Entries) > 0 {
-			client.take(addresses, asked)
-			return
-		}
+	return slices.Compact(entries)
+}
+
+// ask asks the entry for addresses.
+func (entryState *entryState) ask(ctx context.Context) listing {
+	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
+	defer cancel()
+	asked := time.Now()
+	addresses, err := entryState.Addresses(ctx)
+	if err != nil || len(addresses.Entries) == 0 {
+		return listing{}
 	}
+	return listing{addresses: addresses, asked: asked}
 }
 
 // take replaces the addresses. Their age counts from before the question.
-func (client *Client) take(addresses *Addresses, asked time.Time) {
+func (client *Client) take(answer *listing) {
 	client.lock.Lock()
 	defer client.lock.Unlock()
-	client.current = addresses.Entries
-	client.renewAt = asked.Add(addresses.MaxAge.Std() / 2)
-	client.validUntil = asked.Add(addresses.MaxAge.Std())
+	client.current = answer.addresses.Entries
+	client.renewAt = answer.asked.Add(answer.addresses.MaxAge.Std() / 2)
+	client.validUntil = answer.asked.Add(answer.addresses.MaxAge.Std())
 	for address, entry := range client.entries {
 		if entry.inFlight == 0 && !slices.Contains(client.current, address) {
 			entry.Close()
@@ -266,6 +313,15 @@
 	}
 }
 
+// timeLeft returns the time until a request's deadline.
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, known := ctx.Deadline()
+	if !known {
+		return MaximumTimeout
+	}
+	return time.Until(deadline)
+}
+
 func shuffled(addresses []string) []string {
 	shuffled := slices.Clone(addresses)
 	rand.Shuffle(len(shuffled), func(a, b int) { shuffled[a], shuffled[b] = shuffled[b], shuffled[a] })
--- a/pkg/caller/entry_client.go
+++ b/pkg/caller/entry_client.go
@@ -7,6 +7,8 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -67,12 +69,32 @@
 // refused, and is ErrNotSent where no byte was sent. Any other error means that
 // the request may have run.
 func (entryClient *EntryClient) Send(ctx context.Context, request *Request) (*Answer, error) {
+	return entryClient.sendConnecting(ctx, dialTimeout, request)
+}
+
+// sendConnecting is Send that gives up where there is no connection within a
+// span.
+func (entryClient *EntryClient) sendConnecting(ctx context.Context, span time.Duration, request *Request) (*Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var connected atomic.Bool
+	giveUp := time.AfterFunc(span, func() {
+		if !connected.Load() {
+			cancel()
+		}
+	})
+	defer giveUp.Stop()
+	// The HTTP library tells of the connection before it writes to it.
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	answer := new(Answer)
-	err := entryClient.exchange(ctx, http.MethodPost, "/v1/requests", request, answer, new(Refusal))
-	if err != nil {
-		return nil, err
+	err := entryClient.exchange(traced, http.MethodPost, "/v1/requests", request, answer, new(Refusal))
+	switch {
+	case err == nil:
+		return answer, nil
+	case !connected.Load():
+		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	return answer, nil
+	return nil, err
 }
 
 // Addresses asks the entry which entries to use.
