--- a/internal/blackboard/loads.go
+++ b/internal/blackboard/loads.go
@@ -12,11 +12,19 @@
 	// other entries have told of theirs. The zero value knows of none.
 	Loads struct {
 		lock  sync.RWMutex
+		self  string
 		own   int
 		peers map[string]int
 	}
 )
 
+// SetSelf names this entry.
+func (loads *Loads) SetSelf(self string) {
+	loads.lock.Lock()
+	defer loads.lock.Unlock()
+	loads.self = self
+}
+
 // Begin counts a request at this entry until the returned function is called.
 func (loads *Loads) Begin() (end func()) {
 	loads.add(1)
@@ -46,9 +54,12 @@
 	loads.peers[entry] = load
 }
 
-// Of returns what is known of another entry's load; an unknown one is zero.
+// Of returns what is known of an entry's load; an unknown one is zero.
 func (loads *Loads) Of(entry string) int {
 	loads.lock.RLock()
 	defer loads.lock.RUnlock()
+	if entry == loads.self {
+		return loads.own
+	}
 	return loads.peers[entry]
 }
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -84,6 +84,7 @@
 // NewSpreader returns the spreader of the entry with the given ID.
 func NewSpreader(self string, board *blackboard.Board, peers *Peers, metrics *metrics.Metrics) *Spreader {
 	board.Directory().SetSelf(self)
+	board.Loads().SetSelf(self)
 	return &Spreader{self: self, board: board, peers: peers, metrics: metrics}
 }
 
