Let an entry join fully only once it knows the targets

Cause: an entry was in the view, and so home to targets and named to callers, before it first compared directories, a second after its start. It was found by stopping the leader without a hand-over: 4 of 2,291 requests refused with 'no target of pool ... is known' by entries that had just started.

Now a new entry asks another one at once and withdraws through the view, as when its failure domain is out, until that has told it the targets; where none can be reached for 3 s it goes on without. Ruled out: readiness as a field of its own in the member, since homes must depend on the view alone and would need the same rule as for stopping.

One more change of the view for each start.

--- a/internal/blackboard/directory.go
+++ b/internal/blackboard/directory.go
@@ -37,6 +37,10 @@
 		buckets [DirectoryBuckets]Digest
 		log     changeLog
 		changed chan struct{}
+		// completed is closed once the directory was compared with another
+		// entry's.
+		completed  chan struct{}
+		isComplete bool
 		// allowance is what is left of changeBurst at allowedAt.
 		allowance float64
 		allowedAt time.Time
@@ -59,6 +63,38 @@
 	directory.self = self
 }
 
+// Complete records that the directory holds what the other entries know.
+func (directory *Directory) Complete() {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	if !directory.isComplete {
+		directory.isComplete = true
+		close(directory.completion())
+	}
+}
+
+// IsComplete reports whether Complete was called.
+func (directory *Directory) IsComplete() bool {
+	directory.lock.RLock()
+	defer directory.lock.RUnlock()
+	return directory.isComplete
+}
+
+// Completed returns a channel that is closed by Complete.
+func (directory *Directory) Completed() <-chan struct{} {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	return directory.completion()
+}
+
+// completion returns the channel of Completed. The lock is held.
+func (directory *Directory) completion() chan struct{} {
+	if directory.completed == nil {
+		directory.completed = make(chan struct{})
+	}
+	return directory.completed
+}
+
 // Put takes an announcement from a target and reports whether it changed what
 // is known. It is refused where it contradicts what is known.
 func (directory *Directory) Put(announcement target.Announcement) (bool, error) {
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -75,6 +75,7 @@
 func (leaseholder *Leaseholder) Run(ctx context.Context) {
 	ticker := time.NewTicker(control.RenewInterval)
 	defer ticker.Stop()
+	completed := leaseholder.board.Directory().Completed()
 	for {
 		if err := leaseholder.Renew(ctx); err != nil && ctx.Err() == nil {
 			leaseholder.logger.Warn("lease not renewed", zap.Error(err), zap.Bool("fenced", leaseholder.board.InForce().Fenced()))
@@ -84,6 +85,8 @@
 			return
 		case <-ticker.C:
 		case <-leaseholder.wake:
+		case <-completed:
+			completed = nil
 		}
 	}
 }
@@ -125,13 +128,13 @@
 	return &control.Renewal{Member: leaseholder.present(), Version: version, KnownView: known, View: leaseholder.yielded}
 }
 
-// present returns the entry as it wants to be in the view. An entry whose
-// failure domain is taken out withdraws through the view, because homes depend
-// on nothing else. The lock is held.
+// present returns the entry as it wants to be in the view. An entry that
+// doesn't know the targets yet, or whose failure domain is taken out, withdraws
+// through the view, because homes depend on nothing else. The lock is held.
 func (leaseholder *Leaseholder) present() membership.Member {
 	tables, _ := leaseholder.board.InForce().Tables()
 	member := leaseholder.member
-	member.Stopping = leaseholder.stopping || tables.Out(member.FailureDomain)
+	member.Stopping = leaseholder.stopping || tables.Out(member.FailureDomain) || !leaseholder.board.Directory().IsComplete()
 	return member
 }
 
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -26,6 +26,9 @@
 	SyncInterval = time.Second
 
 	spreadTimeout = time.Second
+	// completeTimeout bounds how long a new entry looks for one that tells it
+	// the targets.
+	completeTimeout = 3 * time.Second
 	// batchDelay lets changes that come together travel together.
 	batchDelay = 20 * time.Millisecond
 	// expireInterval is the span between two looks for ended renewals.
@@ -142,7 +145,50 @@
 	}
 }
 
+// complete compares the directory with that of one other entry as soon as
+// there is one, so that this entry gets neither targets nor callers before it
+// knows the targets. Where no other entry can be reached it goes on without.
+func (spreader *Spreader) complete(ctx context.Context) {
+	defer spreader.board.Directory().Complete()
+	var until time.Time
+	for {
+		others, joined := spreader.serving()
+		if joined && len(others) == 0 {
+			return
+		}
+		if joined && until.IsZero() {
+			until = time.Now().Add(completeTimeout)
+		}
+		if len(others) > 0 {
+			if _, err := spreader.exchange(ctx, &others[rand.IntN(len(others))]); err == nil || time.Now().After(until) {
+				return
+			}
+		}
+		if pause(ctx, settleInterval) != nil {
+			return
+		}
+	}
+}
+
+// serving returns the other entries to learn from, those that serve where
+// there are any, and whether this entry is in the view.
+func (spreader *Spreader) serving() (others []membership.Member, joined bool) {
+	view := spreader.board.Membership().View()
+	_, joined = view.Member(spreader.self)
+	all := spreader.others()
+	for _, member := range all {
+		if !member.Stopping {
+			others = append(others, member)
+		}
+	}
+	if len(others) == 0 {
+		others = all
+	}
+	return others, joined
+}
+
 func (spreader *Spreader) sync(ctx context.Context) {
+	spreader.complete(ctx)
 	spreader.equalAt = time.Now()
 	for pause(ctx, SyncInterval) == nil {
 		others := spreader.others()
--- a/internal/tier/addresses_test.go
+++ b/internal/tier/addresses_test.go
@@ -142,6 +142,32 @@
 		})
 	})
 
+	ginkgo.It("name an entry that starts only once it knows the targets", func() {
+		withTier(func(expect gomega.Gomega, load *load) {
+			for range 3 {
+				restarted := load.tier.Entries()[0]
+				address := restarted.Settings().HTTPAddress
+				expect.Expect(load.tier.StopProcess(context.Background(), restarted)).To(gomega.Succeed())
+				expect.Expect(load.tier.StartProcess(context.Background(), restarted)).To(gomega.Succeed())
+				named := func() bool {
+					return slices.ContainsFunc(load.tier.Entries()[1:], func(asked *tier.Process) bool {
+						return slices.ContainsFunc(ask(expect, load.tier, asked, 5), func(answer []string) bool { return slices.Contains(answer, address) })
+					})
+				}
+				begun := time.Now()
+				for !named() {
+					expect.Expect(time.Since(begun)).To(gomega.BeNumerically("<=", recovery))
+					time.Sleep(10 * time.Millisecond)
+				}
+				load.reset()
+				load.send(0, search("at once"))
+				load.running.Wait()
+				expect.Expect(load.refusals).To(gomega.BeEmpty())
+				expect.Expect(load.complete()).To(gomega.Equal(1))
+			}
+		})
+	})
+
 	ginkgo.It("don't name a fenced entry, nor entries of a failure domain that is out, until they return", func() {
 		withTier(func(expect gomega.Gomega, load *load) {
 			names := func(address string) []string {
