--- /dev/null
+++ b/internal/tier/stop_of_roles_test.go
@@ -0,0 +1,95 @@
+package tier_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+	"gitlab.com/comfreythread/comfreythread/internal/tier"
+	"gitlab.com/comfreythread/comfreythread/pkg/caller"
+	"gitlab.com/comfreythread/comfreythread/pkg/duration"
+)
+
+const (
+	// betweenStops lets a process that has come back take part again.
+	betweenStops = 3 * time.Second
+	// fileTimeout is less than an election without a hand-over takes.
+	fileTimeout = 300 * time.Millisecond
+)
+
+// restartEach stops and starts processes one after the other.
+func restartEach(expect gomega.Gomega, started *tier.Tier, processes []*tier.Process) {
+	for _, stopped := range processes {
+		expect.Expect(started.StopProcess(context.Background(), stopped)).To(gomega.Succeed())
+		time.Sleep(betweenStops)
+		expect.Expect(started.StartProcess(context.Background(), stopped)).To(gomega.Succeed())
+		time.Sleep(betweenStops)
+	}
+}
+
+// fileSteadily adds requests that may not be repeated, each of which needs a
+// run right from control within its short time.
+func (load *steadyLoad) fileSteadily() {
+	for number := 0; ; number++ {
+		select {
+		case <-load.stopped:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		load.running.Go(func() {
+			id := caller.NewRequestID(time.Now().Add(time.Minute))
+			_, err := load.client.Send(context.Background(), &caller.Request{
+				ID: id, Kind: "buyer-desk.file", Timeout: duration.Of(fileTimeout), ShardKey: string(id),
+			})
+			load.lock.Lock()
+			defer load.lock.Unlock()
+			if err != nil {
+				load.failures = append(load.failures, fmt.Sprintf("file %d at %s: %v", number, time.Now().Format(time.StampMilli), err))
+			}
+		})
+	}
+}
+
+func expectNothingLost(expect gomega.Gomega, load *steadyLoad) {
+	load.stop()
+	ginkgo.GinkgoWriter.Println(load.summary())
+	expect.Expect(load.failures).To(gomega.BeEmpty())
+	expect.Expect(load.partial).To(gomega.BeZero())
+	expect.Expect(load.percentile(99)).To(gomega.BeNumerically("<=", latencyBound), load.summary())
+}
+
+var _ = ginkgo.Describe("planned stops of the other roles under load", func() {
+	ginkgo.It("cut and refuse no request where each control replica stops, the leader too", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			started, load := startUnderLoad(expect)
+			defer func() { _ = started.Stop(context.Background()) }()
+			load.running.Go(load.fileSteadily)
+			restartEach(expect, started, started.Replicas())
+			expectNothingLost(expect, load)
+		})
+	})
+
+	ginkgo.It("cut and refuse no request where each process with both roles stops", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			started, load := startUnderLoad(expect)
+			defer func() { _ = started.Stop(context.Background()) }()
+			// The control replicas come back as entries too.
+			for _, replica := range started.Replicas() {
+				expect.Expect(started.StopProcess(context.Background(), replica)).To(gomega.Succeed())
+				replica.Settings().Entry = true
+				expect.Expect(started.StartProcess(context.Background(), replica)).To(gomega.Succeed())
+				time.Sleep(betweenStops)
+			}
+			status, err := started.Control().Status(context.Background())
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			expect.Expect(status.Entries).To(gomega.HaveLen(9))
+			load.running.Go(load.fileSteadily)
+			restartEach(expect, started, started.Replicas())
+			expectNothingLost(expect, load)
+		})
+	})
+})
