Choose a target last for a while where it could not be used

Cause, from a trace of every request of 50 ms and more: 53 of the 57 slow ones are of the pool with two replicas a shard. The first attempt goes to a lost replica in another region, its home reports after 24 ms that it could not connect, and the second goes to another region again: 24 + 24 + 6 ms besides the run. It comes again and again until the announcement ends (3 s), because the estimate of a target took no notice of a refusal; its latency even faded, so that the lost replica was preferred.

Ruled out: the hedge delay (the attempts had ended before it), the hedge budget (4 of the 57 ran out of it; these waited for connections of the lost target, whose failed dials count as open for one second at its home), the queue of the remaining replica (no runs waiting in the loads reported).

Change: a target whose home says that it can't be used comes last for 3 s, unless it announces a new incarnation. It still is used where no other replica is left.

What is left: the requests that are under way when the replicas go, one round trip at each entry.

--- a/internal/entry/estimates.go
+++ b/internal/entry/estimates.go
@@ -34,6 +34,11 @@
 	forgetSpan = 5 * time.Second
 	// loadSpan is how long a reported load is taken into account.
 	loadSpan = 200 * time.Millisecond
+	// failureSpan is how long a target that couldn't be used comes last. One
+	// that restarts earlier announces a new incarnation.
+	failureSpan = 3 * time.Second
+	// failurePenalty puts targets that can't be used last.
+	failurePenalty = time.Minute
 	// elsewhere is what an untried home in another failure domain counts as.
 	elsewhere = time.Millisecond
 
@@ -54,6 +59,11 @@
 
 	// peerEstimate is what is known of a target or of the way to a home.
 	peerEstimate struct {
+		// failedAt is the time at which the target's failed incarnation was
+		// last found unusable.
+		failedAt          time.Time
+		failedIncarnation uint64
+
 		latency    time.Duration
 		observedAt time.Time
 		load       target.Load
@@ -78,28 +88,32 @@
 )
 
 // sent records that an attempt is on its way.
-func (estimates *Estimates) sent(targetID, homeID string) {
+func (estimates *Estimates) sent(attempt *attemptProgress) {
 	estimates.lock.Lock()
 	defer estimates.lock.Unlock()
 	now := time.Now()
-	estimates.target(targetID).begin(now)
-	estimates.home(homeID).begin(now)
+	estimates.target(attempt.target).begin(now)
+	estimates.home(attempt.home.ID).begin(now)
 }
 
-// reported records the report on an attempt that was sent at a time.
-func (estimates *Estimates) reported(pool, targetID, homeID string, sentAt time.Time, report *Report) {
+// reported records the report on an attempt.
+func (estimates *Estimates) reported(pool string, attempt *attemptProgress, report *Report) {
 	estimates.lock.Lock()
 	defer estimates.lock.Unlock()
 	now := time.Now()
-	target, home := estimates.target(targetID), estimates.home(homeID)
+	way := now.Sub(attempt.sentAt)
+	target, home := estimates.target(attempt.target), estimates.home(attempt.home.ID)
 	target.end(now)
 	home.end(now)
 	if report.unreachable {
-		home.observe(now.Sub(sentAt), now)
+		home.observe(way, now)
 		return
 	}
-	home.observe(max(0, now.Sub(sentAt)-report.Elapsed), now)
+	home.observe(max(0, way-report.Elapsed), now)
 	target.load = report.Load
+	if report.unusable() {
+		target.failedAt, target.failedIncarnation = now, attempt.incarnation
+	}
 	late := report.Kind == reportLost && !report.Broken && report.Elapsed > target.latency
 	if report.Kind == reportAnswered || late {
 		target.observe(report.Elapsed, now)
@@ -109,14 +123,14 @@
 
 // abandoned records that an attempt is no longer waited for. It would have
 // taken longer than it did so far.
-func (estimates *Estimates) abandoned(pool, targetID, homeID string, sentAt time.Time) {
+func (estimates *Estimates) abandoned(pool string, attempt *attemptProgress) {
 	estimates.lock.Lock()
 	defer estimates.lock.Unlock()
 	now := time.Now()
-	target, home := estimates.target(targetID), estimates.home(homeID)
+	target, home := estimates.target(attempt.target), estimates.home(attempt.home.ID)
 	target.outstanding--
 	home.outstanding--
-	elapsed := max(0, now.Sub(sentAt)-home.latency)
+	elapsed := max(0, now.Sub(attempt.sentAt)-home.latency)
 	if elapsed > target.latency {
 		target.observe(elapsed, now)
 		estimates.pace(pool).observe(elapsed, now)
@@ -124,17 +138,17 @@
 }
 
 // expected returns how long an attempt at a target would take.
-func (estimates *Estimates) expected(targetID, homeID string, near bool) time.Duration {
+func (estimates *Estimates) expected(candidate *candidate, near bool) time.Duration {
 	estimates.lock.Lock()
 	defer estimates.lock.Unlock()
 	now := time.Now()
-	home, target := estimates.home(homeID), estimates.target(targetID)
+	home, target := estimates.home(candidate.home.ID), estimates.target(candidate.target)
 	way := home.faded(now)
 	if home.observedAt.IsZero() && !near {
 		way = elsewhere
 	}
 	run := max(target.faded(now), target.quiet(now))
-	return max(way, home.quiet(now)) + run + target.queue(now)
+	return max(way, home.quiet(now)) + run + target.queue(now) + target.penalty(candidate.incarnation, now)
 }
 
 // roundTrip returns the time that a message to a home and back takes.
@@ -227,6 +241,15 @@
 	return peerEstimate.latency >> min(halvings, 62)
 }
 
+// penalty puts a target last for a while whose incarnation was found
+// unusable.
+func (peerEstimate *peerEstimate) penalty(incarnation uint64, now time.Time) time.Duration {
+	if incarnation != peerEstimate.failedIncarnation || now.Sub(peerEstimate.failedAt) >= failureSpan {
+		return 0
+	}
+	return failurePenalty
+}
+
 // quiet returns for how long attempts have waited without any report.
 func (peerEstimate *peerEstimate) quiet(now time.Time) time.Duration {
 	if peerEstimate.outstanding == 0 {
--- a/internal/entry/fan_out.go
+++ b/internal/entry/fan_out.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
-	"gitlab.com/comfreythread/comfreythread/internal/membership"
 	"gitlab.com/comfreythread/comfreythread/internal/target"
 	"gitlab.com/comfreythread/comfreythread/pkg/caller"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
@@ -59,10 +58,10 @@
 	}
 
 	attemptProgress struct {
+		candidate
+
 		id     string
 		shard  *shardProgress
-		target string
-		home   membership.Member
 		why    target.Why
 		sentAt time.Time
 		// generation is that of the shard when the attempt was sent.
@@ -119,7 +118,7 @@
 	fanOut.inFlight--
 	shard := attempt.shard
 	shard.pending--
-	fanOut.coordinator.estimates.reported(fanOut.pool.Name, attempt.target, attempt.home.ID, attempt.sentAt, report)
+	fanOut.coordinator.estimates.reported(fanOut.pool.Name, attempt, report)
 	switch outcome := report.outcome().(type) {
 	case target.Answered:
 		shard.runs++
@@ -272,7 +271,7 @@
 func (fanOut *fanOut) abandonAll() {
 	for _, attempt := range fanOut.attempts {
 		fanOut.ran = true
-		fanOut.coordinator.estimates.abandoned(fanOut.pool.Name, attempt.target, attempt.home.ID, attempt.sentAt)
+		fanOut.coordinator.estimates.abandoned(fanOut.pool.Name, attempt)
 		if shard := attempt.shard; shard.part == nil {
 			shard.lost, shard.reason = true, caller.MissingDeadline
 		}
--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -124,6 +124,12 @@
 	return report
 }
 
+// unusable reports whether the home found that the target can't be used at
+// present.
+func (report *Report) unusable() bool {
+	return report.Kind == reportNotRun && report.Reason == caller.MissingNoReplica && !report.Moving
+}
+
 // outcome takes an outcome off the wire. A report that makes no sense counts
 // as lost, which claims the least.
 func (report *Report) outcome() target.Outcome {
--- a/internal/entry/outgoing.go
+++ b/internal/entry/outgoing.go
@@ -96,12 +96,12 @@
 		shard.begunAt = time.Now()
 	}
 	attempt := &attemptProgress{
-		id:    strconv.FormatUint(fanOut.nonce, 16) + "-" + strconv.Itoa(shard.plan.shard) + "-" + strconv.Itoa(fanOut.sent),
-		shard: shard, target: chosen.target, home: chosen.home, why: why, sentAt: time.Now(), generation: shard.generation,
+		id:        strconv.FormatUint(fanOut.nonce, 16) + "-" + strconv.Itoa(shard.plan.shard) + "-" + strconv.Itoa(fanOut.sent),
+		candidate: chosen, shard: shard, why: why, sentAt: time.Now(), generation: shard.generation,
 	}
 	fanOut.attempts[attempt.id] = attempt
 	shard.latest = attempt
-	fanOut.coordinator.estimates.sent(attempt.target, attempt.home.ID)
+	fanOut.coordinator.estimates.sent(attempt)
 	if !fanOut.once {
 		late := attempt.sentAt.Add(fanOut.hedgeDelay + fanOut.coordinator.estimates.roundTrip(attempt.home.ID))
 		heap.Push(&fanOut.timers, dueTimer{at: late, attempt: attempt})
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -48,8 +48,9 @@
 
 	// candidate is a replica that can be attempted next.
 	candidate struct {
-		target string
-		home   membership.Member
+		target      string
+		incarnation uint64
+		home        membership.Member
 		// again states that an attempt at the target is in progress.
 		again bool
 	}
@@ -96,16 +97,18 @@
 		if !found {
 			continue
 		}
-		span := coordinator.estimates.expected(announcement.ID, home.ID, home.ID == coordinator.self || home.FailureDomain == fanOut.plan.failureDomain)
+		next := candidate{target: announcement.ID, incarnation: announcement.Incarnation, home: home}
+		span := coordinator.estimates.expected(&next, home.ID == coordinator.self || home.FailureDomain == fanOut.plan.failureDomain)
 		if !coordinator.homes.Reachable(&home) {
 			span += unreachablePenalty
 		}
 		if best.target == "" || span < bestSpan {
-			best, bestSpan = candidate{target: announcement.ID, home: home}, span
+			best, bestSpan = next, span
 		}
 	}
 	if best.target == "" && why == target.Hedge && shard.latest != nil && !shard.latest.resolved {
-		best = candidate{target: shard.latest.target, home: shard.latest.home, again: true}
+		best = shard.latest.candidate
+		best.again = true
 	}
 	return best, best.target != ""
 }
--- a/internal/tier/request_test.go
+++ b/internal/tier/request_test.go
@@ -51,11 +51,15 @@
 
 // withTier runs a spec on a small tier whose targets work for a while.
 func withTier(body func(expect gomega.Gomega, load *load)) {
+	withDeployment(small, func(_, _ string) time.Duration { return 500 * time.Microsecond }, body)
+}
+
+func withDeployment(deployment standin.Deployment, latency func(from, to string) time.Duration, body func(expect gomega.Gomega, load *load)) {
 	bubble.Run(suite, func(expect gomega.Gomega) {
 		network := &standin.Network{}
-		network.SetLatency(func(_, _ string) time.Duration { return 500 * time.Microsecond })
+		network.SetLatency(latency)
 		started, err := tier.Start(context.Background(), tier.Options{
-			Deployment: small, EntriesPerFailureDomain: 2, Memory: network, Logs: io.Discard,
+			Deployment: deployment, EntriesPerFailureDomain: 2, Memory: network, Logs: io.Discard,
 			Behave: func(*target.Announcement) standin.Behaviour {
 				return standin.Behaviour{Work: func(*target.Run) time.Duration { return work }, ColdSlots: 1, ColdRunsPerSecond: 200, WarmAfterRuns: 20}
 			},
