Count what lost and stopped homes leave open at a target

A cut-off home can't get its closes to the target, and the next home counted from zero. The silent case is the same at a planned stop: a home counts silent connections as open for a minute, but the count was lost with its lane and the release named none. Further holes of the count, found on the way: a close counted for one second whether or not the target heard of it; a write or a read that this side's kernel gave up freed a connection at once; a lane that was cut and made anew forgot its own connections.

Change: a tally for each target that outlasts the lane. A close is counted until the target's own end or reset shows it (the sending side alone is closed, so that it can be seen), at most for a minute. A release names what may be open, and a second message lowers it once closes are proved.

The network in memory gains CloseWrite, as TCP connections have it. tier.Start waits for the entries before it applies tables, so that they know that no target was used before; otherwise each young entry supposes that homes were lost.

Ruled out: shortening the minute (a claim about targets), the target's word (health and load may lie), waiting a minute after each loss.

--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -72,6 +72,9 @@
 func (handover *Handover) take(release *Release) {
 	handover.home.Expect(release.Targets)
 	for _, released := range release.Targets {
+		if released.Closed {
+			continue
+		}
 		handover.board.Membership().Release(released.TargetID, release.View)
 	}
 	if handover.board.Membership().View().Number < release.View {
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -32,6 +32,7 @@
 	// Yielder gives up targets that are no longer this entry's; target.Home
 	// is the one for real use.
 	Yielder interface {
+		NeverUsed()
 		Cut()
 		Held() []targetapi.Announcement
 		Yield(ctx context.Context, held []targetapi.Announcement, releaser target.Releaser) uint64
@@ -111,6 +112,9 @@
 	leaseholder.takeView(ctx, lease)
 	leaseholder.takeTables(lease)
 	inForce := leaseholder.board.InForce()
+	if lease.Version == 0 {
+		leaseholder.yielder.NeverUsed()
+	}
 	if _, held := inForce.Tables(); held >= lease.Version {
 		inForce.Renew(sent.Add(lease.Duration * (100 - control.ClockRateErrorPercent) / 100))
 	}
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -253,6 +253,12 @@
 	return nil
 }
 
+// CloseWrite ends the sending side, as that of net.TCPConn does.
+func (connection *memoryConnection) CloseWrite() error {
+	connection.out.finish()
+	return nil
+}
+
 // LocalAddr implements net.Conn.
 func (connection *memoryConnection) LocalAddr() net.Addr { return connection.local }
 
--- a/internal/target/connection.go
+++ b/internal/target/connection.go
@@ -6,13 +6,24 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 type (
+	// halfCloser is a connection whose sending side can be closed alone, as
+	// that of TCP connections can.
+	halfCloser interface {
+		CloseWrite() error
+	}
+
 	// connection is one open connection to a target. One goroutine reads it
 	// for as long as it is open, so that a connection that breaks while idle
 	// is noticed before it is used again.
@@ -25,8 +36,8 @@
 		// provenAt is the time of the newest byte from the target, or that of
 		// the opening.
 		provenAt time.Time
-		// closedHere states that this side closed the connection.
-		closedHere bool
+		// closedAt is when this side closed the connection, or zero.
+		closedAt time.Time
 		// finished states that nobody reads the connection any more.
 		finished bool
 	}
@@ -46,7 +57,7 @@
 }
 
 // receive hands each response to the exchange that waits for it. It returns
-// once the connection is closed, or when a response comes that nobody waits
+// once the connection has broken, or when a response comes that nobody waits
 // for, after a call to unexpected.
 func (connection *connection) receive(unexpected func(err error)) {
 	for {
@@ -81,7 +92,7 @@
 	connection := exchange.connection
 	connection.lock.Lock()
 	defer connection.lock.Unlock()
-	if connection.finished {
+	if connection.finished || !connection.closedAt.IsZero() {
 		return false
 	}
 	connection.present = exchange
@@ -95,16 +106,16 @@
 	return exchange.connection.present == exchange
 }
 
-// write writes a message. Where it fails, the connection is closed, which
-// ends the exchange.
+// write writes a message. Where it fails, the connection has broken, which its
+// reader finds, or the deadline has passed, at which the exchange is given up.
 func (exchange *exchange) write(message []byte, deadline time.Time) {
 	_ = exchange.connection.SetWriteDeadline(deadline)
 	// Until the write has returned it may have written something.
 	exchange.written.Store(1)
 	written, err := exchange.connection.Write(message)
 	exchange.written.Store(int64(written))
-	if err != nil {
-		_ = exchange.connection.Close()
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		exchange.connection.closeSending()
 	}
 }
 
@@ -129,19 +140,45 @@
 	return connection.provenAt
 }
 
-// closeHere closes the connection; it returns false where that was done
-// before.
+// closeHere closes the sending side, so that the end of what the target sends
+// shows that the target has closed its side too. It returns false where that
+// was done before.
 func (connection *connection) closeHere() bool {
 	connection.lock.Lock()
-	before := connection.closedHere
-	connection.closedHere = true
+	before := !connection.closedAt.IsZero()
+	if !before {
+		connection.closedAt = time.Now()
+	}
 	connection.lock.Unlock()
-	_ = connection.Close()
+	if !before {
+		connection.closeSending()
+	}
 	return !before
 }
 
+func (connection *connection) closeSending() {
+	if half, possible := connection.Conn.(halfCloser); possible {
+		_ = half.CloseWrite()
+		return
+	}
+	_ = connection.Close()
+}
+
+// awaitEnd reads until the target has closed its side or the connection is
+// given up. It reports whether the target has certainly closed its side: this
+// side's kernel gives a silent connection up without word from the target.
+func (connection *connection) awaitEnd() bool {
+	_, err := io.Copy(io.Discard, connection.reader)
+	_ = connection.Close()
+	return err == nil || errors.Is(err, syscall.ECONNRESET)
+}
+
 func (connection *connection) isClosedHere() bool {
+	return !connection.closedHereAt().IsZero()
+}
+
+func (connection *connection) closedHereAt() time.Time {
 	connection.lock.Lock()
 	defer connection.lock.Unlock()
-	return connection.closedHere
+	return connection.closedAt
 }
--- a/internal/target/handover.go
+++ b/internal/target/handover.go
@@ -15,6 +15,11 @@
 const (
 	// guardInterval is the span between two looks at a lease that has run out.
 	guardInterval = 100 * time.Millisecond
+	// closeSpan is how long a home waits for targets to confirm that their
+	// connections are closed, before it tells the next homes.
+	closeSpan = 100 * time.Millisecond
+	// promptSpan is how long a release itself waits for that.
+	promptSpan = 2 * time.Millisecond
 )
 
 type (
@@ -28,6 +33,7 @@
 		// Starts is the number of runs that it began within the last second,
 		// which the cold rate counts.
 		Starts int `msgpack:"s"`
+		Inheritance
 	}
 
 	// Releaser tells a target's next home that the target is free for it.
@@ -35,6 +41,13 @@
 		Release(ctx context.Context, to membership.Member, view uint64, released []Released)
 	}
 
+	// forgottenTarget is a target that this home uses no more.
+	forgottenTarget struct {
+		announcement *target.Announcement
+		known        Released
+		tally        *tally
+	}
+
 	// expectation is what an earlier home told, and when.
 	expectation struct {
 		Released
@@ -102,6 +115,7 @@
 // it is free, so that a long run at one target delays no other.
 func (home *Home) Yield(ctx context.Context, held []target.Announcement, releaser Releaser) uint64 {
 	placement := home.board.Membership().Placement()
+	home.history.note(placement)
 	lost := map[string]target.Announcement{}
 	for _, announcement := range append(home.used(), held...) {
 		if next, found := placement.Home(announcement.ID, announcement.FailureDomain); !found || next.ID != home.self {
@@ -152,10 +166,25 @@
 	home.lock.Lock()
 	defer home.lock.Unlock()
 	for _, known := range released {
+		if known.Closed {
+			home.amend(known)
+			continue
+		}
 		home.expected[known.TargetID] = expectation{Released: known, at: time.Now()}
 	}
 }
 
+// amend takes what an earlier home told since its release. The lock is held.
+func (home *Home) amend(known Released) {
+	if expected, waiting := home.expected[known.TargetID]; waiting && expected.View == known.View {
+		expected.Open = min(expected.Open, known.Open)
+		home.expected[known.TargetID] = expected
+	}
+	if tally, counted := home.tallies[known.TargetID]; counted {
+		tally.amend(known.Inheritance)
+	}
+}
+
 // Guard ends all runs and closes all connections once the lease has run out,
 // because another entry may be home to the targets from then on. It returns
 // when ctx ends.
@@ -217,46 +246,74 @@
 }
 
 // release closes the connections to idle targets, forgets them and tells
-// their new homes.
+// their new homes, also of connections whose close a target hasn't confirmed.
 func (home *Home) release(ctx context.Context, releaser Releaser, free []target.Announcement) {
 	placement := home.board.Membership().Placement()
+	var forgotten []forgottenTarget
+	for index := range free {
+		if known, tally, released := home.forget(&free[index]); released {
+			forgotten = append(forgotten, forgottenTarget{announcement: &free[index], known: known, tally: tally})
+		}
+	}
+	if open := home.tell(ctx, releaser, placement, forgotten, promptSpan); len(open) > 0 {
+		go home.tell(ctx, releaser, placement, open, closeSpan)
+	}
+}
+
+// tell tells the next homes of targets what this home knows, once their
+// connections are closed or a span has passed. It returns the targets that
+// may still hold some open, to be told of again.
+func (home *Home) tell(ctx context.Context, releaser Releaser, placement *membership.Placement, forgotten []forgottenTarget, span time.Duration) []forgottenTarget {
+	limit := time.Now().Add(span)
 	homes := map[string]membership.Member{}
-	released := map[string][]Released{}
-	for _, announcement := range free {
-		known, forgotten := home.forget(announcement.ID)
-		next, found := placement.Home(announcement.ID, announcement.FailureDomain)
-		if !forgotten || !found || home.board.InForce().Fenced() {
+	told := map[string][]Released{}
+	var open []forgottenTarget
+	for _, target := range forgotten {
+		target.tally.awaitNone(limit)
+		next, found := placement.Home(target.announcement.ID, target.announcement.FailureDomain)
+		if !found || home.board.InForce().Fenced() {
 			continue
 		}
+		closed := target.known.Closed
+		target.known.Inheritance = target.tally.bequeath(placement.View().Number)
+		target.known.Closed = closed
 		homes[next.ID] = next
-		released[next.ID] = append(released[next.ID], known)
+		told[next.ID] = append(told[next.ID], target.known)
+		if target.known.Open > 0 {
+			target.known.Closed = true
+			open = append(open, target)
+		}
 	}
-	for id, list := range released {
+	for id, list := range told {
 		releaser.Release(ctx, homes[id], placement.View().Number, list)
 	}
+	return open
 }
 
 // forget drops the lane of an idle target. It returns false where the lane has
 // attempts in it, and where the target isn't this entry's to release: each
 // right to use a target is released once.
-func (home *Home) forget(targetID string) (Released, bool) {
+func (home *Home) forget(announcement *target.Announcement) (Released, *tally, bool) {
 	home.lock.Lock()
 	defer home.lock.Unlock()
+	targetID := announcement.ID
 	known := Released{TargetID: targetID}
 	lane, exists := home.lanes[targetID]
 	if exists && !lane.usage.isIdle() {
-		return known, false
+		return known, nil, false
 	}
 	held := home.held[targetID]
+	tally := home.tally(announcement)
+	tally.leave()
 	delete(home.held, targetID)
 	delete(home.expected, targetID)
 	if !exists {
-		return known, held
+		return known, tally, held
 	}
 	delete(home.lanes, targetID)
 	known = lane.known()
 	lane.closeIdle()
-	return known, held
+	return known, tally, held
 }
 
 // Cut ends every attempt and forgets every lane and every right to release.
@@ -265,6 +322,9 @@
 	defer home.lock.Unlock()
 	clear(home.expected)
 	clear(home.held)
+	for _, tally := range home.tallies {
+		tally.leave()
+	}
 	for id, lane := range home.lanes {
 		delete(home.lanes, id)
 		lane.usage.cut()
--- a/internal/target/home.go
+++ b/internal/target/home.go
@@ -43,12 +43,15 @@
 		expected map[string]expectation
 		// held names the targets whose use this entry may pass on.
 		held map[string]bool
+		// tallies holds what each target may bear of connections.
+		tallies map[string]*tally
+		history history
 	}
 )
 
 // NewHome returns the home role of the entry with the given ID.
 func NewHome(self string, board *blackboard.Board, dial tcp.Dialer, metrics *metrics.Metrics) *Home {
-	return &Home{self: self, board: board, dial: dial, metrics: metrics, lanes: map[string]*lane{}, expected: map[string]expectation{}, held: map[string]bool{}}
+	return &Home{self: self, board: board, dial: dial, metrics: metrics, lanes: map[string]*lane{}, expected: map[string]expectation{}, held: map[string]bool{}, tallies: map[string]*tally{}}
 }
 
 // Run runs an attempt and says what became of it.
@@ -161,7 +164,7 @@
 	pool, _ := tables.Pool(announcement.Pool)
 	found, known := home.lanes[announcement.ID]
 	if !known {
-		found = &lane{dial: home.dial, announcement: *announcement}
+		found = &lane{dial: home.dial, announcement: *announcement, tally: home.tally(announcement)}
 		home.lanes[announcement.ID] = found
 	}
 	found.update(announcement, pool)
--- a/internal/target/lane.go
+++ b/internal/target/lane.go
@@ -18,11 +18,11 @@
 )
 
 const (
-	// closingSpan is how long a connection that this side closed counts as
-	// open at the target.
-	closingSpan = time.Second
-	// silentSpan is how long a connection that went silent counts as open
-	// after its close, because the target may not have heard of the close.
+	// refusedSpan is how long a connection that couldn't be opened counts as
+	// open at the target, which may have accepted what this side gave up on.
+	refusedSpan = time.Second
+	// silentSpan is how long a connection counts as open after its close where
+	// the target doesn't confirm the close, of which it may not have heard.
 	silentSpan = time.Minute
 )
 
@@ -48,10 +48,9 @@
 		incarnation uint64
 		// idle holds the unused connections, the newest used last.
 		idle []*connection
-		// open counts the connections that the target may hold open.
-		open int
-		// freed is closed when a connection becomes idle or certainly closed.
-		freed chan struct{}
+		// tally counts the connections that the target may hold open. It
+		// outlasts the lane.
+		tally *tally
 	}
 )
 
@@ -92,17 +91,17 @@
 			lane.lock.Unlock()
 			return taken, nil
 		}
-		if lane.open < lane.pool.Connections {
-			lane.open++
+		freed := lane.tally.claim(&lane.pool)
+		if freed == nil {
 			address, timeout := lane.address, lane.pool.ConnectTimeout.Std()
 			lane.lock.Unlock()
 			return lane.connect(ctx, address, timeout)
 		}
-		if lane.freed == nil {
-			lane.freed = make(chan struct{})
-		}
-		freed := lane.freed
+		stale := lane.takeOldest()
 		lane.lock.Unlock()
+		if stale != nil {
+			lane.close(stale)
+		}
 		select {
 		case <-freed:
 		case <-ctx.Done():
@@ -111,6 +110,17 @@
 	}
 }
 
+// takeOldest takes the idle connection that was not used for longest, to be
+// closed in favour of a new one; nil where there is none. The lock is held.
+func (lane *lane) takeOldest() *connection {
+	if len(lane.idle) == 0 {
+		return nil
+	}
+	oldest := lane.idle[0]
+	lane.idle = lane.idle[1:]
+	return oldest
+}
+
 // connect opens a connection. That the target can't be connected to is a sign
 // of a restart, but not where the caller gave up first.
 func (lane *lane) connect(ctx context.Context, address string, timeout time.Duration) (*connection, error) {
@@ -121,26 +131,37 @@
 		if ctx.Err() == nil {
 			lane.gate.turnCold()
 		}
-		// The target may have accepted what this side gave up on.
-		lane.forgetAfter(closingSpan)
+		time.AfterFunc(refusedSpan, lane.tally.closed)
 		return nil, errors.Wrap(err, "connect to target")
 	}
 	connection := newConnection(opened)
-	go connection.receive(func(err error) { lane.unexpected(connection, err) })
+	go lane.receive(connection)
 	return connection, nil
 }
 
+// receive reads a connection until it has ended and counts it as open until
+// the target has certainly closed it.
+func (lane *lane) receive(connection *connection) {
+	connection.receive(func(err error) { lane.unexpected(connection, err) })
+	lane.close(connection)
+	if connection.awaitEnd() {
+		lane.tally.closed()
+		return
+	}
+	time.AfterFunc(silentSpan-time.Since(connection.closedHereAt()), lane.tally.closed)
+}
+
 // put makes a connection idle. The newest used is taken first.
 func (lane *lane) put(connection *connection) {
 	lane.lock.Lock()
-	closed := lane.closed
+	closed := lane.closed || connection.isClosedHere()
 	if !closed {
 		lane.idle = append(lane.idle, connection)
-		lane.signal()
+		lane.tally.signal()
 	}
 	lane.lock.Unlock()
 	if closed {
-		lane.close(connection, closingSpan)
+		lane.close(connection)
 	}
 }
 
@@ -152,47 +173,16 @@
 		lane.idle = slices.Delete(lane.idle, at, at+1)
 	}
 	lane.lock.Unlock()
-	if connection.isClosedHere() {
-		return
-	}
-	if err == nil {
-		lane.close(connection, closingSpan)
-		return
-	}
-	lane.gate.turnCold()
-	lane.broken(connection)
-}
-
-// broken closes a connection that the target's side has ended.
-func (lane *lane) broken(connection *connection) {
-	if connection.closeHere() {
-		lane.forgetAfter(0)
+	if err != nil && !connection.isClosedHere() {
+		lane.gate.turnCold()
 	}
 }
 
-// close closes a connection that counts as open for a further span.
-func (lane *lane) close(connection *connection, span time.Duration) {
+// close closes a connection. It counts as open until the target has closed
+// its side, or for silentSpan.
+func (lane *lane) close(connection *connection) {
 	if connection.closeHere() {
-		lane.forgetAfter(span)
-	}
-}
-
-func (lane *lane) forgetAfter(span time.Duration) {
-	if span > 0 {
-		time.AfterFunc(span, func() { lane.forgetAfter(0) })
-		return
-	}
-	lane.lock.Lock()
-	defer lane.lock.Unlock()
-	lane.open--
-	lane.signal()
-}
-
-// signal wakes those who wait for a connection. The lock is held.
-func (lane *lane) signal() {
-	if lane.freed != nil {
-		close(lane.freed)
-		lane.freed = nil
+		time.AfterFunc(silentSpan, func() { _ = connection.Close() })
 	}
 }
 
@@ -236,10 +226,8 @@
 	replies := make(chan *response, 1)
 	exchange := newExchange(connection, func(received *response, err error) {
 		switch {
-		case err != nil:
-			lane.broken(connection)
-		case received.last:
-			lane.close(connection, closingSpan)
+		case err != nil || received.last:
+			lane.close(connection)
 		default:
 			lane.put(connection)
 		}
@@ -257,7 +245,7 @@
 		}
 		return received, nil
 	case <-ctx.Done():
-		lane.close(connection, silentSpan)
+		lane.close(connection)
 		return nil, ctx.Err()
 	}
 }
@@ -270,6 +258,6 @@
 	lane.idle, lane.closed = nil, true
 	lane.lock.Unlock()
 	for _, connection := range idle {
-		lane.close(connection, closingSpan)
+		lane.close(connection)
 	}
 }
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -122,7 +122,7 @@
 // expire ends the wait for a run whose deadline has passed at the target too.
 func (run *run) expire() {
 	if run.exchange.waiting() {
-		run.lane.close(run.exchange.connection, silentSpan)
+		run.lane.close(run.exchange.connection)
 	}
 	run.release(false)
 }
@@ -135,7 +135,7 @@
 	}
 	result, shed, err := received.decode(&run.attempt.Run)
 	if err != nil || received.last {
-		run.lane.close(run.exchange.connection, closingSpan)
+		run.lane.close(run.exchange.connection)
 	} else {
 		run.lane.put(run.exchange.connection)
 	}
@@ -199,7 +199,7 @@
 		run.home.metrics.Dropped().WithLabelValues(reason).Inc()
 	}
 	run.lane.gate.turnCold()
-	run.lane.broken(run.exchange.connection)
+	run.lane.close(run.exchange.connection)
 	if written == 0 {
 		run.release(false)
 		return NotRun{Reason: caller.MissingLost, RetryAfter: notHomeRetryAfter}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -259,6 +259,9 @@
 		addresses = append(addresses, replica.settings.PeerAddress)
 	}
 	tier.client = control.NewClient(addresses, tier.network("10.0.0.1:0").Dial)
+	if err := tier.awaitEntries(ctx); err != nil {
+		return err
+	}
 	tables := tier.options.Tables
 	if tables == nil {
 		made := tier.options.Deployment.Tables()
@@ -269,6 +272,13 @@
 		return errors.Wrap(err, "apply tables")
 	}
 	tier.version = accepted.Version
+	return tier.awaitEntries(ctx)
+}
+
+// awaitEntries waits until all entries are in the view and act on the newest
+// tables. Before there are tables it lets them learn that no target was ever
+// used, so that none of them supposes that a home was lost before its time.
+func (tier *Tier) awaitEntries(ctx context.Context) error {
 	for {
 		status, err := tier.client.Status(ctx)
 		if err == nil && status.InForce && len(status.Entries) == len(tier.entries) && isSettled(status) {
