Lead the property test of the core to what breaks wrong cores

Cause: a wrong commit needs a chain of faults in a certain order, which drawn single faults rarely make, and messages that held all entries at once never let an old entry be acknowledged alone.

Now a quarter of the actions are schedules, sizes of messages and logs are drawn, groups have three or five replicas, and what holds is checked on the disks, votes and promises themselves. Sizes are fields of the core, with the same values as before in use.

--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -20,9 +20,6 @@
 	// leaseSpan is how long a leader relies on such a promise: less, because
 	// the clock rates of two VMs may differ by 1% each way.
 	leaseSpan = promiseSpan * 98 / 100
-	// retainedEntries is how many entries stay in memory after a snapshot,
-	// for replicas that lag a little.
-	retainedEntries = 1024
 )
 
 const (
@@ -108,6 +105,7 @@
 	core struct {
 		id      string
 		address string
+		sizes   sizes
 		peers   []string
 		random  *rand.Rand
 		started time.Time
--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -14,7 +14,6 @@
 )
 
 const (
-	worldSize = 3
 	worldStep = 5 * time.Millisecond
 )
 
@@ -25,14 +24,21 @@
 		random *rand.Rand
 		now    time.Time
 		nodes  []*node
+		peers  []string
 		flying []flying
 		cuts   map[[2]string]bool
 		loss   float64
+		// quick lets messages take no longer than a step.
+		quick bool
+		sizes sizes
 
 		leaders   map[uint64]string
 		committed map[uint64]string
-		accepted  []string
-		next      int
+		records   records
+		// applied is the node that was the first to apply the newest entry.
+		applied  *node
+		accepted []string
+		next     int
 	}
 
 	flying struct {
@@ -52,6 +58,8 @@
 		mine    map[uint64]string
 		// crashIn crashes the node at a stage of a later flush.
 		crashIn int
+		// crashAtWrite crashes it before it writes the next entries.
+		crashAtWrite bool
 		// outdated is a disk that went back to an earlier state.
 		outdated bool
 	}
@@ -59,7 +67,7 @@
 
 func init() {
 	// The same cases run every time; flags on the command line go before.
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "40", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "120", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
@@ -70,7 +78,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		world := newWorld(t)
 		world.run(5 * time.Second)
-		actions := rapid.SliceOfN(rapid.Custom(drawAction), 40, 120).Draw(t, "actions")
+		actions := rapid.SliceOfN(rapid.Custom(drawAction), 30, 90).Draw(t, "actions")
 		for _, action := range actions {
 			world.act(action)
 		}
@@ -84,8 +92,8 @@
 
 func drawAction(t *rapid.T) action {
 	return action{
-		kind: rapid.IntRange(0, 17).Draw(t, "kind"), node: rapid.IntRange(0, worldSize-1).Draw(t, "node"),
-		other: rapid.IntRange(0, worldSize-1).Draw(t, "other"), size: rapid.IntRange(1, 300).Draw(t, "size"),
+		kind: rapid.IntRange(0, 24).Draw(t, "kind"), node: rapid.IntRange(0, largestWorld-1).Draw(t, "node"),
+		other: rapid.IntRange(0, largestWorld-1).Draw(t, "other"), size: rapid.IntRange(1, 300).Draw(t, "size"),
 	}
 }
 
@@ -93,10 +101,23 @@
 	seed := rapid.Uint64().Draw(t, "seed")
 	world := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), cuts: map[[2]string]bool{},
-		leaders: map[uint64]string{}, committed: map[uint64]string{},
+		leaders: map[uint64]string{}, committed: map[uint64]string{}, records: newRecords(), sizes: drawSizes(t),
 	}
-	for number := range worldSize {
+	count := rapid.SampledFrom([]int{3, 3, 3, largestWorld}).Draw(t, "replicas")
+	for number := range count {
+		world.peers = append(world.peers, fmt.Sprint("a", number))
+	}
+	// In half of the worlds one clock is as slow as allowed and all others as
+	// fast.
+	slow := rapid.IntRange(-count, count-1).Draw(t, "slow clock")
+	for number := range count {
 		node := &node{address: fmt.Sprint("a", number), rate: 0.99 + 0.02*world.random.Float64()}
+		switch {
+		case slow == number:
+			node.rate = 0.99
+		case slow >= 0:
+			node.rate = 1.01
+		}
 		world.nodes = append(world.nodes, node)
 		world.begin(node)
 	}
@@ -104,8 +125,8 @@
 }
 
 func (world *world) act(action action) {
-	node := world.nodes[action.node]
-	other := world.nodes[action.other]
+	node := world.nodes[action.node%len(world.nodes)]
+	other := world.nodes[action.other%len(world.nodes)]
 	switch action.kind {
 	case 0, 1, 2, 3:
 		world.run(time.Duration(action.size) * 5 * time.Millisecond)
@@ -126,8 +147,10 @@
 		world.crash(node)
 	case 12, 13:
 		world.restart(node)
-	default:
+	case 14, 15, 16, 17:
 		world.actOnState(node, other, &action)
+	default:
+		world.schedule(&action)
 	}
 }
 
@@ -192,6 +215,7 @@
 
 func (world *world) send(parcels []parcel) {
 	for _, parcel := range parcels {
+		world.noteVote(&parcel)
 		for copies := 1 + world.random.IntN(20)/19; copies > 0; copies-- {
 			if world.cuts[[2]string{parcel.fromAddress, parcel.toAddress}] || world.random.Float64() < world.loss {
 				continue
@@ -200,6 +224,9 @@
 			if world.loss > 0 && world.random.IntN(10) == 0 {
 				delay *= 100
 			}
+			if world.quick {
+				delay = 0
+			}
 			world.flying = append(world.flying, flying{parcel: parcel, arrives: world.now.Add(delay)})
 		}
 	}
@@ -222,7 +249,7 @@
 	for node.core != nil {
 		out := node.core.take()
 		world.send(out.early)
-		if world.crashes(node) {
+		if world.crashes(node) || world.crashesAtWrite(node, &out) {
 			return
 		}
 		if out.reset {
@@ -246,6 +273,7 @@
 }
 
 func (world *world) persist(node *node, out *output) bool {
+	world.note(node, out)
 	if out.rewrite {
 		node.disk = clone(node.core.durableState())
 		return true
@@ -279,6 +307,10 @@
 		if before, known := world.committed[applied.Index]; known && before != said {
 			world.t.Fatalf("entry %d changed from %q to %q at %s", applied.Index, before, said, node.core.id)
 		}
+		if _, known := world.committed[applied.Index]; !known {
+			world.applied = node
+			world.checkHolders(node, &applied)
+		}
 		world.committed[applied.Index] = said
 		if applied.Kind == entryCommand {
 			node.machine = append(node.machine, string(applied.Data))
@@ -299,9 +331,11 @@
 		world.leaders[core.Term] = core.id
 	}
 	now := world.clock(node)
+	world.checkCounted(node)
 	if core.confirmedAt(now).Before(now) {
 		return
 	}
+	world.checkLease(node)
 	// What it confirms now is read once everything up to here is applied.
 	through := max(core.commit, core.termStart)
 	for index := range world.committed {
--- a/internal/replica/install.go
+++ b/internal/replica/install.go
@@ -7,10 +7,6 @@
 	"time"
 )
 
-const (
-	maximumPartBytes = 1 << 20
-)
-
 type (
 	// incomingSnapshot is a snapshot of which the first parts have arrived.
 	incomingSnapshot struct {
@@ -28,8 +24,8 @@
 		return
 	}
 	core.snapshot = snapshot{Index: index, Term: term, Members: core.membersAt(index), Data: data}
-	if index > retainedEntries {
-		core.log.compact(index - retainedEntries)
+	if index > core.sizes.retained {
+		core.log.compact(index - core.sizes.retained)
 	}
 	for len(core.memberships) > 1 && core.memberships[1].index <= index {
 		core.memberships = core.memberships[1:]
@@ -56,7 +52,7 @@
 
 func (core *core) sendPart(now time.Time, member member, progress *progress) {
 	part := *progress.sending
-	end := min(progress.sentOffset+maximumPartBytes, len(part.Data))
+	end := min(progress.sentOffset+core.sizes.partBytes, len(part.Data))
 	done := end == len(part.Data)
 	part.Data = part.Data[progress.sentOffset:end]
 	progress.sentAt = now
--- a/internal/replica/replication.go
+++ b/internal/replica/replication.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// maximumAppendBytes bounds the commands in one message, unless a single
-	// one is larger.
-	maximumAppendBytes = 512 << 10
 	// maximumInFlight bounds the unanswered messages with entries to one
 	// replica.
 	maximumInFlight = 16
@@ -117,7 +114,7 @@
 			core.startInstall(now, member)
 			return
 		}
-		entries := core.log.from(progress.next, maximumAppendBytes)
+		entries := core.log.from(progress.next, core.sizes.appendBytes)
 		core.sendAppend(now, member, progress, entries)
 		last := entries[len(entries)-1].Index
 		progress.inFlight = append(progress.inFlight, last)
--- /dev/null
+++ b/internal/replica/sizes.go
@@ -0,0 +1,27 @@
+// This file exists so that tests reach what depends on sizes with few bytes.
+
+package replica
+
+const (
+	// maximumAppendBytes bounds the commands in one message, unless a single
+	// one is larger.
+	maximumAppendBytes = 512 << 10
+	// maximumPartBytes bounds the part of a snapshot in one message.
+	maximumPartBytes = 1 << 20
+	// retainedEntries is how many entries stay in memory after a snapshot,
+	// for replicas that lag a little.
+	retainedEntries = 1024
+)
+
+type (
+	// sizes bound what a core sends and keeps.
+	sizes struct {
+		appendBytes int
+		partBytes   int
+		retained    uint64
+	}
+)
+
+func defaultSizes() sizes {
+	return sizes{appendBytes: maximumAppendBytes, partBytes: maximumPartBytes, retained: retainedEntries}
+}
--- a/internal/replica/world_test.go
+++ b/internal/replica/world_test.go
@@ -30,10 +30,7 @@
 	case 15:
 		world.lose(node, action.size%2 == 0)
 	case 16:
-		// Without a third that has its disk, the two of the new group would be
-		// one.
-		third := world.nodes[(2*worldSize-action.node-action.other)%worldSize]
-		if node != other && node.core != nil && node.core.isMember(third.disk.id) && !third.outdated {
+		if node != other && node.core != nil && world.bearsRemoval(node, other) {
 			world.change(node, removeAsked{id: other.disk.id})
 		}
 	case 17:
@@ -41,6 +38,22 @@
 	}
 }
 
+// bearsRemoval reports whether two others and a quorum of the new group have
+// their disks. Without that, the two of the new group would be one.
+func (world *world) bearsRemoval(leader, removed *node) bool {
+	voters, alive := 0, 0
+	for _, id := range leader.core.voters() {
+		if id == removed.disk.id {
+			continue
+		}
+		voters++
+		if slices.ContainsFunc(world.nodes, func(holder *node) bool { return holder.disk.id == id && !holder.outdated }) {
+			alive++
+		}
+	}
+	return alive > max(1, voters/2)
+}
+
 // change asks a leader for a change of members.
 func (world *world) change(node *node, asked input) {
 	if node.core != nil && node.core.role == roleLeader {
@@ -65,7 +78,7 @@
 }
 
 func (world *world) crash(node *node) {
-	node.core, node.crashIn = nil, 0
+	node.core, node.crashIn, node.crashAtWrite = nil, 0, false
 }
 
 // begin starts a node on an empty disk.
@@ -81,7 +94,7 @@
 
 func (world *world) newCore(node *node) *core {
 	return &core{
-		id: fmt.Sprint(node.address, "#", world.next), address: node.address, peers: []string{"a0", "a1", "a2"},
+		id: fmt.Sprint(node.address, "#", world.next), address: node.address, peers: slices.Clone(world.peers), sizes: world.sizes,
 		random: rand.New(rand.NewPCG(world.random.Uint64(), 1)),
 	}
 }
