Share the specs of the tier among six processes

Cause: bubbles keep a process under the race detector to one processor, so that the specs of internal/tier took 316 s in one process on a busy machine, and their timeout is 9 min.

Ginkgo's own command, pinned in tools/go.mod, deals the specs out to six processes. A plain `go test -race ./internal/tier` runs the same specs.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 
 GO ?= go
 LINT = $(GO) tool -modfile=tools/go.mod golangci-lint
+GINKGO = $(GO) tool -modfile=tools/go.mod ginkgo
 SEED ?= 1
 export GOFLAGS += -buildvcs=false
 
@@ -23,8 +24,11 @@
 faults:
 	$(GO) test ./internal/faults -count=1 -v -timeout 30m -parallel 4 -run TestMatrix -seed $(SEED) -cell '$(or $(CELL),all)' | grep -v '^ *\(---\|===\)'
 
+# The specs of the tier run in bubbles, which keep a process under the race
+# detector to one processor, so that several processes share them.
 test: format-check lint vet build
-	$(GO) test -race -timeout 9m ./...
+	$(GO) test -race -timeout 9m $$($(GO) list ./... | grep -v /internal/tier$$)
+	$(GINKGO) --race --procs=6 --seed=$(SEED) --timeout 9m --no-color ./internal/tier
 
 format-check:
 	@unformatted=$$($(LINT) fmt --diff); if [ -n "$$unformatted" ]; then echo "$$unformatted"; echo "run make format"; exit 1; fi
