Name coverage where a refusal comes of the caller's minimum

Cause: once the minimum coverage can't be reached, the request is refused at once and its attempts in progress are marked as out of time, so that the refusal named the deadline though time was left.

Shown failing first, go test -cpu 1 ./internal/tier -ginkgo.focus 'refusal says truly': [FAILED] coverage_below_minimum (may_have_run) is not among [deadline may_have_run[{0 no_replica} {1 deadline} {2 deadline} {3 deadline}]]

The specs bring about each kind of refusal and check "not run" against what the targets recorded. Failing first with mutations: - outcome never says may have run: 6 entries, such as deadline (not_run), Expected <int>: 1 to be zero-valued - a lost run counts as not run: quarantined (not_run), Expected <int>: 4 to be zero-valued; answer_lost (not_run), Expected <int>: 3 to be zero-valued

--- a/internal/entry/conclude.go
+++ b/internal/entry/conclude.go
@@ -59,7 +59,9 @@
 
 func (fanOut *fanOut) refusal(ctx context.Context, answer *caller.Answer) *caller.Refusal {
 	kind := caller.RefusedCoverage
-	if answer.Coverage.Answered == 0 {
+	// Shards that could still have answered say nothing of the reason.
+	stopped := fanOut.hopeless() && fanOut.unfinished > 0
+	if answer.Coverage.Answered == 0 && !stopped {
 		kind = refusalKind(ctx, answer.Coverage.Missing)
 	}
 	retryAfter := refusalRetryAfter
--- /dev/null
+++ b/internal/tier/refusal_test.go
@@ -0,0 +1,245 @@
+package tier_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/settings"
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+	"gitlab.com/comfreythread/comfreythread/pkg/caller"
+	"gitlab.com/comfreythread/comfreythread/pkg/duration"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+	"gitlab.com/comfreythread/comfreythread/pkg/target"
+)
+
+const (
+	// runTime is longer than the timeout of the specs' requests.
+	runTime = time.Second
+	// fenceSpan is long enough for an entry without control to fence itself.
+	fenceSpan = 10 * time.Second
+)
+
+// work sets how long runs take at all targets.
+func (load *load) work(span time.Duration) {
+	for _, changed := range load.tier.Targets() {
+		changed.Behave(func(behaviour *standin.Behaviour) { behaviour.Work = func(*target.Run) time.Duration { return span } })
+	}
+}
+
+// change changes all targets without an announcement.
+func (load *load) change(change func(announcement *target.Announcement)) {
+	for _, changed := range load.tier.Targets() {
+		changed.Change(change)
+	}
+}
+
+func (load *load) loseControl() {
+	for _, replica := range load.tier.Replicas() {
+		load.network.Down(replica.IP())
+	}
+}
+
+func (load *load) breakTargets() {
+	for _, broken := range load.tier.Targets() {
+		load.network.Break(broken.IP())
+	}
+}
+
+// cancel cancels a request at an entry as a caller does.
+func (load *load) cancel(entry int, id caller.RequestID) {
+	url := "http://" + load.tier.Entries()[entry].Settings().HTTPAddress + "/v1/requests/" + string(id)
+	request, _ := http.NewRequest(http.MethodDelete, url, http.NoBody)
+	client := http.Client{Transport: &http.Transport{DialContext: load.network.Dialer("10.0.0.7"), DisableKeepAlives: true}}
+	if response, err := client.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// expectTrue checks each refusal against what the targets recorded, and that
+// one of the kind says what is expected of the run.
+func (load *load) expectTrue(expect gomega.Gomega, kind caller.RefusalKind, run caller.RunOutcome) {
+	load.running.Wait()
+	expect.Expect(load.failures).To(gomega.BeEmpty())
+	found := false
+	for _, refusal := range load.refusals {
+		runs := load.tier.Runs(refusal.RequestID)
+		if refusal.Run == caller.NotRun {
+			expect.Expect(runs).To(gomega.BeZero(), refusal.Error())
+		}
+		if refusal.Run == caller.DidRun {
+			expect.Expect(runs).To(gomega.BeNumerically(">", 0), refusal.Error())
+		}
+		found = found || refusal.Kind == kind && refusal.Run == run
+	}
+	expect.Expect(found).To(gomega.BeTrue(), "%s (%s) is not among %v", kind, run, load.told())
+}
+
+// told lists what the refusals say, in short.
+func (load *load) told() []string {
+	var lines []string
+	for _, refusal := range load.refusals {
+		line := string(refusal.Kind) + " " + string(refusal.Run)
+		if refusal.Coverage != nil {
+			line += fmt.Sprint(refusal.Coverage.Missing)
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+var _ = ginkgo.Describe("a refusal says truly whether the request ran", func() {
+	ginkgo.DescribeTable("of the kind",
+		func(kind caller.RefusalKind, run caller.RunOutcome, act func(load *load)) {
+			withOneEntry(nil, func(expect gomega.Gomega, load *load) {
+				act(load)
+				load.expectTrue(expect, kind, run)
+			})
+		},
+		ginkgo.Entry("bad request", caller.RefusedBadRequest, caller.NotRun, func(load *load) {
+			request := file("card")
+			request.Timeout = 0
+			load.send(0, request)
+		}),
+		ginkgo.Entry("unknown kind", caller.RefusedUnknownKind, caller.NotRun, func(load *load) {
+			request := file("card")
+			request.Kind = "unknown"
+			load.send(0, request)
+		}),
+		ginkgo.Entry("expired", caller.RefusedExpired, caller.NotRun, func(load *load) {
+			request := file("card")
+			request.ID = caller.NewRequestID(time.Now().Add(-time.Minute))
+			load.send(0, request)
+		}),
+		ginkgo.Entry("overloaded, while runs of others go on", caller.RefusedOverloaded, caller.NotRun, func(load *load) {
+			load.work(100 * time.Millisecond)
+			for number := range 3 * operator.DefaultQueueLimit * 3 / 2 {
+				load.send(number, file("card"))
+			}
+		}),
+		ginkgo.Entry("fenced", caller.RefusedFenced, caller.NotRun, func(load *load) {
+			load.loseControl()
+			time.Sleep(fenceSpan)
+			load.send(0, file("card"))
+			load.send(1, search("lookup"))
+		}),
+		ginkgo.Entry("stopping", caller.RefusedStopping, caller.NotRun, func(load *load) {
+			tables := small.Tables()
+			tables.FailureDomainsOut = []string{small.FailureDomains[0]}
+			_, _ = load.tier.Control().Change(context.Background(), &operator.Change{ID: "out", Base: load.tier.Version(), Tables: tables})
+			time.Sleep(settings.DefaultAddressMaxAge + fenceSpan)
+			load.send(0, file("card"))
+			load.send(0, search("lookup"))
+		}),
+		ginkgo.Entry("quarantined, by the sending that crashed targets", caller.RefusedQuarantined, caller.MayHaveRun, func(load *load) {
+			load.poison("poison")
+			load.send(0, search("poison"))
+		}),
+		ginkgo.Entry("quarantined, by a later sending", caller.RefusedQuarantined, caller.NotRun, func(load *load) {
+			load.poison("poison")
+			load.send(0, search("poison"))
+			load.running.Wait()
+			load.reset()
+			load.send(1, search("poison"))
+		}),
+		ginkgo.Entry("no replica, because all targets leave", caller.RefusedNoReplica, caller.NotRun, func(load *load) {
+			load.change(func(announcement *target.Announcement) { announcement.State = target.Leaving })
+			time.Sleep(2 * time.Second)
+			load.send(0, file("card"))
+		}),
+		ginkgo.Entry("no replica, because all targets shed as leaving", caller.RefusedNoReplica, caller.NotRun, func(load *load) {
+			load.change(func(announcement *target.Announcement) { announcement.State = target.Leaving })
+			load.send(0, file("card"))
+		}),
+		ginkgo.Entry("no replica, because all targets hold another version", caller.RefusedNoReplica, caller.NotRun, func(load *load) {
+			load.change(func(announcement *target.Announcement) { announcement.IndexVersions = []uint64{7} })
+			load.send(0, file("card"))
+		}),
+		ginkgo.Entry("no replica, because no target takes a connection", caller.RefusedNoReplica, caller.NotRun, func(load *load) {
+			for _, lost := range load.tier.Targets() {
+				load.network.Down(lost.IP())
+			}
+			load.send(0, file("card"))
+		}),
+		ginkgo.Entry("deadline, while the run goes on", caller.RefusedDeadline, caller.MayHaveRun, func(load *load) {
+			load.work(runTime)
+			load.send(0, file("card"))
+			load.send(1, search("lookup"))
+		}),
+		ginkgo.Entry("no replica, because connections open too slowly", caller.RefusedNoReplica, caller.NotRun, func(load *load) {
+			load.breakTargets()
+			load.network.SetConnect(func(_, to string) time.Duration {
+				for _, slow := range load.tier.Targets() {
+					if slow.IP() == to {
+						return 2 * operator.DefaultConnectTimeout
+					}
+				}
+				return 0
+			})
+			request := file("card")
+			request.Timeout = duration.Of(10 * operator.DefaultConnectTimeout)
+			load.send(0, request)
+		}),
+		ginkgo.Entry("coverage below the minimum, once a shard has no replica", caller.RefusedCoverage, caller.MayHaveRun, func(load *load) {
+			for _, lost := range load.byShard(0) {
+				load.network.Down(lost.IP())
+			}
+			request := search("lookup")
+			request.MinimumCoverage = 1
+			load.send(0, request)
+		}),
+		ginkgo.Entry("coverage below the minimum, once the time has run out", caller.RefusedCoverage, caller.MayHaveRun, func(load *load) {
+			for _, slowed := range load.byShard(0) {
+				slowed.Behave(func(behaviour *standin.Behaviour) {
+					behaviour.Work = func(*target.Run) time.Duration { return runTime }
+				})
+			}
+			request := search("lookup")
+			request.MinimumCoverage = 1
+			load.send(0, request)
+		}),
+		ginkgo.Entry("already sent, and ran", caller.RefusedRepeat, caller.DidRun, func(load *load) {
+			request := file("card")
+			load.send(0, request)
+			load.running.Wait()
+			load.send(1, request)
+		}),
+		ginkgo.Entry("already sent, and runs", caller.RefusedRepeat, caller.MayHaveRun, func(load *load) {
+			load.work(100 * time.Millisecond)
+			request := file("card")
+			load.send(0, request)
+			time.Sleep(20 * time.Millisecond)
+			load.send(0, request)
+			load.send(1, request)
+		}),
+		ginkgo.Entry("cancelled", caller.RefusedCancelled, caller.MayHaveRun, func(load *load) {
+			load.work(200 * time.Millisecond)
+			request := file("card")
+			load.send(0, request)
+			time.Sleep(50 * time.Millisecond)
+			load.cancel(0, request.ID)
+		}),
+		ginkgo.Entry("control unavailable", caller.RefusedUnavailable, caller.NotRun, func(load *load) {
+			load.loseControl()
+			load.send(0, file("card"))
+		}),
+		ginkgo.Entry("answer lost, because the connection broke", caller.RefusedLost, caller.MayHaveRun, func(load *load) {
+			load.work(100 * time.Millisecond)
+			load.send(0, file("card"))
+			time.Sleep(50 * time.Millisecond)
+			load.breakTargets()
+		}),
+		ginkgo.Entry("answer lost, because it was damaged", caller.RefusedLost, caller.MayHaveRun, func(load *load) {
+			for _, damaging := range load.tier.Targets() {
+				damaging.Behave(func(behaviour *standin.Behaviour) {
+					behaviour.Spoil = func(result *target.Result) { result.Checksum++ }
+				})
+			}
+			load.send(0, file("card"))
+		}),
+	)
+})
