Count late and repeated answers, and prove what is dropped

Cause: an answer that comes after its run was given up, and one that comes twice at once, were dropped without a count. A response with more bytes behind it now closes its connection and counts as duplicated; an answer to a run that nobody waits for counts as late.

Not counted still: a repeated answer that comes in a later segment on an idle connection (lane.unexpected closes it; it knows no metrics), and an answer that the coordinator drops because another one was first (fanOut.answer).

--- a/internal/target/codec.go
+++ b/internal/target/codec.go
@@ -23,6 +23,11 @@
 	maximumResultBytes = 4 << 20
 	// headBytes is room for the head of a message to a target.
 	headBytes = 512
+
+	// droppedLate names, in metrics, answers to runs that were given up.
+	droppedLate = "late"
+	// droppedRepeated names, in metrics, answers that came more than once.
+	droppedRepeated = "duplicated"
 )
 
 var (
@@ -38,6 +43,9 @@
 		body   []byte
 		// last states that the target closes the connection.
 		last bool
+		// repeated states that more bytes came with the response, which
+		// nobody has asked for.
+		repeated bool
 	}
 )
 
@@ -74,7 +82,7 @@
 	if len(body) > maximumResultBytes {
 		return nil, errDamaged
 	}
-	return &response{status: read.StatusCode, body: body, last: read.Close}, nil
+	return &response{status: read.StatusCode, body: body, last: read.Close, repeated: reader.Buffered() > 0}, nil
 }
 
 // decode returns the result or the shed that the response to a run holds.
@@ -110,7 +118,7 @@
 	return nil
 }
 
-// dropReason names, in metrics, why an answer was dropped.
+// dropReason names, in metrics, why an answer that can't be used was dropped.
 func dropReason(err error) string {
 	switch {
 	case errors.Is(err, errCrossed):
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -7,6 +7,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
@@ -35,6 +36,8 @@
 		// limit ends the wait for the response.
 		limit    *time.Timer
 		outcomes chan Outcome
+		// givenUp states that nobody waits for the outcome any more.
+		givenUp atomic.Bool
 		// ended is closed once the run no longer occupies a slot.
 		ended     chan struct{}
 		releasing sync.Once
@@ -90,6 +93,7 @@
 				run.lane.suspect(run.exchange.begunAt)
 			}
 		case <-ctx.Done():
+			run.givenUp.Store(true)
 			run.abandon()
 			return Lost{Reason: caller.MissingDeadline}
 		}
@@ -134,7 +138,10 @@
 		return
 	}
 	result, shed, err := received.decode(&run.attempt.Run)
-	if err != nil || received.last {
+	if received.repeated {
+		run.home.metrics.Dropped().WithLabelValues(droppedRepeated).Inc()
+	}
+	if err != nil || received.last || received.repeated {
 		run.lane.close(run.exchange.connection, closingSpan)
 	} else {
 		run.lane.put(run.exchange.connection)
@@ -150,6 +157,9 @@
 }
 
 func (run *run) answered(result *target.Result) Outcome {
+	if run.givenUp.Load() {
+		run.home.metrics.Dropped().WithLabelValues(droppedLate).Inc()
+	}
 	present := run.lane.observe(result.Incarnation)
 	run.release(present)
 	run.home.board.Verdicts().Answered(blackboard.Fingerprint(run.attempt.Fingerprint))
