Give an entry that was away the quarantines that it missed

Cause: verdicts are sent once to the entries of the view, for 7 s at the most. An entry that starts during a quarantine, or was cut off while the verdicts were sent, has none of them: its own targets run the request again, and each such start loses further targets.

Ruled out: that the other homes let the request through; they refuse it, so only the targets of the new entry are lost.

Shown failing first, without the exchange of quarantines: go test -cpu 1 ./internal/tier -ginkgo.focus 'crashes targets' [FAILED] is refused within a second at an entry that starts during its quarantine: Expected <int>: 6 to equal <int>: 4 (targets lost)

Change: the reply to the comparison of directories, which each entry makes each second with one peer, carries the quarantines in force or remembered. An entry that knows the request to be innocent refuses them and tells the others. A verdict of innocence now clears a request at the entries that are told of it too, as docs/design/crash_quarantine.md says, so that a quarantine which one entry still holds doesn't come back.

After: 4 targets lost, the same spec passes.

Each spec shown failing first against a mutation of internal/blackboard/verdicts.go, with go test -cpu 1 ./internal/tier -ginkgo.focus 'crashes targets|restart of all targets': - quarantineGrowth = 1: in an hour, Expected 62 to be <= 7 - Quarantined returns 0: at all entries at the same time, Expected 10098 to be <= 36 - verdicts are told to nobody: refused at every entry within a second, Expected may_have_run to equal not_run - an answered run clears nothing: targets restart one after another, Expected 128 to be zero-valued (quarantined); ran beside ten of its kind, Expected 12 to equal 18 (complete) - quarantines five times as long: all targets restart at once, Expected 882 to equal 900 (complete) All pass on the code as it is, also with -race -cpu 1 (the hour took 143 s so).

--- a/internal/blackboard/verdicts.go
+++ b/internal/blackboard/verdicts.go
@@ -29,6 +29,8 @@
 	innocenceSpan = time.Minute
 	// maximumVerdicts bounds the table.
 	maximumVerdicts = 1 << 16
+	// maximumQuarantines bounds what is told to one entry at a time.
+	maximumQuarantines = 256
 )
 
 type (
@@ -45,6 +47,17 @@
 		Innocent bool `msgpack:"i"`
 	}
 
+	// Quarantine is what an entry tells another one, which may have missed the
+	// verdicts, of a request's content.
+	Quarantine struct {
+		Fingerprint Fingerprint `msgpack:"f"`
+		// Left is the span until the quarantine ends; it is below zero for
+		// one that has ended and is remembered.
+		Left time.Duration `msgpack:"l"`
+		// Offences counts the quarantines so far.
+		Offences int `msgpack:"o"`
+	}
+
 	// Verdicts holds the requests under which targets were lost. A request
 	// that any target has answered of late is innocent, because one that
 	// crashes targets crashes each that runs it.
@@ -95,23 +108,35 @@
 // Answered records that a target has answered the request.
 func (verdicts *Verdicts) Answered(fingerprint Fingerprint) {
 	verdicts.lock.Lock()
-	verdicts.turn(time.Now())
-	verdicts.answered[fingerprint] = true
 	_, suspected := verdicts.suspects[fingerprint]
-	delete(verdicts.suspects, fingerprint)
+	verdicts.clear(fingerprint)
 	verdicts.lock.Unlock()
 	if suspected {
 		verdicts.spread(Verdict{Fingerprint: fingerprint, Innocent: true})
 	}
 }
 
+// clear records that the request is innocent. The lock is held.
+func (verdicts *Verdicts) clear(fingerprint Fingerprint) {
+	verdicts.turn(time.Now())
+	verdicts.answered[fingerprint] = true
+	delete(verdicts.suspects, fingerprint)
+}
+
+// cleared reports whether a target has answered the request of late. The lock
+// is held.
+func (verdicts *Verdicts) cleared(fingerprint Fingerprint, now time.Time) bool {
+	verdicts.turn(now)
+	return verdicts.answered[fingerprint] || verdicts.before[fingerprint]
+}
+
 // Take takes a verdict. It reports whether the verdict stands; one against a
 // request that is known to be innocent doesn't, and the others are told so.
 func (verdicts *Verdicts) Take(verdict Verdict) bool {
 	if verdict.Innocent {
 		verdicts.lock.Lock()
 		defer verdicts.lock.Unlock()
-		delete(verdicts.suspects, verdict.Fingerprint)
+		verdicts.clear(verdict.Fingerprint)
 		return true
 	}
 	if verdicts.strike(verdict) {
@@ -125,20 +150,67 @@
 	verdicts.lock.Lock()
 	defer verdicts.lock.Unlock()
 	now := time.Now()
-	verdicts.turn(now)
-	if verdicts.answered[verdict.Fingerprint] || verdicts.before[verdict.Fingerprint] {
+	if verdicts.cleared(verdict.Fingerprint, now) {
 		return false
 	}
-	struck, known := verdicts.suspects[verdict.Fingerprint]
-	if !known {
-		verdicts.forget(now)
-		struck = &suspect{targets: map[string]bool{}}
-		if verdicts.suspects == nil {
-			verdicts.suspects = map[Fingerprint]*suspect{}
+	verdicts.suspect(verdict.Fingerprint, now).add(verdict.TargetID, now)
+	return true
+}
+
+// suspect returns what is held against a request, which may be nothing as
+// yet. The lock is held.
+func (verdicts *Verdicts) suspect(fingerprint Fingerprint, now time.Time) *suspect {
+	held, known := verdicts.suspects[fingerprint]
+	if known {
+		return held
+	}
+	verdicts.forget(now)
+	held = &suspect{targets: map[string]bool{}}
+	if verdicts.suspects == nil {
+		verdicts.suspects = map[Fingerprint]*suspect{}
+	}
+	verdicts.suspects[fingerprint] = held
+	return held
+}
+
+// Quarantines returns the quarantines that are in force or remembered.
+func (verdicts *Verdicts) Quarantines() []Quarantine {
+	verdicts.lock.Lock()
+	defer verdicts.lock.Unlock()
+	var held []Quarantine
+	now := time.Now()
+	for fingerprint, suspect := range verdicts.suspects {
+		if suspect.offences > 0 && !suspect.stale(now) && len(held) < maximumQuarantines {
+			held = append(held, Quarantine{Fingerprint: fingerprint, Left: suspect.until.Sub(now), Offences: suspect.offences})
+		}
+	}
+	return held
+}
+
+// Adopt takes the quarantines that another entry holds. Of two for one request
+// the one after more offences counts. A request that is known to be innocent
+// gets none, and the others are told so.
+func (verdicts *Verdicts) Adopt(quarantines []Quarantine) {
+	for _, quarantine := range quarantines {
+		if !verdicts.adopt(quarantine) {
+			verdicts.spread(Verdict{Fingerprint: quarantine.Fingerprint, Innocent: true})
 		}
-		verdicts.suspects[verdict.Fingerprint] = struck
 	}
-	struck.add(verdict.TargetID, now)
+}
+
+func (verdicts *Verdicts) adopt(quarantine Quarantine) bool {
+	verdicts.lock.Lock()
+	defer verdicts.lock.Unlock()
+	now := time.Now()
+	if verdicts.cleared(quarantine.Fingerprint, now) {
+		return false
+	}
+	held := verdicts.suspect(quarantine.Fingerprint, now)
+	if quarantine.Offences > held.offences {
+		held.offences = quarantine.Offences
+		held.until = now.Add(min(quarantine.Left, MaximumQuarantineSpan))
+		held.targets = map[string]bool{}
+	}
 	return true
 }
 
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -47,12 +47,15 @@
 	}
 
 	// DigestReply carries what the sender of a query lacks, where the
-	// receiver's log reaches back to the sender's digest.
+	// receiver's log reaches back to the sender's digest, and the quarantines,
+	// because the sender may have been away when their verdicts were sent.
 	DigestReply struct {
 		Digest  blackboard.Digest   `msgpack:"d"`
 		Found   bool                `msgpack:"o,omitempty"`
 		Records []blackboard.Record `msgpack:"r,omitempty"`
 		Load    int                 `msgpack:"l"`
+
+		Quarantines []blackboard.Quarantine `msgpack:"q,omitempty"`
 	}
 
 	// ReconcileQuery asks for the records of the buckets that differ.
@@ -173,6 +176,7 @@
 		return "", err
 	}
 	spreader.board.Loads().Tell(member.ID, reply.Load)
+	spreader.board.Verdicts().Adopt(reply.Quarantines)
 	if reply.Digest == query.Digest {
 		return "equal", nil
 	}
@@ -202,7 +206,7 @@
 func (spreader *Spreader) compare(query *DigestQuery) *DigestReply {
 	directory := spreader.board.Directory()
 	spreader.board.Loads().Tell(query.From, query.Load)
-	reply := &DigestReply{Digest: directory.Digest(), Load: spreader.board.Loads().Own()}
+	reply := &DigestReply{Digest: directory.Digest(), Load: spreader.board.Loads().Own(), Quarantines: spreader.board.Verdicts().Quarantines()}
 	if reply.Digest != query.Digest {
 		reply.Records, reply.Found = directory.Since(query.Digest)
 	}
