Refuse whole requests under overload before they take slots

Cause: each home refused attempts by itself. At 5x each shard answered one request in five, but only a third of these were the same requests (whole 7%, mean coverage 20%): homes compare a request's priority with their own queue and with a deadline that is 24 ms nearer in other regions, so that their thresholds differ. Each partial answer takes slots from a whole one.

Weighed: a refusal at the coordinator in proportion to the waits that homes report. Reckoned and not built: at 5x the loop's gain times its delay of 12 to 24 ms is 4 to 8, so that it swings between empty and full. A bound on the attempts in progress needs no such gain, because a request is admitted as another ends.

Change: an entry bounds its own attempts in progress for each pool, from the first sign of congestion (smoothed wait for a slot above an eighth of the request's timeout) to one second after the last. A request beyond the bound is refused as a whole at once: overloaded, not run, with Retry-After and its coverage (none of the known total). It takes no run right. The wait is the mean over a request's attempts, so that one crippled shard doesn't keep out callers who accept the others.

--- a/internal/entry/conclude.go
+++ b/internal/entry/conclude.go
@@ -71,6 +71,18 @@
 	return refusal
 }
 
+// overloaded refuses a request before any of its attempts was sent.
+func overloaded(plan *plan) *caller.Refusal {
+	coverage := &caller.Coverage{Known: true, Total: len(plan.shards)}
+	for _, shard := range plan.shards {
+		coverage.Missing = append(coverage.Missing, caller.MissingShard{Shard: shard.shard, Reason: caller.MissingOverloaded})
+	}
+	refusal := refuse(caller.RefusedOverloaded, caller.NotRun, refusalRetryAfter,
+		"the targets have no room for the whole request", "send the request again after the named span, or start more targets")
+	refusal.Coverage = coverage
+	return refusal
+}
+
 // refusalKind names the reason that most missing shards share.
 func refusalKind(ctx context.Context, missing []caller.MissingShard) caller.RefusalKind {
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -50,6 +50,7 @@
 		metrics *metrics.Metrics
 
 		estimates Estimates
+		windows   windows
 	}
 )
 
@@ -99,6 +100,11 @@
 		refusal.Coverage = &caller.Coverage{}
 		return nil, refusal
 	}
+	passage, admitted := coordinator.windows.enter(route.Pool, len(plan.shards), request.Timeout.Std())
+	if !admitted {
+		return nil, overloaded(plan)
+	}
+	defer passage.leave()
 	once := !request.Idempotent || route.NeverRepeat
 	nonce := rand.Uint64()
 	if once {
@@ -106,7 +112,7 @@
 			return nil, refusal
 		}
 	}
-	fanOut := &fanOut{coordinator: coordinator, request: request, plan: plan, pool: pool, fingerprint: fingerprint, nonce: nonce, deadline: deadline, once: once}
+	fanOut := &fanOut{coordinator: coordinator, request: request, plan: plan, passage: passage, pool: pool, fingerprint: fingerprint, nonce: nonce, deadline: deadline, once: once}
 	fanOut.run(ctx)
 	if once {
 		coordinator.record(ctx, request, nonce, fanOut.outcome())
--- a/internal/entry/estimates.go
+++ b/internal/entry/estimates.go
@@ -265,6 +265,11 @@
 	if now.Sub(peerEstimate.observedAt) < loadSpan {
 		ahead = max(ahead, load.Waiting+load.Running)
 	}
+	return slotWait(&load, ahead)
+}
+
+// slotWait returns how long an attempt waits for a slot behind others.
+func slotWait(load *target.Load, ahead int) time.Duration {
 	slots := max(1, load.Slots)
 	if ahead < slots {
 		return 0
--- a/internal/entry/fan_out.go
+++ b/internal/entry/fan_out.go
@@ -26,6 +26,7 @@
 		coordinator *Coordinator
 		request     *caller.Request
 		plan        *plan
+		passage     *passage
 		pool        operator.Pool
 		fingerprint blackboard.Fingerprint
 		nonce       uint64
@@ -119,6 +120,9 @@
 	shard := attempt.shard
 	shard.pending--
 	fanOut.coordinator.estimates.reported(fanOut.pool.Name, attempt, report)
+	if !report.unreachable {
+		fanOut.passage.observe(slotWait(&report.Load, report.Load.Waiting+report.Load.Running))
+	}
 	switch outcome := report.outcome().(type) {
 	case target.Answered:
 		shard.runs++
--- a/internal/tier/request_test.go
+++ b/internal/tier/request_test.go
@@ -33,6 +33,8 @@
 		network *standin.Network
 		// minimum is the coverage that the searches ask for.
 		minimum float64
+		// timeout replaces that of the searches where it is not zero.
+		timeout time.Duration
 
 		lock      sync.Mutex
 		running   sync.WaitGroup
@@ -112,6 +114,9 @@
 	for number := range int(span.Seconds() * float64(perSecond)) {
 		request := search(fmt.Sprintf("steady %d %d", number, time.Now().UnixNano()))
 		request.MinimumCoverage = load.minimum
+		if load.timeout > 0 {
+			request.Timeout = duration.Of(load.timeout)
+		}
 		load.send(number, request)
 		time.Sleep(time.Second / time.Duration(perSecond))
 	}
--- a/internal/tier/tail_test.go
+++ b/internal/tier/tail_test.go
@@ -1,6 +1,8 @@
 package tier_test
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -8,6 +10,8 @@
 
 	"gitlab.com/comfreythread/comfreythread/internal/standin"
 	"gitlab.com/comfreythread/comfreythread/internal/tier"
+	"gitlab.com/comfreythread/comfreythread/pkg/caller"
+	"gitlab.com/comfreythread/comfreythread/pkg/target"
 )
 
 // paired is one pool of two shards with two replicas each, so that an entry
@@ -33,3 +37,40 @@
 		})
 	})
 })
+
+var _ = ginkgo.Describe("overload by callers that accept any coverage", func() {
+	ginkgo.It("leaves the whole answers at nine in ten of their peak, and refuses at once and truly", func() {
+		withDeployment(paired, tier.Latency(paired), func(expect gomega.Gomega, load *load) {
+			// Twelve slots, runs of 12 ms and two shards: 500 requests a second.
+			const capacity = 500
+			for _, slowed := range load.tier.Targets() {
+				slowed.Behave(func(behaviour *standin.Behaviour) {
+					behaviour.Work = func(*target.Run) time.Duration { return 12 * time.Millisecond }
+				})
+			}
+			load.timeout = 200 * time.Millisecond
+			load.steady(capacity/10, 2*time.Second)
+			var whole []int
+			for _, multiple := range []int{1, 2, 5} {
+				load.reset()
+				before := load.runs()
+				load.steady(multiple*capacity, time.Second)
+				whole = append(whole, load.complete())
+				// Two shards each, and the extra load of the budgets.
+				expect.Expect(load.runs() - before).To(gomega.BeNumerically("<=", multiple*capacity*2*115/100))
+				for _, refusal := range load.refusals {
+					expect.Expect(refusal.RetryAfter).To(gomega.BeNumerically(">", 0))
+					if refusal.Run == caller.NotRun {
+						expect.Expect(load.tier.Runs(refusal.RequestID)).To(gomega.BeZero(), string(refusal.Kind))
+					}
+				}
+			}
+			for _, count := range whole {
+				expect.Expect(count).To(gomega.BeNumerically(">=", slices.Max(whole)*9/10), fmt.Sprint(whole))
+			}
+			for _, loaded := range load.tier.Targets() {
+				expect.Expect(loaded.Record().Peak).To(gomega.BeNumerically("<=", paired.Pools[0].Slots))
+			}
+		})
+	})
+})
