Let the Go client wait for a late answer and leave room for the ways

The new test 'takes an answer that comes late' failed first: 'answer <nil>, error ... context deadline exceeded', also with the whole time told (no room for the way back).

Now another entry is asked besides after half of the time, the first answer or refusal counts, and entries are told the time that is left less a twentieth. Ruled out: telling the entry half of the time, which halves what the caller asked for.

--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"gitlab.com/comfreythread/comfreythread/pkg/duration"
 )
 
 const (
@@ -22,6 +24,9 @@
 	// addressHedge is how long an entry may be silent on a question for
 	// addresses before another one is asked too.
 	addressHedge = 100 * time.Millisecond
+	// wayShare is the share of a request's time, one in so many, that is kept
+	// for the ways to an entry and back.
+	wayShare = 20
 	// maximumSendings bounds the entries that one request is sent to.
 	maximumSendings = 4
 )
@@ -45,6 +50,22 @@
 		renewing            chan struct{}
 	}
 
+	// sending is the way of one request over entries.
+	sending struct {
+		client  *Client
+		request *Request
+		tried   map[string]bool
+		pending int
+		// newest is the entry that got the request last.
+		newest  *entryState
+		results chan result
+	}
+
+	result struct {
+		answer *Answer
+		err    error
+	}
+
 	// listing is an entry's answer to a question for addresses, and when it
 	// was asked. The addresses are nil where there was none.
 	listing struct {
@@ -78,33 +99,35 @@
 // The error is a *Refusal where an entry refused, and ErrNotSent where none
 // could be reached.
 //
-// A request that is idempotent is sent to another entry where one is dead or
-// silent. One that isn't is sent again only if the first entry's refusal
-// proves that it wasn't run, or if no byte of it was sent. After any other
-// error it may have run; send it again with the same ID to be told.
+// A request that is idempotent goes to another entry where one is dead, and to
+// another one besides where one has been silent for half of the time that was
+// left; the first answer or refusal counts. One that isn't idempotent is sent
+// again only if the first entry's refusal proves that it wasn't run, or if no
+// byte of it was sent. After any other error it may have run; send it again
+// with the same ID to be told.
 func (client *Client) Send(ctx context.Context, request *Request) (*Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, request.Timeout.Std())
 	defer cancel()
-	tried := map[string]bool{}
-	var last error
-	for range maximumSendings {
-		entry := client.choose(ctx, tried)
-		if entry == nil {
-			break
-		}
-		tried[entry.address] = true
-		answer, err := client.sendOnce(ctx, entry, request)
-		if err == nil {
-			return answer, nil
-		}
-		last = err
-		if !client.mayTryNext(ctx, err, request) {
-			return nil, err
+	sending := &sending{client: client, request: request, tried: map[string]bool{}, results: make(chan result, maximumSendings)}
+	last := errors.Wrap(ErrNotSent, "no entry is known")
+	sending.next(ctx)
+	for sending.pending > 0 {
+		select {
+		case result := <-sending.results:
+			sending.pending--
+			if result.err == nil {
+				return result.answer, nil
+			}
+			last = result.err
+			if !client.mayTryNext(ctx, last, request) {
+				return nil, last
+			}
+			sending.next(ctx)
+		case <-sending.silence(ctx):
+			client.avoid(sending.newest)
+			sending.next(ctx)
 		}
 	}
-	if last == nil {
-		last = errors.Wrap(ErrNotSent, "no entry is known")
-	}
 	return nil, last
 }
 
@@ -116,25 +139,60 @@
 	return slices.Clone(client.current)
 }
 
-func (client *Client) sendOnce(ctx context.Context, entry *entryState, request *Request) (*Answer, error) {
-	// Half of the time left, so that there is time for another entry.
-	half := timeLeft(ctx) / 2
-	attempt, cancel := ctx, context.CancelFunc(func() {})
-	if request.Idempotent {
-		attempt, cancel = context.WithTimeout(ctx, half)
+// next sends the request to one more entry, where there is one.
+func (sending *sending) next(ctx context.Context) {
+	if len(sending.tried) == maximumSendings {
+		return
 	}
-	defer cancel()
-	answer, err := entry.sendConnecting(attempt, half, request)
+	entry := sending.client.choose(ctx, sending.tried)
+	if entry == nil {
+		return
+	}
+	sending.tried[entry.address] = true
+	sending.newest = entry
+	sending.pending++
+	go func() {
+		answer, err := sending.client.sendOnce(ctx, entry, sending.request)
+		sending.results <- result{answer: answer, err: err}
+	}()
+}
+
+// silence returns a channel that tells when the newest entry has been silent
+// for so long that another one is to be asked besides. It is nil where none may.
+func (sending *sending) silence(ctx context.Context) <-chan time.Time {
+	if !sending.request.Idempotent || len(sending.tried) == maximumSendings || timeLeft(ctx) <= 0 {
+		return nil
+	}
+	return time.After(timeLeft(ctx) / 2)
+}
+
+func (client *Client) sendOnce(ctx context.Context, entry *entryState, request *Request) (*Answer, error) {
+	// An entry counts from when it gets the request, and may answer at the
+	// last moment: the ways there and back must fit in too.
+	left := timeLeft(ctx)
+	shortened := *request
+	shortened.Timeout = duration.Of(left - left/wayShare)
+	answer, err := entry.sendConnecting(ctx, left/2, &shortened)
 	client.lock.Lock()
 	defer client.lock.Unlock()
 	entry.inFlight--
 	var refusal *Refusal
-	if err != nil && ctx.Err() != context.Canceled && (!errors.As(err, &refusal) || leavesEntry(refusal)) {
+	switch {
+	case err == nil:
+		entry.avoidedUntil = time.Time{}
+	case ctx.Err() != context.Canceled && (!errors.As(err, &refusal) || leavesEntry(refusal)):
 		entry.avoidedUntil = time.Now().Add(avoidance)
 	}
 	return answer, err
 }
 
+// avoid has an entry tried last for a while.
+func (client *Client) avoid(entry *entryState) {
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	entry.avoidedUntil = time.Now().Add(avoidance)
+}
+
 // mayTryNext reports whether another entry may get the request after an error.
 func (client *Client) mayTryNext(ctx context.Context, err error, request *Request) bool {
 	if ctx.Err() != nil {
--- a/pkg/caller/client_test.go
+++ b/pkg/caller/client_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -26,6 +27,9 @@
 )
 
 type (
+	// bodyKey is the key of a request's body in its context.
+	bodyKey struct{}
+
 	// fakeTier is entries that count what they get and answer as told.
 	fakeTier struct {
 		network *standin.Network
@@ -75,7 +79,8 @@
 	})
 	mux.HandleFunc("POST /v1/requests", func(writer http.ResponseWriter, request *http.Request) {
 		// The server watches for a client's leave only after the body.
-		_, _ = io.ReadAll(request.Body)
+		body, _ := io.ReadAll(request.Body)
+		request = request.WithContext(context.WithValue(request.Context(), bodyKey{}, body))
 		tier.count(address, 1)
 		defer tier.count(address, -1)
 		tier.lock.Lock()
@@ -117,6 +122,13 @@
 	}
 }
 
+func received(request *http.Request) *caller.Request {
+	decoded := new(caller.Request)
+	body, _ := request.Context().Value(bodyKey{}).([]byte)
+	_ = json.Unmarshal(body, decoded)
+	return decoded
+}
+
 func complete(writer http.ResponseWriter, _ *http.Request) {
 	time.Sleep(10 * time.Millisecond)
 	_ = json.NewEncoder(writer).Encode(caller.Answer{Coverage: caller.Coverage{Answered: 1, Total: 1, Known: true, Complete: true}})
@@ -209,6 +221,24 @@
 	}
 }
 
+// TestClientTakesAnAnswerThatComesLate has all entries answer in part when the
+// time that the request names is over.
+func TestClientTakesAnAnswerThatComesLate(t *testing.T) {
+	withEntries(t, func(t *testing.T, tier *fakeTier, client *caller.Client) {
+		client.Addresses(t.Context())
+		tier.each(func(writer http.ResponseWriter, request *http.Request) {
+			time.Sleep(received(request).Timeout.Std())
+			_ = json.NewEncoder(writer).Encode(caller.Answer{Coverage: caller.Coverage{Answered: 1, Total: 2, Known: true}})
+		}, tier.listed...)
+		for range 5 {
+			answer, err := client.Send(t.Context(), idempotent())
+			if err != nil || answer.Coverage.Answered != 1 {
+				t.Fatalf("answer %v, error %v", answer, err)
+			}
+		}
+	})
+}
+
 func TestClientSendsWhatIsNotIdempotentElsewhereIfNoByteWasSent(t *testing.T) {
 	for name, fail := range map[string]func(tier *fakeTier){
 		"dead":        func(tier *fakeTier) { tier.network.Down("10.1.0.2") },
@@ -217,6 +247,9 @@
 		t.Run(name, func(t *testing.T) {
 			withEntries(t, func(t *testing.T, tier *fakeTier, client *caller.Client) {
 				client.Addresses(t.Context())
+				// No connection is open, so that nothing can be sent.
+				tier.network.Break("10.1.0.2")
+				synctest.Wait()
 				fail(tier)
 				defer tier.network.Heal("10.0.0.1", "10.1.0.2")
 				for number := range 40 {
