Tell every change made here, also in a burst, and measure the directory

Cause: the changes to tell were found in the log of 1,024 changes, from which a burst from other entries pushed them before the batch was sent; and digests from before the burst weren't in the log any more, so that comparisons exchanged all buckets. Now what is to be told is kept apart, and the log has 16,384 entries. Ruled out: the rate of announcements (2 to 3 a second at each entry here).

The new test 'tell what was changed here also when much comes from other entries first' failed before ('len:0 ... to have length 1'), and with the short log ('false to be true').

--- a/Makefile
+++ b/Makefile
@@ -51,3 +51,9 @@
 replica-faults:
 	@echo "seed $(SEED), $(CASES) cases"
 	$(GO) test ./internal/replica -run TestCoreUnderFaults -timeout 60m -rapid.seed=$(SEED) -rapid.checks=$(CASES)
+
+.PHONY: directory
+# directory measures the ways of keeping the directory equal, for
+# docs/design/directory.md. It takes about 6 GB of memory.
+directory:
+	$(GO) test ./internal/entry -count=1 -run TestMeasureDirectory -measure-directory -v -timeout 20m
--- a/internal/blackboard/difference.go
+++ b/internal/blackboard/difference.go
@@ -7,24 +7,22 @@
 	// DirectoryBuckets is the number of parts that a directory is compared by
 	// where the log doesn't reach back far enough.
 	DirectoryBuckets = 256
-	// logLength bounds the changes that a directory remembers.
-	logLength = 1024
+	// logLength bounds the changes that a directory remembers. It has room for
+	// a change of each target at the size to come, 12,000, so that entries
+	// which took the same changes in another order need no reconciliation.
+	logLength = 16384
 )
 
 type (
 	// changeLog is a ring of the newest changes. The zero value is empty.
 	changeLog struct {
 		entries []logEntry
-		// first is the position of entries[0] since the start.
-		first uint64
 	}
 
 	logEntry struct {
 		// before and after are the directory's digests around the change.
 		before, after Digest
 		targetID      string
-		// local states that the change was made here and is to be told.
-		local bool
 	}
 
 	// Summary is a directory's digest, whole and by bucket.
@@ -34,15 +32,14 @@
 	}
 )
 
-func (changeLog *changeLog) add(after Digest, targetID string, local bool) {
+func (changeLog *changeLog) add(after Digest, targetID string) {
 	var before Digest
 	if last := len(changeLog.entries) - 1; last >= 0 {
 		before = changeLog.entries[last].after
 	}
-	changeLog.entries = append(changeLog.entries, logEntry{before: before, after: after, targetID: targetID, local: local})
+	changeLog.entries = append(changeLog.entries, logEntry{before: before, after: after, targetID: targetID})
 	if len(changeLog.entries) >= 2*logLength {
 		changeLog.entries = append([]logEntry(nil), changeLog.entries[logLength:]...)
-		changeLog.first += logLength
 	}
 }
 
@@ -115,21 +112,19 @@
 	return records
 }
 
-// ChangedHere returns the records that this entry has changed since a position
-// of the log, and the position to ask from next. What the log has dropped
-// meanwhile is left to the exchange of digests.
-func (directory *Directory) ChangedHere(position uint64) ([]Record, uint64) {
-	directory.lock.RLock()
-	defer directory.lock.RUnlock()
-	next := directory.log.first + uint64(len(directory.log.entries))
-	position = max(position, directory.log.first)
-	var local []logEntry
-	for _, entry := range directory.log.entries[position-directory.log.first:] {
-		if entry.local {
-			local = append(local, entry)
+// TakeChangedHere returns the records that this entry has changed since the
+// last call.
+func (directory *Directory) TakeChangedHere() []Record {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	var records []Record
+	for id := range directory.untold {
+		if known, exists := directory.records[id]; exists {
+			records = append(records, known.Record)
 		}
 	}
-	return directory.named(local), next
+	directory.untold = nil
+	return records
 }
 
 // Changed returns a channel that is closed at the next change.
--- a/internal/blackboard/directory.go
+++ b/internal/blackboard/directory.go
@@ -36,6 +36,9 @@
 		digest  Digest
 		buckets [DirectoryBuckets]Digest
 		log     changeLog
+		// untold names the targets whose changes were made here and weren't
+		// told to other entries yet.
+		untold  map[string]bool
 		changed chan struct{}
 		// completed is closed once the directory was compared with another
 		// entry's.
@@ -215,7 +218,13 @@
 		directory.pools[pool] = map[string]*known{}
 	}
 	directory.pools[pool][id] = replaced
-	directory.log.add(directory.digest, id, local)
+	directory.log.add(directory.digest, id)
+	if local {
+		if directory.untold == nil {
+			directory.untold = map[string]bool{}
+		}
+		directory.untold[id] = true
+	}
 	if directory.changed != nil {
 		close(directory.changed)
 		directory.changed = nil
--- a/internal/blackboard/directory_test.go
+++ b/internal/blackboard/directory_test.go
@@ -125,4 +125,24 @@
 		present, _ := right.Get("target-3")
 		gomega.Expect(present.State).To(gomega.Equal(target.Leaving))
 	})
+
+	ginkgo.It("tell what was changed here also when much comes from other entries first", func() {
+		here := new(blackboard.Directory)
+		here.SetSelf("here")
+		_, _ = here.Put(announcementOf("target-here"))
+		var records []blackboard.Record
+		for number := range 12000 {
+			records = append(records, blackboard.Record{Announcement: announcementOf(fmt.Sprintf("target-%d", number)), Keeper: "there"})
+		}
+		before := here.Digest()
+		gomega.Expect(here.Merge(records)).To(gomega.Equal(12000))
+		told := here.TakeChangedHere()
+		gomega.Expect(told).To(gomega.HaveLen(1))
+		gomega.Expect(told[0].Announcement.ID).To(gomega.Equal("target-here"))
+		gomega.Expect(here.TakeChangedHere()).To(gomega.BeEmpty())
+		// One who lacks them all gets just those.
+		since, found := here.Since(before)
+		gomega.Expect(found).To(gomega.BeTrue())
+		gomega.Expect(since).To(gomega.HaveLen(12000))
+	})
 })
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -77,9 +77,6 @@
 		board   *blackboard.Board
 		peers   *Peers
 		metrics *metrics.Metrics
-		// sent is the position in the directory's log up to which the changes
-		// made here were sent.
-		sent    uint64
 		equalAt time.Time
 	}
 )
@@ -129,8 +126,7 @@
 // spread sends the changes made here to every other entry. One that misses
 // them gets them by digest.
 func (spreader *Spreader) spread(ctx context.Context) {
-	records, next := spreader.board.Directory().ChangedHere(spreader.sent)
-	spreader.sent = next
+	records := spreader.board.Directory().TakeChangedHere()
 	if len(records) == 0 {
 		return
 	}
