--- a/internal/tier/stop_of_roles_test.go
+++ b/internal/tier/stop_of_roles_test.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// ensureStopped stops the load where a failed expectation came before its stop.
+func (load *steadyLoad) ensureStopped() {
+	select {
+	case <-load.stopped:
+	default:
+		load.stop()
+	}
+}
+
 func expectNothingLost(expect gomega.Gomega, load *steadyLoad) {
 	load.stop()
 	ginkgo.GinkgoWriter.Println(load.summary())
@@ -67,6 +76,7 @@
 		bubble.Run(suite, func(expect gomega.Gomega) {
 			started, load := startUnderLoad(expect)
 			defer func() { _ = started.Stop(context.Background()) }()
+			defer load.ensureStopped()
 			load.running.Go(load.fileSteadily)
 			restartEach(expect, started, started.Replicas())
 			expectNothingLost(expect, load)
@@ -77,6 +87,7 @@
 		bubble.Run(suite, func(expect gomega.Gomega) {
 			started, load := startUnderLoad(expect)
 			defer func() { _ = started.Stop(context.Background()) }()
+			defer load.ensureStopped()
 			// The control replicas come back as entries too.
 			for _, replica := range started.Replicas() {
 				expect.Expect(started.StopProcess(context.Background(), replica)).To(gomega.Succeed())
