Refuse what can't reach its coverage before it takes slots, and say why

Cause, found by a table of coverage cases: a request whose minimum coverage could no longer be reached was refused at once, but as "deadline", and its shards under way were named as missing for "deadline", though no deadline had passed. Its attempts were sent also where the directory showed beforehand that a shard had no target. A refusal could also say no_replica or overloaded, which promise that nothing ran, with the outcome may_have_run.

Change: shards that no target serves are given up before anything is sent; shards no longer waited for are named with the new reason given_up, and with deadline only once it has passed; no_replica and overloaded are said with not_run alone, else coverage_below_minimum or answer_lost.

Test: go test ./internal/tier -ginkgo.focus 'coverage', nine cases: total from the layout also when the targets are no longer known, missing shards with their reason, the minimum kept and refused below it, an unknown total. Two failed first: "Expected <caller.RefusalKind>: deadline to equal <caller.RefusalKind>: no_replica" and "... to equal: coverage_below_minimum".

go test -race -cpu 1 ./internal/entry ./internal/tier ./pkg/caller ./internal/caller: ok.

--- a/internal/entry/conclude.go
+++ b/internal/entry/conclude.go
@@ -62,6 +62,13 @@
 	if answer.Coverage.Answered == 0 {
 		kind = refusalKind(ctx, answer.Coverage.Missing)
 	}
+	if answer.Run != caller.NotRun && (kind == caller.RefusedNoReplica || kind == caller.RefusedOverloaded) {
+		// These two say that nothing ran.
+		kind = caller.RefusedLost
+		if fanOut.hopeless() {
+			kind = caller.RefusedCoverage
+		}
+	}
 	retryAfter := refusalRetryAfter
 	for _, shard := range fanOut.shards {
 		retryAfter = max(retryAfter, shard.retry)
--- a/internal/entry/fan_out.go
+++ b/internal/entry/fan_out.go
@@ -8,6 +8,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
 	"gitlab.com/comfreythread/comfreythread/internal/target"
 	"gitlab.com/comfreythread/comfreythread/pkg/caller"
@@ -76,7 +78,7 @@
 func (fanOut *fanOut) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer fanOut.abandonAll()
+	defer func() { fanOut.abandonAll(ctx) }()
 	fanOut.start(ctx)
 	timer := time.NewTimer(time.Until(fanOut.deadline))
 	defer timer.Stop()
@@ -106,7 +108,20 @@
 	estimates := &fanOut.coordinator.estimates
 	estimates.earn(&fanOut.pool, len(fanOut.shards))
 	fanOut.hedgeDelay = estimates.hedgeDelay(&fanOut.pool)
-	fanOut.advanceAll(ctx, fanOut.shards, target.First)
+	fanOut.giveUpUnserved()
+	if !fanOut.hopeless() {
+		fanOut.advanceAll(ctx, fanOut.shards, target.First)
+	}
+}
+
+// giveUpUnserved gives up the shards that no target can serve, so that a
+// request that can't reach its coverage takes no slots.
+func (fanOut *fanOut) giveUpUnserved() {
+	for _, shard := range fanOut.shards {
+		if len(shard.plan.candidates) == 0 {
+			fanOut.giveUpIdle(shard)
+		}
+	}
 }
 
 func (fanOut *fanOut) take(ctx context.Context, report *Report) {
@@ -272,12 +287,21 @@
 }
 
 // abandonAll ends the wait for all attempts in progress; each may have run.
-func (fanOut *fanOut) abandonAll() {
+func (fanOut *fanOut) abandonAll(ctx context.Context) {
+	reason := caller.MissingGivenUp
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = caller.MissingDeadline
+	}
 	for _, attempt := range fanOut.attempts {
 		fanOut.ran = true
 		fanOut.coordinator.estimates.abandoned(fanOut.pool.Name, attempt)
 		if shard := attempt.shard; shard.part == nil {
-			shard.lost, shard.reason = true, caller.MissingDeadline
+			shard.lost, shard.reason = true, reason
+		}
+	}
+	for _, shard := range fanOut.shards {
+		if !shard.done && ctx.Err() == nil {
+			shard.reason = reason
 		}
 	}
 }
--- a/pkg/caller/answer.go
+++ b/pkg/caller/answer.go
@@ -64,6 +64,9 @@
 	MissingLost MissingReason = "lost"
 	// MissingQuarantined names a shard spared from a crashing request.
 	MissingQuarantined MissingReason = "quarantined"
+	// MissingGivenUp names a shard that was no longer waited for, because the
+	// request had been given up.
+	MissingGivenUp MissingReason = "given_up"
 )
 
 type (
