Test groups of five, and changes of replicas under faults

Groups of more than four and changes of replicas under faults were run in the core's property test only, not with the driver, disks and messages in use.

Five replicas go on without two, confirm nothing without three, and go on when one is back. An addition and a removal are begun while the leader crashes, is cut off, hears nobody or has a full disk, two others crash, or the replica in question does, each at six moments: the change is made in the end, nothing is lost, and the group then bears as many losses as its size allows.

--- /dev/null
+++ b/internal/replica/change_test.go
@@ -0,0 +1,167 @@
+package replica_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+	"gitlab.com/comfreythread/comfreythread/internal/replica"
+)
+
+// groupSize bears two losses.
+const groupSize = 5
+
+type (
+	// memberChange asks one replica for a change of members.
+	memberChange func(ctx context.Context, asked *replica.Replica) error
+
+	// harm brings a fault about and returns what ends it.
+	harm func(group *group, leader int) (end func())
+)
+
+func addSixth(ctx context.Context, asked *replica.Replica) error {
+	return asked.AddReplica(ctx, "control-5", ipOf(groupSize)+":90")
+}
+
+func removeFifth(ctx context.Context, asked *replica.Replica) error {
+	return asked.RemoveReplica(ctx, "control-4")
+}
+
+// until asks replicas for a change until one has made it.
+func (change memberChange) until(group *group) {
+	for begin := time.Now(); time.Since(begin) < time.Minute; {
+		for _, address := range group.peers {
+			asked := group.replicas[address]
+			if asked == nil {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			err := change(ctx, asked.Replica)
+			cancel()
+			if err == nil {
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	panic("no replica makes the change")
+}
+
+func crashAll(numbers func(leader int) []int) harm {
+	return func(group *group, leader int) func() {
+		for _, number := range numbers(leader) {
+			group.crash(ipOf(number) + ":90")
+		}
+		return func() {
+			for _, number := range numbers(leader) {
+				group.start(number)
+			}
+		}
+	}
+}
+
+func cutLeader(bothWays bool) harm {
+	return func(group *group, leader int) func() {
+		for number := range groupSize + 1 {
+			if number == leader {
+				continue
+			}
+			group.network.Cut(ipOf(number), ipOf(leader))
+			if bothWays {
+				group.network.Cut(ipOf(leader), ipOf(number))
+			}
+		}
+		return func() {
+			for number := range groupSize + 1 {
+				if number != leader {
+					group.network.Heal(ipOf(number), ipOf(leader))
+					group.network.Heal(ipOf(leader), ipOf(number))
+				}
+			}
+		}
+	}
+}
+
+func fillLeader(group *group, leader int) func() {
+	disk := group.disks[ipOf(leader)+":90"]
+	disk.Limit(disk.Size() + 10)
+	return func() { disk.Limit(0) }
+}
+
+var _ = ginkgo.Describe("a group of five", func() {
+	ginkgo.It("goes on without two, stops without three, and goes on again", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			group := newGroupOf(groupSize, 5*time.Millisecond)
+			group.startAll()
+			defer group.stopAll()
+			leader := indexOf(group.peers, group.propose("one"))
+			next := (leader + 1) % groupSize
+			group.crash(group.peers[leader])
+			group.crash(group.peers[next])
+			group.propose("two")
+			third := (leader + 2) % groupSize
+			group.crash(group.peers[third])
+			time.Sleep(2 * time.Second)
+			for _, left := range group.replicas {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				expect.Expect(left.Confirm(ctx)).NotTo(gomega.Succeed())
+				cancel()
+			}
+			group.start(leader)
+			group.propose("three")
+			time.Sleep(time.Second)
+			for _, running := range group.replicas {
+				expect.Expect(running.machine.text()).To(gomega.Equal("one\ntwo\nthree\n"))
+			}
+		})
+	})
+
+	ginkgo.DescribeTable("makes a change of replicas under a fault, loses nothing and bears further losses", func(change memberChange, size int, cause harm) {
+		for moment := range 6 {
+			bubble.Run(suite, func(expect gomega.Gomega) {
+				group := newGroupOf(groupSize, 5*time.Millisecond)
+				group.startAll()
+				defer group.stopAll()
+				leader := indexOf(group.peers, group.propose("one"))
+				group.start(groupSize)
+				time.Sleep(time.Second)
+				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+				defer cancel()
+				go func() { _ = change(ctx, group.replicas[group.peers[leader]].Replica) }()
+				time.Sleep(time.Duration(moment) * 5 * time.Millisecond)
+				end := cause(group, leader)
+				group.propose("two")
+				time.Sleep(2 * time.Second)
+				end()
+				change.until(group)
+				time.Sleep(5 * time.Second)
+				last := indexOf(append(group.peers, ipOf(groupSize)+":90"), group.propose("three"))
+				time.Sleep(time.Second)
+				status := group.replicas[ipOf(last)+":90"].Status()
+				expect.Expect(status.Replicas).To(gomega.HaveLen(size))
+				for _, member := range status.Replicas {
+					expect.Expect(member.Voter).To(gomega.BeTrue())
+					expect.Expect(group.replicas[member.Address].machine.text()).To(gomega.MatchRegexp("^one\n(two\n)+three\n$"))
+				}
+				for _, member := range status.Replicas[:(size-1)/2] {
+					group.crash(member.Address)
+				}
+				group.propose("four")
+			})
+		}
+	},
+		ginkgo.Entry("add: the leader crashes", memberChange(addSixth), 6, crashAll(func(leader int) []int { return []int{leader} })),
+		ginkgo.Entry("add: two others crash", memberChange(addSixth), 6, crashAll(func(leader int) []int { return []int{(leader + 1) % groupSize, (leader + 2) % groupSize} })),
+		ginkgo.Entry("add: the new replica crashes", memberChange(addSixth), 6, crashAll(func(int) []int { return []int{groupSize} })),
+		ginkgo.Entry("add: the leader is cut off", memberChange(addSixth), 6, cutLeader(true)),
+		ginkgo.Entry("add: the leader hears nobody", memberChange(addSixth), 6, cutLeader(false)),
+		ginkgo.Entry("add: the leader's disk is full", memberChange(addSixth), 6, harm(fillLeader)),
+		ginkgo.Entry("remove: the leader crashes", memberChange(removeFifth), 4, crashAll(func(leader int) []int { return []int{leader} })),
+		ginkgo.Entry("remove: the removed replica crashes", memberChange(removeFifth), 4, crashAll(func(int) []int { return []int{groupSize - 1} })),
+		ginkgo.Entry("remove: the leader is cut off", memberChange(removeFifth), 4, cutLeader(true)),
+		ginkgo.Entry("remove: the leader's disk is full", memberChange(removeFifth), 4, harm(fillLeader)),
+	)
+})
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -76,10 +76,12 @@
 	return string(listMachine.lines)
 }
 
-func newGroup(latency time.Duration) *group {
+func newGroup(latency time.Duration) *group { return newGroupOf(3, latency) }
+
+func newGroupOf(size int, latency time.Duration) *group {
 	group := &group{network: &standin.Network{}, replicas: map[string]*running{}, disks: map[string]*standin.Disk{}}
 	group.network.SetLatency(func(_, _ string) time.Duration { return latency })
-	for number := range 3 {
+	for number := range size {
 		group.peers = append(group.peers, ipOf(number)+":90")
 		group.disks[group.peers[number]] = &standin.Disk{}
 	}
