Count runs of a late target without a race in the matrix

Cause: in the fault "answer late" the stand-in target's runs, which go side by side, count with a plain integer.

The count is atomic, and a cell has an outcome from its start. After: `go test -race ./internal/faults` passes.

--- a/internal/faults/fault_test.go
+++ b/internal/faults/fault_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -102,11 +103,10 @@
 		cell.network.Silence(cell.tier.Entries()[0].IP())
 	}},
 	{"answer late", func(cell *cell, traffic standin.Traffic) {
-		number := 0
+		var number atomic.Int64
 		cell.victim(traffic).Behave(func(behaviour *standin.Behaviour) {
 			behaviour.Work = func(*target.Run) time.Duration {
-				number++
-				return time.Duration(number%3) * requestTimeout / 2
+				return time.Duration(number.Add(1)%3) * requestTimeout / 2
 			}
 		})
 	}},
--- a/internal/faults/matrix_test.go
+++ b/internal/faults/matrix_test.go
@@ -33,6 +33,7 @@
 	results := make([]*outcome, len(cells))
 	t.Run("cells", func(t *testing.T) {
 		for index, cell := range cells {
+			results[index] = &outcome{problem: "the cell did not end"}
 			t.Run(cell.name(), func(t *testing.T) {
 				// The race detector sees libraries' globals that bubbles share,
 				// so that a sample, which CI runs under it, runs in order.
@@ -67,7 +68,7 @@
 }
 
 func runCell(t *testing.T, cell *cell) *outcome {
-	result := &outcome{problem: "the cell did not end"}
+	var result *outcome
 	bubble.Test(t, func(*testing.T) {
 		ran, err := cell.run(context.Background())
 		if err != nil {
