Let a shard's first attempt go on any connection

Cause: the last run that a caller allows must go on a connection on which the target has answered since the shard's first attempt. With one run allowed, the first attempt is the last one, and some nanoseconds had passed since its beginning, so that no idle connection would do. Each such request opened a connection; once the pool's were open, it waited until its deadline. In a bubble no time passes between the two, so that no spec saw it; the benchmark of single runs on real sockets did.

Failed first: go test ./internal/entry -run TestTheFirstRun, "the first and only run: connection must be proven: true, want false". After: passes.

--- a/internal/entry/outgoing.go
+++ b/internal/entry/outgoing.go
@@ -114,14 +114,14 @@
 
 // provenWithin makes the last run that the caller allows, and a second one at
 // the same target, go on a connection that has not gone silent: one on which
-// the target has answered since the shard's first attempt.
+// the target has answered since the shard's first attempt. The first attempt
+// has no such time.
 func (fanOut *fanOut) provenWithin(shard *shardProgress, chosen candidate) time.Duration {
-	since := time.Since(shard.begunAt)
-	last := shard.runs+shard.pending >= fanOut.request.AllowedRuns()
-	if since > 0 && (last || chosen.again) {
-		return since
+	sent := shard.runs + shard.pending
+	if sent <= 1 || sent < fanOut.request.AllowedRuns() && !chosen.again {
+		return 0
 	}
-	return 0
+	return time.Since(shard.begunAt)
 }
 
 // newBatch leaves the time of the way to the home and back out of the time
