Give up on a run right while the caller can still be told

Cause: a request that needs a run right waited for control until its own deadline, so that "not run" reached the caller after it: 302 ms of 300.

Now the right may take 75% of the request's time. Half would refuse requests that still have time for one exchange over 12 ms links.

Failed first: go test ./internal/tier -ginkgo.focus 'needs a run right', " to be <". After: passes, with 'refusal says truly' and 'control is lost'.

--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -32,6 +32,9 @@
 	// recordShare is the share of the time left that an answer waits for its
 	// record.
 	recordShare = 2
+	// grantPercent is the share of a request's time that its run right may
+	// take.
+	grantPercent = 75
 )
 
 type (
@@ -163,8 +166,13 @@
 	return made, known
 }
 
+// takeRunRight gives up while there is time for the caller to be told, and to
+// send the request again.
 func (coordinator *Coordinator) takeRunRight(ctx context.Context, request *caller.Request, nonce uint64) *caller.Refusal {
-	grant, err := coordinator.ledger.Grant(ctx, &control.GrantRequest{RequestID: request.ID, Nonce: nonce})
+	deadline, _ := ctx.Deadline()
+	granting, cancel := context.WithTimeout(ctx, time.Until(deadline)*grantPercent/100)
+	defer cancel()
+	grant, err := coordinator.ledger.Grant(granting, &control.GrantRequest{RequestID: request.ID, Nonce: nonce})
 	if err != nil {
 		// The right may have been granted though the reply was lost. Nothing
 		// was sent, so that a resend may run.
--- a/internal/tier/refusal_test.go
+++ b/internal/tier/refusal_test.go
@@ -243,3 +243,21 @@
 		}),
 	)
 })
+
+var _ = ginkgo.Describe("a request that needs a run right", func() {
+	ginkgo.It("is refused as not run before its deadline when control doesn't answer", func() {
+		withTier(func(expect gomega.Gomega, load *load) {
+			for _, replica := range load.tier.Replicas() {
+				load.network.Down(replica.IP())
+			}
+			request := file("card")
+			load.send(0, request)
+			load.running.Wait()
+			expect.Expect(load.refusals).To(gomega.HaveLen(1))
+			expect.Expect(load.refusals[0].Kind).To(gomega.Equal(caller.RefusedUnavailable))
+			expect.Expect(load.refusals[0].Run).To(gomega.Equal(caller.NotRun))
+			expect.Expect(load.quantile(1)).To(gomega.BeNumerically("<", request.Timeout.Std()))
+			expect.Expect(load.tier.Runs(request.ID)).To(gomega.BeZero())
+		})
+	})
+})
