--- a/internal/control/leases_test.go
+++ b/internal/control/leases_test.go
@@ -14,7 +14,6 @@
 	"pgregory.net/rapid"
 
 	"gitlab.com/comfreythread/comfreythread/internal/membership"
-	"gitlab.com/comfreythread/comfreythread/internal/replica"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 
 	"gitlab.com/comfreythread/comfreythread/internal/bubble"
@@ -42,14 +41,6 @@
 		replicas []*fakeReplica
 	}
 
-	fakeReplica struct {
-		group   *group
-		number  int
-		applied int
-		state   *State
-		service *Service
-	}
-
 	// process is one process of an entry, as internal/entry behaves.
 	process struct {
 		group  *group
@@ -127,54 +118,6 @@
 	time.Sleep(span)
 }
 
-func (fake *fakeReplica) catchUp() (last []byte) {
-	for ; fake.applied < len(fake.group.log); fake.applied++ {
-		last = fake.state.Apply(uint64(fake.applied+1), fake.group.log[fake.applied])
-	}
-	return last
-}
-
-func (fake *fakeReplica) Propose(_ context.Context, command []byte) ([]byte, error) {
-	fake.group.hold()
-	defer fake.group.hold()
-	fake.group.lock.Lock()
-	defer fake.group.lock.Unlock()
-	if fake.group.leader != fake.number {
-		return nil, &replica.NotLeadingError{}
-	}
-	fake.group.log = append(fake.group.log, command)
-	return fake.catchUp(), nil
-}
-
-func (fake *fakeReplica) Confirm(context.Context) error {
-	fake.group.hold()
-	defer fake.group.hold()
-	fake.group.lock.Lock()
-	defer fake.group.lock.Unlock()
-	fake.catchUp()
-	if fake.group.leader != fake.number {
-		return &replica.NotLeadingError{}
-	}
-	return nil
-}
-
-func (fake *fakeReplica) Term() (uint64, bool) {
-	defer fake.group.hold()
-	fake.group.lock.Lock()
-	defer fake.group.lock.Unlock()
-	return fake.group.term, fake.group.leader == fake.number
-}
-
-func (fake *fakeReplica) LeadingSince() time.Time {
-	fake.group.lock.Lock()
-	defer fake.group.lock.Unlock()
-	return fake.group.since
-}
-
-func (fake *fakeReplica) Status() replica.Status                           { return replica.Status{} }
-func (fake *fakeReplica) AddReplica(context.Context, string, string) error { return nil }
-func (fake *fakeReplica) RemoveReplica(context.Context, string) error      { return nil }
-
 func (group *group) start(ctx context.Context, number int) *process {
 	ctx, cancel := context.WithCancel(ctx)
 	group.started++
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -203,27 +203,6 @@
 	return record
 }
 
-// Announce announces the target to the entry at an IP:port.
-func (standin *Target) Announce(ctx context.Context, entry string) error {
-	announcement := standin.Announcement()
-	_, err := target.NewAnnouncer(standin.dial).Announce(ctx, entry, &announcement)
-	return err
-}
-
-// Renew announces the target to the entry until ctx ends.
-func (standin *Target) Renew(ctx context.Context, entry string) {
-	ticker := time.NewTicker(standin.Announcement().TTL.Std() / renewalsPerTTL)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			_ = standin.Announce(ctx, entry)
-		}
-	}
-}
-
 func (standin *Target) track(_ net.Conn, state http.ConnState) {
 	standin.lock.Lock()
 	defer standin.lock.Unlock()
--- /dev/null
+++ b/internal/tier/process.go
@@ -0,0 +1,147 @@
+// This file exists so that each process of a tier can be started and stopped by
+// itself.
+
+package tier
+
+import (
+	"context"
+	"net"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/fx"
+
+	"gitlab.com/comfreythread/comfreythread/internal/process"
+	"gitlab.com/comfreythread/comfreythread/internal/settings"
+	"gitlab.com/comfreythread/comfreythread/pkg/duration"
+)
+
+type (
+	// Process is one process of the system.
+	Process struct {
+		settings  *settings.Settings
+		listeners *process.Listeners
+		// starting is held while the process starts or stops.
+		starting sync.Mutex
+		app      *fx.App
+		// killed states that nothing of the running app may reach the network.
+		killed atomic.Pointer[atomic.Bool]
+	}
+)
+
+// StartReplica starts a control replica beside those that founded the group,
+// which may then add it. The caller stops it with StopProcess.
+func (tier *Tier) StartReplica(ctx context.Context, name, failureDomain, ip string) (*Process, error) {
+	replica := tier.newSettings(name, failureDomain, ip)
+	replica.Control = &settings.Control{DataFolder: filepath.Join(tier.folder, name)}
+	replica.ControlReplicas = tier.replicas[0].settings.ControlReplicas
+	bound, err := tier.bind(ctx, replica)
+	if err != nil {
+		return nil, err
+	}
+	return bound, tier.StartProcess(ctx, bound)
+}
+
+func (tier *Tier) newSettings(name, failureDomain, ip string) *settings.Settings {
+	created := &settings.Settings{
+		Name: name, FailureDomain: failureDomain, Region: failureDomain, LogLevel: "warn",
+		HTTPAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", AddressMaxAge: duration.Of(demoAddressMaxAge),
+	}
+	if tier.options.Memory != nil {
+		created.HTTPAddress = net.JoinHostPort(ip, httpPort)
+		created.PeerAddress = net.JoinHostPort(ip, peerPort)
+		created.AddressMaxAge = duration.Of(settings.DefaultAddressMaxAge)
+	}
+	return created
+}
+
+func (tier *Tier) bind(ctx context.Context, settings *settings.Settings) (*Process, error) {
+	listeners, err := process.Listen(ctx, settings, tier.network(settings.HTTPAddress))
+	if err != nil {
+		return nil, err
+	}
+	return &Process{settings: settings, listeners: listeners}, nil
+}
+
+// network returns the network as seen from an IP:port.
+func (tier *Tier) network(address string) process.Network {
+	memory := tier.options.Memory
+	if memory == nil {
+		return process.Sockets()
+	}
+	ip, _, _ := net.SplitHostPort(address)
+	return process.Network{
+		Listen: func(_ context.Context, address string) (net.Listener, error) { return memory.Listen(address) },
+		Dial:   memory.Dialer(ip),
+	}
+}
+
+// StartProcess starts a process that is not running, also after its stop.
+func (tier *Tier) StartProcess(ctx context.Context, started *Process) error {
+	if err := started.settings.Check(); err != nil {
+		return err
+	}
+	started.starting.Lock()
+	defer started.starting.Unlock()
+	if started.app != nil {
+		return nil
+	}
+	network := tier.processNetwork(started)
+	if started.listeners == nil {
+		listeners, err := process.Listen(ctx, started.settings, network)
+		if err != nil {
+			return err
+		}
+		started.listeners = listeners
+	}
+	logger, err := process.NewLogger(started.settings, tier.options.Logs)
+	if err != nil {
+		return err
+	}
+	started.app = process.New(started.settings, started.listeners, network, logger, tier.options.Logs)
+	if err := started.app.Start(ctx); err != nil {
+		return errors.Wrap(err, "start "+started.settings.Name)
+	}
+	return nil
+}
+
+// processNetwork returns the network of a process from its start until it is
+// killed.
+func (tier *Tier) processNetwork(started *Process) process.Network {
+	killed := new(atomic.Bool)
+	started.killed.Store(killed)
+	network := tier.network(started.settings.HTTPAddress)
+	dial := network.Dial
+	network.Dial = func(ctx context.Context, kind, address string) (net.Conn, error) {
+		if killed.Load() {
+			return nil, errors.New("this process was killed")
+		}
+		return dial(ctx, kind, address)
+	}
+	if tier.options.Files != nil {
+		network.FileSystem = tier.options.Files(started.settings.Name)
+	}
+	return network
+}
+
+// StopProcess stops a process gracefully.
+func (tier *Tier) StopProcess(ctx context.Context, stopped *Process) error {
+	stopped.starting.Lock()
+	defer stopped.starting.Unlock()
+	if stopped.app == nil {
+		return nil
+	}
+	app := stopped.app
+	stopped.app, stopped.listeners = nil, nil
+	if err := app.Stop(ctx); err != nil {
+		return errors.Wrap(err, "stop "+stopped.settings.Name)
+	}
+	return nil
+}
+
+// Settings returns the settings that the process runs with.
+func (process *Process) Settings() *settings.Settings {
+	return process.settings
+}
