Count a peer's connection before Stop can wait

Cause: frame.Server added a connection to its links under the lock, but counted it as running after that. A Stop in between found nothing to wait for, and the connection was served after it had returned.

--- a/internal/frame/server.go
+++ b/internal/frame/server.go
@@ -101,7 +101,7 @@
 			link.close()
 			continue
 		}
-		server.running.Go(func() { server.serve(link) })
+		go server.serve(link)
 	}
 }
 
@@ -137,6 +137,8 @@
 	return server.stopped
 }
 
+// add counts the link as running under the lock, so that Stop waits for each
+// one that comes before it.
 func (server *Server) add(added *link) bool {
 	server.lock.Lock()
 	defer server.lock.Unlock()
@@ -147,6 +149,7 @@
 		server.links = map[*link]bool{}
 	}
 	server.links[added] = true
+	server.running.Add(1)
 	return true
 }
 
@@ -157,6 +160,7 @@
 }
 
 func (server *Server) serve(link *link) {
+	defer server.running.Done()
 	defer server.remove(link)
 	defer link.close()
 	if link.shakeHands() != nil {
