Bring about every fault during a change of control replicas

Now a step adds a fourth replica, removes the leader, and the faults act on the first message between replicas meanwhile.

--- a/internal/faults/cell_test.go
+++ b/internal/faults/cell_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -38,6 +39,7 @@
 	changing
 	announcing
 	stopping
+	replacing
 )
 
 var shape = standin.Deployment{
@@ -69,6 +71,8 @@
 		leader  *tier.Process
 		disks   map[string]*standin.Disk
 		running sync.WaitGroup
+		// newcomers counts the control replicas started besides the first ones.
+		newcomers atomic.Int64
 
 		lock     sync.Mutex
 		activity map[activity]int
--- a/internal/faults/fault_test.go
+++ b/internal/faults/fault_test.go
@@ -202,24 +202,35 @@
 	}
 }
 
-// changeReplica lets a new control replica take the leader's place.
+// changeReplica is changeOfReplica as a fault.
 func changeReplica(cell *cell, _ standin.Traffic) {
-	newcomer, err := cell.tier.StartReplica(cell.ctx, "control-new", "nord", "10.1.0.2")
+	err := cell.changeOfReplica()
+	// Beside another fault or another change, control may rightly refuse.
+	if err != nil && len(cell.faults) == 1 && cell.step.name != replicaChange {
+		cell.note("change the replicas: " + err.Error())
+	}
+}
+
+// changeOfReplica lets a new control replica take the leader's place.
+func (cell *cell) changeOfReplica() error {
+	number := cell.newcomers.Add(1)
+	newcomer, err := cell.tier.StartReplica(cell.ctx, fmt.Sprintf("control-new-%d", number), "nord", fmt.Sprintf("10.1.0.%d", 1+number))
 	if err != nil {
-		cell.note("start a replica: " + err.Error())
-		return
+		return err
 	}
+	cell.running.Go(func() {
+		<-cell.ended
+		_ = cell.tier.StopProcess(cell.ctx, newcomer)
+	})
 	client := cell.operator(0)
 	defer client.Close()
 	added := &operator.Replica{Name: newcomer.Settings().Name, Address: newcomer.Settings().PeerAddress}
-	_, addErr := client.AddReplica(cell.ctx, added)
-	_, removeErr := client.RemoveReplica(cell.ctx, cell.leader.Settings().Name)
-	// Beside another fault, control may rightly refuse.
-	if err := errors.Join(addErr, removeErr); err != nil && len(cell.faults) == 1 {
-		cell.note("change the replicas: " + err.Error())
-	}
-	<-cell.ended
-	_ = cell.tier.StopProcess(cell.ctx, newcomer)
+	var addErr, removeErr error
+	cell.during(replacing, func() {
+		_, addErr = client.AddReplica(cell.ctx, added)
+		_, removeErr = client.RemoveReplica(cell.ctx, cell.leader.Settings().Name)
+	})
+	return errors.Join(addErr, removeErr)
 }
 
 func (cell *cell) takeOut(failureDomains []string) bool {
--- a/internal/faults/step_test.go
+++ b/internal/faults/step_test.go
@@ -35,6 +35,10 @@
 	created
 )
 
+const (
+	replicaChange = "replica change"
+)
+
 const (
 	client role = iota
 	entryCaller
@@ -108,6 +112,7 @@
 	{name: "commit", traffic: between(controlPeer, controlPeer, true, changing), moment: "a follower's first message back after the proposal"},
 	{name: "apply", traffic: between(controlPeer, client, true, changing), moment: "control replies to the operator"},
 	{name: "compact", prepare: manyChanges, file: created},
+	{name: replicaChange, prepare: func(cell *cell) { _ = cell.changeOfReplica() }, traffic: between(controlPeer, controlPeer, false, replacing), moment: "a new replica is added, then the leader removed"},
 
 	{name: "announce", prepare: func(cell *cell) { cell.leave() }, traffic: between(targetHTTP, entryCaller, false, announcing)},
 	{name: "renew", traffic: between(targetHTTP, entryCaller, false)},
