Tell a caller that gave up while connecting of both

Cause: where its context ended before there was a connection, the client's error was ErrNotSent alone, without context.Canceled.

Failed first: go test ./pkg/caller -run TestACallerThatGivesUp, "the error is send request: ... the entry can't be reached". After: passes.

--- a/internal/entry/directory_cost_test.go
+++ b/internal/entry/directory_cost_test.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
 	"gitlab.com/comfreythread/comfreythread/pkg/duration"
 	"gitlab.com/comfreythread/comfreythread/pkg/target"
@@ -77,7 +77,7 @@
 	fmt.Println("| Entries, targets | Way | Quiet, B/s | Churn, B/s | Churn, slowest | Domain leaves, converged after | Domain leaves, KB an entry |")
 	for _, size := range [][2]int{{6, 88}, {60, 1200}, {600, 12000}} {
 		for _, way := range []way{fullPush, deltas, relayed} {
-			synctest.Test(t, func(*testing.T) { measureWay(way, size[0], size[1]) })
+			bubble.Test(t, func(*testing.T) { measureWay(way, size[0], size[1]) })
 		}
 	}
 }
@@ -86,7 +86,7 @@
 // directories equal after a failure domain has left.
 func TestDirectoriesConverge(t *testing.T) {
 	for _, way := range []way{fullPush, deltas, relayed} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			tier := newCostTier(way, 6, 88)
 			tier.leave(88)
 			if tier.equal() {
--- a/internal/entry/window_test.go
+++ b/internal/entry/window_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
 )
 
 const (
@@ -42,7 +43,7 @@
 		{"ends with the congestion", long, congestionSpan + time.Millisecond, func(count int) bool { return count == 100 }},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				var windows windows
 				admitted := enterMany(&windows, 100)
 				time.Sleep(time.Millisecond)
--- a/internal/target/tally_test.go
+++ b/internal/target/tally_test.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
 	"gitlab.com/comfreythread/comfreythread/internal/membership"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 	"gitlab.com/comfreythread/comfreythread/pkg/target"
@@ -34,7 +34,7 @@
 }
 
 func TestATargetsConnectionsAreKeptWhateverHomesItHad(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		expect := gomega.NewWithT(t)
 		pool := &operator.Pool{Connections: 25, Slots: 2}
 		known := &history{}
@@ -59,7 +59,7 @@
 }
 
 func TestAHomeWithoutAHistorySupposesThatHomesWereLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		expect := gomega.NewWithT(t)
 		known := &history{}
 		known.note(placementOf(7, 0))
@@ -78,7 +78,7 @@
 }
 
 func TestAReleaseTellsOfConnectionsThatMayBeOpen(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		expect := gomega.NewWithT(t)
 		pool := &operator.Pool{Connections: 6, Slots: 2}
 		before, after := new(tally), new(tally)
--- a/pkg/caller/client_test.go
+++ b/pkg/caller/client_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"github.com/go-faster/errors"
 
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
 	"gitlab.com/comfreythread/comfreythread/internal/standin"
 	"gitlab.com/comfreythread/comfreythread/pkg/caller"
 	"gitlab.com/comfreythread/comfreythread/pkg/duration"
@@ -48,7 +50,7 @@
 // client that knows them as seeds.
 func withEntries(t *testing.T, body func(t *testing.T, tier *fakeTier, client *caller.Client)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		tier := &fakeTier{
 			network: &standin.Network{}, received: map[string]int{}, running: map[string]int{}, peak: map[string]int{}, answer: map[string]http.HandlerFunc{},
 		}
@@ -321,3 +323,17 @@
 		}
 	})
 }
+
+func TestACallerThatGivesUpWhileConnectingIsToldBoth(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	client := caller.NewEntryClient("10.0.0.1:80", func(ctx context.Context, _, _ string) (net.Conn, error) {
+		cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	defer client.Close()
+	_, err := client.Send(ctx, &caller.Request{ID: caller.NewRequestID(time.Now().Add(time.Minute)), Kind: "desk.search"})
+	if !errors.Is(err, caller.ErrNotSent) || !errors.Is(err, context.Canceled) {
+		t.Errorf("the error is %v", err)
+	}
+}
--- a/pkg/caller/entry_client.go
+++ b/pkg/caller/entry_client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -73,9 +74,9 @@
 }
 
 // sendConnecting is Send that gives up where there is no connection within a
-// span.
-func (entryClient *EntryClient) sendConnecting(ctx context.Context, span time.Duration, request *Request) (*Answer, error) {
-	ctx, cancel := context.WithCancel(ctx)
+// span. Where the caller gave up first, the error says so too.
+func (entryClient *EntryClient) sendConnecting(outer context.Context, span time.Duration, request *Request) (*Answer, error) {
+	ctx, cancel := context.WithCancel(outer)
 	defer cancel()
 	var connected atomic.Bool
 	giveUp := time.AfterFunc(span, func() {
@@ -91,6 +92,8 @@
 	switch {
 	case err == nil:
 		return answer, nil
+	case !connected.Load() && outer.Err() != nil:
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, outer.Err())
 	case !connected.Load():
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
