--- a/internal/entry/conclude.go
+++ b/internal/entry/conclude.go
@@ -59,9 +59,7 @@
 
 func (fanOut *fanOut) refusal(ctx context.Context, answer *caller.Answer) *caller.Refusal {
 	kind := caller.RefusedCoverage
-	// Shards that could still have answered say nothing of the reason.
-	stopped := fanOut.hopeless() && fanOut.unfinished > 0
-	if answer.Coverage.Answered == 0 && !stopped {
+	if answer.Coverage.Answered == 0 {
 		kind = refusalKind(ctx, answer.Coverage.Missing)
 	}
 	if answer.Run != caller.NotRun && (kind == caller.RefusedNoReplica || kind == caller.RefusedOverloaded) {
--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -34,7 +34,7 @@
 	recordShare = 2
 	// grantPercent is the share of a request's time that its run right may
 	// take.
-	grantPercent = 75
+	grantPercent = 90
 )
 
 type (
