Break a restarting target's connections before it is cold

Cause: the fault "silent cold start" turned the stand-in target cold and broke its connections after that. No process is cold with connections of the one before it.

Trace: with a pause of 1 ms between the two, 'silent cold start/accept' fails with the same line; with the connections broken first and the same pause, 27 of 27 cells are clean. As committed, without a pause: 54 of 54 cells of both faults. The check and its bound stay as they are; specs and the bench restart targets in the same order.

--- a/internal/bench/load_test.go
+++ b/internal/bench/load_test.go
@@ -144,8 +144,8 @@
 func restartWave(_ context.Context, trial *trial) {
 	until(trial.start, faultAt)
 	for _, restarted := range trial.tier.Targets() {
-		restarted.TurnCold()
 		trial.network.Break(restarted.IP())
+		restarted.TurnCold()
 		time.Sleep(30 * time.Millisecond)
 	}
 }
--- a/internal/faults/fault_test.go
+++ b/internal/faults/fault_test.go
@@ -43,16 +43,16 @@
 	{"index version changing", changeIndex},
 	{"silent cold start", func(cell *cell, traffic standin.Traffic) {
 		victim := cell.victim(traffic)
-		victim.TurnCold()
 		cell.network.Break(victim.IP())
+		victim.TurnCold()
 	}},
 	{"cold start, announced warm", func(cell *cell, traffic standin.Traffic) {
 		victim := cell.victim(traffic)
+		cell.network.Break(victim.IP())
 		victim.TurnCold()
 		victim.Change(func(announcement *target.Announcement) {
 			announcement.State, announcement.Incarnation, announcement.Revision = target.Warm, 1, 1
 		})
-		cell.network.Break(victim.IP())
 	}},
 	{"shed", func(cell *cell, traffic standin.Traffic) {
 		cell.victim(traffic).Behave(func(behaviour *standin.Behaviour) { behaviour.ShedAbove = 1 })
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -173,8 +173,9 @@
 	return standin.behaviour
 }
 
-// TurnCold returns the target to cold start without telling anybody. The
-// caller breaks the target's connections where a restart is meant.
+// TurnCold returns the target to cold start without telling anybody. Where a
+// restart is meant, the caller breaks the target's connections first, because
+// no connection outlives the process that has it.
 func (standin *Target) TurnCold() {
 	standin.lock.Lock()
 	defer standin.lock.Unlock()
--- a/internal/tier/crash_test.go
+++ b/internal/tier/crash_test.go
@@ -54,8 +54,8 @@
 // are broken.
 func (load *load) restart(number int) {
 	restarted := load.tier.Targets()[number]
-	restarted.TurnCold()
 	load.network.Break(restarted.IP())
+	restarted.TurnCold()
 }
 
 // slow makes runs take so long that nearly each target that ends has some in
--- a/internal/tier/domain_test.go
+++ b/internal/tier/domain_test.go
@@ -149,8 +149,8 @@
 			expect.Expect(arrivals(targets, accepted.Add(inForceBound), time.Now())).To(gomega.BeZero())
 			// They restart while they are out.
 			for _, restarted := range targets {
-				restarted.TurnCold()
 				network.Break(restarted.IP())
+				restarted.TurnCold()
 			}
 			time.Sleep(outSpan)
 			expect.Expect(arrivals(targets, accepted.Add(inForceBound), time.Now())).To(gomega.BeZero())
--- a/internal/tier/request_test.go
+++ b/internal/tier/request_test.go
@@ -212,8 +212,8 @@
 		withTier(func(expect gomega.Gomega, load *load) {
 			load.steady(400, time.Second)
 			for _, target := range load.byShard(1) {
-				target.TurnCold()
 				load.network.Break(target.IP())
+				target.TurnCold()
 			}
 			load.steady(400, 2*time.Second)
 			load.bears(expect)
