Keep the mark of a second release out of what homes inherit

Whether a release replaces an earlier one belongs to the message, not to the count of connections: the tally never read it, and tell had to save the mark and put it back around each new count. It stands in Released now. The key on the wire and the behaviour stay as they are.

go test -race ./internal/target ./internal/entry passes, and go test ./internal/tier -ginkgo.focus 'a takeover|rolling restart'.

--- a/internal/target/handover.go
+++ b/internal/target/handover.go
@@ -33,6 +33,9 @@
 		// Starts is the number of runs that it began within the last second,
 		// which the cold rate counts.
 		Starts int `msgpack:"s"`
+		// Closed states that what an earlier release under this view told is
+		// replaced, because connections were closed since.
+		Closed bool `msgpack:"c"`
 		Inheritance
 	}
 
@@ -263,9 +266,7 @@
 		if !found || home.board.InForce().Fenced() {
 			continue
 		}
-		closed := target.known.Closed
 		target.known.Inheritance = target.tally.bequeath(placement.View().Number)
-		target.known.Closed = closed
 		homes[next.ID] = next
 		told[next.ID] = append(told[next.ID], target.known)
 		if target.known.Open > 0 {
--- a/internal/target/tally.go
+++ b/internal/target/tally.go
@@ -43,9 +43,6 @@
 	Inheritance struct {
 		// View is the one under which the target was released.
 		View uint64 `msgpack:"v"`
-		// Closed states that what an earlier release under this view told is
-		// replaced, because connections were closed since.
-		Closed bool `msgpack:"c"`
 		// Open counts connections that the target may hold open for OpenFor.
 		Open    int           `msgpack:"o"`
 		OpenFor time.Duration `msgpack:"of"`
