--- a/internal/standin/disk.go
+++ b/internal/standin/disk.go
@@ -256,6 +256,15 @@
 func (disk *Disk) Read(path string) ([]byte, error) {
 	disk.lock.Lock()
 	defer disk.lock.Unlock()
+	found, err := disk.find(path)
+	if err != nil {
+		return nil, err
+	}
+	return slices.Clone(found.content), nil
+}
+
+// find begins an operation on a file that exists. The lock is held.
+func (disk *Disk) find(path string) (*inode, error) {
 	if err := disk.begin(); err != nil {
 		return nil, err
 	}
@@ -263,7 +272,7 @@
 	if !exists {
 		return nil, syscall.ENOENT
 	}
-	return slices.Clone(found.content), nil
+	return found, nil
 }
 
 // Create implements disk.FileSystem.
@@ -282,13 +291,10 @@
 func (disk *Disk) Open(path string) (disk.File, error) {
 	disk.lock.Lock()
 	defer disk.lock.Unlock()
-	if err := disk.begin(); err != nil {
+	found, err := disk.find(path)
+	if err != nil {
 		return nil, err
 	}
-	found, exists := disk.names[path]
-	if !exists {
-		return nil, syscall.ENOENT
-	}
 	return &diskFile{disk: disk, inode: found}, nil
 }
 
