Look the asked replica up before the change runs beside a crash

Cause: the test's own harness. The goroutine that asks for a change looked the leader up in the group's table of replicas while crash deleted another replica from it.

Ruled out: the replica's own code (both stacks of the race are in the harness: mapdelete in group.stop, mapaccess in the goroutine), and the race runtime's timers (bubbles run on one processor; a preemption between the two accesses is enough).

The table still covers the same moments and faults.

--- a/internal/replica/change_test.go
+++ b/internal/replica/change_test.go
@@ -130,7 +130,8 @@
 				time.Sleep(time.Second)
 				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 				defer cancel()
-				go func() { _ = change(ctx, group.replicas[group.peers[leader]].Replica) }()
+				asked := group.replicas[group.peers[leader]].Replica
+				go func() { _ = change(ctx, asked) }()
 				time.Sleep(time.Duration(moment) * 5 * time.Millisecond)
 				end := cause(group, leader)
 				group.propose("two")
