Let an opening connection outlast the attempt that it was for

Cause of the requests that were not whole while a failure domain returned to Atelier: an attempt that lost against a hedge cancelled the dial that it was waiting for. Such a connection counts as open for a second, because the target may have accepted it, and a release names it for a minute. Just before the homes in the returned failure domain took their targets over, the homes in the other regions (12 ms away, 30 ms for a connection) lost most attempts to hedges: up to 13 of their 13 connections were openings given up. The next home inherited these as open, could open none for a minute, admitted two runs that waited for a connection until their deadline, and refused the rest. The hedge budget of the entries beside it ran out over that.

Ruled out: a home that was moving for long (no attempt was parked), the cold limits (the targets were warm), a close that the target didn't confirm (all closes were confirmed within 30 ms; the openings were the rest), the second message of the release (it came, with the same 13).

Change: the lane opens connections itself. An attempt waits for an opening; where it gives up, the opening goes on, the next attempt takes it, or it becomes idle.

--- a/internal/target/lane.go
+++ b/internal/target/lane.go
@@ -48,6 +48,8 @@
 		incarnation uint64
 		// idle holds the unused connections, the newest used last.
 		idle []*connection
+		// unattended holds the openings whose attempts were given up.
+		unattended []*opening
 		// tally counts the connections that the target may hold open. It
 		// outlasts the lane.
 		tally *tally
@@ -81,7 +83,8 @@
 }
 
 // take returns an idle connection that the target has answered on since the
-// given time, or opens one within the limit. It waits until ctx ends.
+// given time, or one that is being opened for nobody, or opens one within the
+// limit. It waits until ctx ends.
 func (lane *lane) take(ctx context.Context, since time.Time) (*connection, error) {
 	for {
 		lane.lock.Lock()
@@ -91,11 +94,15 @@
 			lane.lock.Unlock()
 			return taken, nil
 		}
+		if begun := lane.takeUnattended(); begun != nil {
+			lane.lock.Unlock()
+			return lane.await(ctx, begun)
+		}
 		freed := lane.tally.claim(&lane.pool)
 		if freed == nil {
-			address, timeout := lane.address, lane.pool.ConnectTimeout.Std()
+			begun := lane.open()
 			lane.lock.Unlock()
-			return lane.connect(ctx, address, timeout)
+			return lane.await(ctx, begun)
 		}
 		stale := lane.takeOldest()
 		lane.lock.Unlock()
@@ -121,24 +128,6 @@
 	return oldest
 }
 
-// connect opens a connection. That the target can't be connected to is a sign
-// of a restart, but not where the caller gave up first.
-func (lane *lane) connect(ctx context.Context, address string, timeout time.Duration) (*connection, error) {
-	dialing, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	opened, err := lane.dial(dialing, "tcp", address)
-	if err != nil {
-		if ctx.Err() == nil {
-			lane.gate.turnCold()
-		}
-		time.AfterFunc(refusedSpan, lane.tally.closed)
-		return nil, errors.Wrap(err, "connect to target")
-	}
-	connection := newConnection(opened)
-	go lane.receive(connection)
-	return connection, nil
-}
-
 // receive reads a connection until it has ended and counts it as open until
 // the target has certainly closed it.
 func (lane *lane) receive(connection *connection) {
