Let an expelled process wait until its removal is taken note of

Cause: an entry whose lease has run out counts as expelled until the leader's next look for expired leases finds it gone from the view. An entry that asked between the commit of its removal and that look (200 ms apart, and a client asks again every few ms) was put back in the view while it still counted as expelled. It then got "being removed from the view" until the leader removed it 3 s later, and came back in the same gap: it regained no lease for as long as it was watched (36 s), and its targets had no home meanwhile.

Change: a process that counts as expelled waits, also while the view lacks it. This refuses more than before and grants nothing sooner.

Failed first: go test ./internal/control -run ExpelledProcess (edits where waits is right).

--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -98,7 +98,7 @@
 	}
 	present, known := view.Member(member.ID)
 	switch {
-	case known && tenure.expelled[keyOf(&present)]:
+	case tenure.expelled[key] || known && tenure.expelled[keyOf(&present)]:
 		return waits
 	case known && present == *member:
 		return admitted
