Send heartbeats between entries only while a reply is awaited

Cause: each link between two entries beat every 500 ms both ways, so that an idle entry's bytes grew with the number of entries, and deltas to all open every link at the first change.

Links between entries now beat on demand: the client pings while a call is in flight, or while an abandoned one left open whether the peer lives; the server answers. A dead link is noticed within the same 2 s of a call. A link that no call has used for a minute is closed and opened again by the next. Links to control and between replicas are as before.

Ruled out: relayed deltas over a few neighbours (3 to 4 times the bytes of a burst, and hops), which would be needed only if idle links cost something; a quiet mode negotiated by the number of entries (two modes, of which one would never run at our sizes); closing idle links alone, because deltas to all use each link about every 17 s.

--- a/Makefile
+++ b/Makefile
@@ -59,4 +59,4 @@
 # directory measures the ways of keeping the directory equal, for
 # docs/design/directory.md. It takes about 6 GB of memory.
 directory:
-	$(GO) test ./internal/entry -count=1 -run TestMeasureDirectory -measure-directory -v -timeout 20m
+	$(GO) test ./internal/entry -count=1 -run 'TestMeasure(Directory|Mesh)' -measure-directory -measure-mesh -v -timeout 20m
--- a/internal/entry/homes.go
+++ b/internal/entry/homes.go
@@ -56,7 +56,7 @@
 	defer peers.lock.Unlock()
 	client, known := peers.clients[address]
 	if !known {
-		client = frame.NewClient(address, peers.dial)
+		client = frame.NewOnDemandClient(address, peers.dial)
 		peers.clients[address] = client
 	}
 	return client
--- /dev/null
+++ b/internal/entry/mesh_cost_test.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/internal/membership"
+	"gitlab.com/comfreythread/comfreythread/internal/metrics"
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+	"gitlab.com/comfreythread/comfreythread/pkg/target"
+)
+
+const (
+	meshLatency = 12 * time.Millisecond
+	meshPort    = ":90"
+	// controlBudget is the letter's for all control, bytes a node and second.
+	controlBudget = 2000
+	// segmentBytes is an IP and a TCP header with time stamps.
+	segmentBytes = 52
+	// usableSpan is the brief's from an announcement to its use.
+	usableSpan = 2 * time.Second
+)
+
+type (
+	// mesh is the part of entries that speaks to other entries: spreaders over
+	// frames on a network in memory, whose bytes and writes are counted.
+	mesh struct {
+		network       standin.Network
+		nodes         []*meshNode
+		bytes, writes atomic.Int64
+		cancel        context.CancelFunc
+	}
+
+	meshNode struct {
+		spreader *Spreader
+		server   frame.Server
+		peers    *Peers
+	}
+
+	sentConnection struct {
+		net.Conn
+		mesh *mesh
+	}
+
+	sentListener struct {
+		net.Listener
+		mesh *mesh
+	}
+)
+
+var measureMesh = flag.Bool("measure-mesh", false, "measure what the links between entries cost; the figures are printed")
+
+func (connection *sentConnection) Write(data []byte) (int, error) {
+	connection.mesh.bytes.Add(int64(len(data)))
+	connection.mesh.writes.Add(1)
+	return connection.Conn.Write(data)
+}
+
+func (listener *sentListener) Accept() (net.Conn, error) {
+	connection, err := listener.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &sentConnection{Conn: connection, mesh: listener.mesh}, nil
+}
+
+func startMesh(entries int) *mesh {
+	mesh := &mesh{}
+	mesh.network.SetLatency(func(_, _ string) time.Duration { return meshLatency })
+	ctx, cancel := context.WithCancel(context.Background())
+	mesh.cancel = cancel
+	view := membership.View{Number: 1}
+	for number := range entries {
+		view.Members = append(view.Members, membership.Member{
+			ID: fmt.Sprintf("entry-%d", number), PeerAddress: meshAddress(number) + meshPort, FailureDomain: fmt.Sprintf("domain-%d", number%costDomains),
+		})
+	}
+	for number := range view.Members {
+		mesh.start(ctx, number, view)
+	}
+	return mesh
+}
+
+func meshAddress(number int) string {
+	return fmt.Sprintf("10.0.%d.%d", number/250, 1+number%250)
+}
+
+func (mesh *mesh) start(ctx context.Context, number int, view membership.View) {
+	dial := mesh.network.Dialer(meshAddress(number))
+	node := &meshNode{peers: NewPeers(func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &sentConnection{Conn: connection, mesh: mesh}, nil
+	})}
+	board := new(blackboard.Board)
+	board.Membership().Learn(&view, view.Number)
+	node.spreader = NewSpreader(view.Members[number].ID, board, node.peers, metrics.New())
+	node.spreader.Register(&node.server)
+	listener, _ := mesh.network.Listen(view.Members[number].PeerAddress)
+	go func() { _ = node.server.Serve(&sentListener{Listener: listener, mesh: mesh}) }()
+	go node.spreader.Run(ctx)
+	mesh.nodes = append(mesh.nodes, node)
+}
+
+func (mesh *mesh) stop() {
+	mesh.cancel()
+	for _, node := range mesh.nodes {
+		node.peers.Close()
+		node.server.Stop()
+	}
+	// Time stands still once the bubble's body has returned.
+	time.Sleep(convergeLimit)
+}
+
+// announce puts a target at one entry and returns how long it takes until all
+// know it.
+func (mesh *mesh) announce(number int, state target.State, incarnation uint64) time.Duration {
+	announcement := costAnnouncement(number, state, incarnation)
+	_, _ = mesh.nodes[number%len(mesh.nodes)].spreader.board.Directory().Put(announcement)
+	begun := time.Now()
+	for !mesh.equal() && time.Since(begun) < convergeLimit {
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(begun)
+}
+
+func (mesh *mesh) equal() bool {
+	digest := mesh.nodes[0].spreader.board.Directory().Digest()
+	for _, node := range mesh.nodes {
+		if node.spreader.board.Directory().Digest() != digest {
+			return false
+		}
+	}
+	return true
+}
+
+// rate returns bytes an entry and second that are sent in a span, without and
+// with the headers of TCP/IP, a segment for each write.
+func (mesh *mesh) rate(span time.Duration, during func()) (plain, whole float64) {
+	mesh.bytes.Store(0)
+	mesh.writes.Store(0)
+	begun := time.Now()
+	during()
+	time.Sleep(span - time.Since(begun))
+	seconds := span.Seconds() * float64(len(mesh.nodes))
+	return float64(mesh.bytes.Load()) / seconds, float64(mesh.bytes.Load()+segmentBytes*mesh.writes.Load()) / seconds
+}
+
+// churn announces as 1,700 restarts a day do, three changes each.
+func (mesh *mesh) churn() time.Duration {
+	slowest := time.Duration(0)
+	for restart := range int(churnSpan / restartGap) {
+		for stage, state := range []target.State{target.Leaving, target.Cold, target.Warm} {
+			slowest = max(slowest, mesh.announce(restart*7, state, uint64(2+stage)))
+			time.Sleep(time.Second)
+		}
+		time.Sleep(restartGap - 4*time.Second)
+	}
+	return slowest
+}
+
+// TestIdleMesh holds that links on which nothing is awaited cost an entry
+// nothing: their number grows with that of the entries.
+func TestIdleMesh(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		mesh := startMesh(40)
+		defer mesh.stop()
+		if span := mesh.announce(0, target.Warm, 1); span > usableSpan {
+			t.Errorf("known everywhere after %s", span)
+		}
+		if _, whole := mesh.rate(quietSpan, func() {}); whole > controlBudget {
+			t.Errorf("%.0f B/s an entry with all links idle", whole)
+		}
+		time.Sleep(10 * time.Minute)
+		if span := mesh.announce(1, target.Warm, 1); span > usableSpan {
+			t.Errorf("known everywhere after %s, when links had been closed", span)
+		}
+	})
+}
+
+// TestMeasureMesh prints the second table of docs/design/directory.md.
+func TestMeasureMesh(t *testing.T) {
+	if !*measureMesh {
+		t.Skip("prints figures; use make directory")
+	}
+	fmt.Println("| Entries | Quiet, B/s, without and with TCP/IP headers | Churn, the same | Churn, slowest to be equal | Heap, KB a link |")
+	for _, entries := range []int{6, 60, 300} {
+		bubble.Test(t, func(*testing.T) {
+			mesh := startMesh(entries)
+			defer mesh.stop()
+			mesh.announce(0, target.Warm, 1)
+			quiet, quietWhole := mesh.rate(quietSpan, func() {})
+			slowest := time.Duration(0)
+			churn, churnWhole := mesh.rate(churnSpan, func() { slowest = mesh.churn() })
+			var memory runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&memory)
+			links := float64(entries * (entries - 1))
+			fmt.Printf("| %d | %.0f, %.0f | %.0f, %.0f | %s | %.0f |\n", entries, quiet, quietWhole, churn, churnWhole, slowest, float64(memory.HeapAlloc+memory.StackInuse)/links/1000)
+		})
+	}
+}
--- a/internal/frame/client.go
+++ b/internal/frame/client.go
@@ -32,8 +32,9 @@
 type (
 	// Client calls one peer. Construct it with NewClient.
 	Client struct {
-		address string
-		dial    tcp.Dialer
+		address  string
+		dial     tcp.Dialer
+		onDemand bool
 
 		lock      sync.Mutex
 		session   *session
@@ -66,16 +67,30 @@
 	return &Client{address: address, dial: dial}
 }
 
+// NewOnDemandClient is NewClient for one of many peers that are seldom called:
+// heartbeats are sent only while a reply is awaited, and the connection is
+// closed once no call has used it for a minute. A connection that dies
+// meanwhile is noticed by the next call.
+func NewOnDemandClient(address string, dial tcp.Dialer) *Client {
+	client := NewClient(address, dial)
+	client.onDemand = true
+	return client
+}
+
 // Address returns the peer's IP:port.
 func (client *Client) Address() string {
 	return client.address
 }
 
 // Reachable reports whether there is a connection to the peer, or none was
-// tried yet. Where there was one, it is dialed anew in the background.
+// tried yet or needed any more. Where one has failed, it is dialed anew in the
+// background.
 func (client *Client) Reachable() bool {
 	client.lock.Lock()
 	defer client.lock.Unlock()
+	if client.session != nil && client.session.retired() {
+		client.session = nil
+	}
 	tried := client.session != nil || client.lastError != nil
 	if client.closed || !tried || client.session != nil && client.session.alive() {
 		return !client.closed
@@ -127,11 +142,7 @@
 	if err := call.fill(ctx, in); err != nil {
 		return err
 	}
-	session, err := client.open(ctx)
-	if err != nil {
-		return err
-	}
-	pendingCall, err := session.begin(call)
+	session, pendingCall, err := client.begin(ctx, call)
 	if err != nil {
 		return err
 	}
@@ -149,6 +160,7 @@
 		case response := <-pendingCall.responses:
 			if response.Type == typePart {
 				if err := onPart(response); err != nil {
+					_ = session.write(&message{Type: typeCancel, Call: call.Call})
 					return errors.Wrap(err, "decode part")
 				}
 				continue
@@ -179,6 +191,21 @@
 	return nil
 }
 
+// begin enters the call on a session, on another one where the first was given
+// up for not being used.
+func (client *Client) begin(ctx context.Context, call *message) (*session, *pendingCall, error) {
+	for {
+		session, err := client.open(ctx)
+		if err != nil {
+			return nil, nil, err
+		}
+		pendingCall, err := session.begin(call)
+		if err != nil || pendingCall != nil {
+			return session, pendingCall, err
+		}
+	}
+}
+
 // open returns the live session, or dials one. Concurrent callers share one
 // dial.
 func (client *Client) open(ctx context.Context) (*session, error) {
@@ -188,7 +215,7 @@
 			client.lock.Unlock()
 			return nil, errors.Wrap(ErrNotSent, "the client is closed")
 		}
-		if client.session != nil && client.session.alive() {
+		if client.session != nil && client.session.alive() && !client.session.retired() {
 			session := client.session
 			client.lock.Unlock()
 			return session, nil
@@ -231,16 +258,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return startSession(connection)
+	return startSession(connection, client.onDemand)
 }
 
-func startSession(connection net.Conn) (*session, error) {
+func startSession(connection net.Conn, onDemand bool) (*session, error) {
 	session := &session{link: newLink(connection), pending: map[uint64]*pendingCall{}}
-	if err := session.shakeHands(); err != nil {
+	if err := session.shakeHands(onDemand); err != nil {
 		session.close()
 		return nil, err
 	}
-	go session.beat()
+	if onDemand {
+		go session.beatOnDemand()
+	} else {
+		go session.beat()
+	}
 	go session.receive()
 	return session, nil
 }
@@ -254,12 +285,21 @@
 	}
 }
 
+// retired reports whether the session was given up for not being used.
+func (session *session) retired() bool {
+	return session.demand != nil && session.demand.isRetired()
+}
+
+// begin returns nil where the session was given up.
 func (session *session) begin(call *message) (*pendingCall, error) {
 	session.lock.Lock()
 	defer session.lock.Unlock()
 	if len(session.pending) >= MaximumCalls {
 		return nil, errors.Wrap(ErrNotSent, "too many calls in flight")
 	}
+	if session.demand != nil && !session.demand.call() {
+		return nil, nil //nolint:nilnil // the caller opens another session
+	}
 	session.next++
 	call.Call = session.next
 	pendingCall := &pendingCall{responses: make(chan *message, 1), done: make(chan struct{})}
@@ -273,6 +313,9 @@
 	if pendingCall, pending := session.pending[call]; pending {
 		close(pendingCall.done)
 		delete(session.pending, call)
+		if session.demand != nil {
+			session.demand.end()
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/frame/demand_test.go
@@ -0,0 +1,138 @@
+package frame_test
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+)
+
+const (
+	// noticed is the silence limit and one heartbeat.
+	noticed = 2500 * time.Millisecond
+)
+
+// serveOnDemand is serve with a client that beats on demand and has a
+// connection, on which it counts what is sent.
+func serveOnDemand(expect gomega.Gomega, network *standin.Network) (client *frame.Client, sent *atomic.Int64, stop func()) {
+	plain, stopServer := serve(network)
+	plain.Close()
+	client, sent = frame.NewOnDemandClient("10.0.0.1:1", network.Dialer("10.0.0.2")), new(atomic.Int64)
+	double(expect, client)
+	network.Watch(func(standin.Traffic) { sent.Add(1) })
+	return client, sent, func() {
+		client.Close()
+		stopServer()
+	}
+}
+
+func double(expect gomega.Gomega, client *frame.Client) {
+	_, err := frame.Call[number, number](context.Background(), client, "double", &number{})
+	expect.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+func wait(client *frame.Client, span time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), span)
+	defer cancel()
+	_, err := frame.Call[number, number](ctx, client, "wait", &number{})
+	return err
+}
+
+var _ = ginkgo.Describe("a client that beats on demand", func() {
+	ginkgo.It("sends nothing while it awaits nothing, and opens a connection again after a minute without a call", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			client, sent, stop := serveOnDemand(expect, &standin.Network{})
+			defer stop()
+			time.Sleep(30 * time.Second)
+			expect.Expect(sent.Load()).To(gomega.BeZero())
+			double(expect, client)
+			// The call and its reply, on the connection that was there.
+			expect.Expect(sent.Load()).To(gomega.Equal(int64(2)))
+			time.Sleep(10 * time.Minute)
+			expect.Expect(sent.Load()).To(gomega.Equal(int64(2)))
+			expect.Expect(client.Reachable()).To(gomega.BeTrue())
+			double(expect, client)
+			expect.Expect(sent.Load()).To(gomega.Equal(int64(2 + 5)))
+		})
+	})
+
+	ginkgo.It("loses no call that comes just when the connection is given up", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			client, _, stop := serveOnDemand(expect, &standin.Network{})
+			defer stop()
+			for range 200 {
+				time.Sleep(time.Minute)
+				double(expect, client)
+			}
+		})
+	})
+
+	ginkgo.It("waits for a long call as long as the peer is alive", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			client, _, stop := serveOnDemand(expect, &standin.Network{})
+			defer stop()
+			time.Sleep(30 * time.Second)
+			expect.Expect(wait(client, 5*time.Minute)).To(gomega.MatchError(context.DeadlineExceeded))
+			double(expect, client)
+		})
+	})
+
+	ginkgo.It("notices a peer that went silent while idle within the silence limit of the next call", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			network := &standin.Network{}
+			client, _, stop := serveOnDemand(expect, network)
+			defer stop()
+			network.Silence("10.0.0.1")
+			time.Sleep(30 * time.Second)
+			start := time.Now()
+			expect.Expect(wait(client, time.Minute)).To(gomega.MatchError(frame.ErrLost))
+			expect.Expect(time.Since(start)).To(gomega.BeNumerically("<=", noticed))
+			double(expect, client)
+		})
+	})
+
+	ginkgo.It("notices it by calls that are each given up earlier, too", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			network := &standin.Network{}
+			client, _, stop := serveOnDemand(expect, network)
+			defer stop()
+			network.Silence("10.0.0.1")
+			time.Sleep(30 * time.Second)
+			start := time.Now()
+			for wait(client, 100*time.Millisecond) != nil && time.Since(start) < noticed {
+				time.Sleep(300 * time.Millisecond)
+			}
+			double(expect, client)
+		})
+	})
+
+	ginkgo.It("has its call ended at the peer when its VM goes silent", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			network := &standin.Network{}
+			server, ended := new(frame.Server), make(chan struct{})
+			frame.Handle(server, "wait", func(ctx context.Context, _ *number) (*number, error) {
+				<-ctx.Done()
+				close(ended)
+				return nil, ctx.Err()
+			})
+			listener, err := network.Listen("10.0.0.1:1")
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			go func() { _ = server.Serve(listener) }()
+			defer server.Stop()
+			client := frame.NewOnDemandClient("10.0.0.1:1", network.Dialer("10.0.0.2"))
+			defer client.Close()
+			go func() { _ = wait(client, time.Minute) }()
+			time.Sleep(10 * time.Second)
+			expect.Expect(ended).NotTo(gomega.BeClosed())
+			network.Cut("10.0.0.2", "10.0.0.1")
+			time.Sleep(noticed)
+			expect.Expect(ended).To(gomega.BeClosed())
+		})
+	})
+})
--- a/internal/frame/link.go
+++ b/internal/frame/link.go
@@ -35,6 +35,8 @@
 		writing sync.Mutex
 		writer  *bufio.Writer
 		wroteAt time.Time
+		// demand is nil where the link beats all the time.
+		demand  *demand
 		closed  chan struct{}
 		closing sync.Once
 	}
@@ -75,16 +77,24 @@
 }
 
 func (link *link) read() (*message, error) {
-	_ = link.connection.SetReadDeadline(time.Now().Add(silenceLimit))
-	return readMessage(link.reader)
+	if link.demand == nil {
+		_ = link.connection.SetReadDeadline(time.Now().Add(silenceLimit))
+		return readMessage(link.reader)
+	}
+	message, err := readMessage(link.reader)
+	if err == nil {
+		link.demand.heard()
+	}
+	return message, err
 }
 
-// shakeHands sends this side's version and checks the peer's.
-func (link *link) shakeHands() error {
+// shakeHands sends this side's version and checks the peer's. The client says
+// whether the link beats on demand.
+func (link *link) shakeHands(onDemand bool) error {
 	_ = link.connection.SetDeadline(time.Now().Add(helloTimeout))
 	failure := make(chan error, 1)
 	go func() {
-		failure <- link.write(&message{Type: typeHello, Version: Version})
+		failure <- link.write(&message{Type: typeHello, Version: Version, OnDemand: onDemand})
 	}()
 	hello, err := readMessage(link.reader)
 	if err != nil {
@@ -98,6 +108,9 @@
 			fmt.Sprintf("the peer speaks protocol version %d, this process %d", hello.Version, Version),
 			"run releases that share a protocol version")
 	}
+	if onDemand || hello.OnDemand {
+		link.demand = newDemand(link.connection)
+	}
 	return link.connection.SetDeadline(time.Time{})
 }
 
--- a/internal/frame/message.go
+++ b/internal/frame/message.go
@@ -53,6 +53,9 @@
 		Body        msgpack.RawMessage `msgpack:"b,omitempty"`
 		Fault       *fault.Error       `msgpack:"f,omitempty"`
 		Version     int                `msgpack:"v,omitempty"`
+		// OnDemand states in a client's hello that heartbeats are sent only
+		// while a reply is awaited.
+		OnDemand bool `msgpack:"o,omitempty"`
 	}
 )
 
--- a/internal/frame/server.go
+++ b/internal/frame/server.go
@@ -39,6 +39,8 @@
 
 	// callTable holds the calls in flight on one connection.
 	callTable struct {
+		// demand is nil where the connection beats all the time.
+		demand  *demand
 		lock    sync.Mutex
 		cancels map[uint64]context.CancelFunc
 	}
@@ -163,11 +165,15 @@
 	defer server.running.Done()
 	defer server.remove(link)
 	defer link.close()
-	if link.shakeHands() != nil {
+	if link.shakeHands(false) != nil {
 		return
 	}
-	server.running.Go(link.beat)
-	calls := &callTable{}
+	if link.demand == nil {
+		server.running.Go(link.beat)
+	} else {
+		server.running.Go(link.reclaim)
+	}
+	calls := &callTable{demand: link.demand}
 	defer calls.cancelAll()
 	for {
 		message, err := link.read()
@@ -179,7 +185,9 @@
 			server.start(link, calls, message)
 		case typeCancel:
 			calls.cancel(message.Call)
-		case typeHello, typePart, typeReply, typePing, typePong:
+		case typePing:
+			link.answerPing()
+		case typeHello, typePart, typeReply, typePong:
 		}
 	}
 }
@@ -244,6 +252,9 @@
 		ctx, cancel = context.WithCancel(ctx)
 	}
 	callTable.cancels[call.Call] = cancel
+	if callTable.demand != nil {
+		callTable.demand.serve()
+	}
 	return ctx, true
 }
 
@@ -253,6 +264,9 @@
 	if cancel, running := callTable.cancels[call]; running {
 		cancel()
 		delete(callTable.cancels, call)
+		if callTable.demand != nil {
+			callTable.demand.end()
+		}
 	}
 }
 
