Give an attempt one context at its home

Cause: an attempt had five contexts at its home: one to be cancelled by, one with a timer for the deadline that all attempts of its batch share, and two that each joined it with the end of the lane or of the lease.

Change: the batch has the deadline, and the lane holds the attempts in it and ends them itself: those that wait when it is given up, all when the lease has run out. An attempt that was ended between its admission and its start is not sent any more, where it was sent before: not run, and said so.

--- a/internal/entry/homes.go
+++ b/internal/entry/homes.go
@@ -156,6 +156,8 @@
 		trace.WithAttributes(attribute.Int("comfreythread.attempts", len(batch.Attempts))))
 	defer span.End()
 	deadline := time.Now().Add(batch.Timeout)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
 	var lock sync.Mutex
 	var running sync.WaitGroup
 	for index := range batch.Attempts {
--- a/internal/target/handover.go
+++ b/internal/target/handover.go
@@ -56,48 +56,15 @@
 		Released
 		at time.Time
 	}
-
-	// use is one attempt in a lane.
-	use struct {
-		// waiting ends when the lane is given up, running when the lease has
-		// run out, and both with the attempt's own context.
-		waiting, running context.Context
-		cut              context.Context
-		// leave ends the use, once the target has certainly ended the run.
-		leave func()
-		// stop ends the contexts, once the attempt has its outcome.
-		stop func()
-	}
 )
 
 // enter registers an attempt in the target's lane. The attempt must ask admit
 // again after it, so that a handover either waits for it or stops it.
 func (home *Home) enter(ctx context.Context, announcement *target.Announcement) (*lane, *use) {
 	home.lock.Lock()
+	defer home.lock.Unlock()
 	lane := home.lane(announcement)
-	untilClosed, untilCut := lane.usage.begin()
-	home.lock.Unlock()
-	waiting, stopWaiting := joined(ctx, untilClosed)
-	running, stopRunning := joined(ctx, untilCut)
-	stop := func() {
-		stopWaiting()
-		stopRunning()
-	}
-	return lane, &use{waiting: waiting, running: running, cut: untilCut, stop: stop, leave: sync.OnceFunc(lane.usage.end)}
-}
-
-func (use *use) isCut() bool {
-	return use.cut.Err() != nil
-}
-
-// joined returns a context that ends with either of two.
-func joined(ctx, other context.Context) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(other, cancel)
-	return ctx, func() {
-		stop()
-		cancel()
-	}
+	return lane, lane.usage.begin(ctx)
 }
 
 // Yield gives up every target that is no longer this entry's under the newest
--- a/internal/target/home.go
+++ b/internal/target/home.go
@@ -54,10 +54,9 @@
 	return &Home{self: self, board: board, dial: dial, metrics: metrics, lanes: map[string]*lane{}, expected: map[string]expectation{}, held: map[string]bool{}, tallies: map[string]*tally{}}
 }
 
-// Run runs an attempt and says what became of it.
+// Run runs an attempt and says what became of it. The context ends at the
+// attempt's deadline or before.
 func (home *Home) Run(ctx context.Context, attempt *Attempt) Outcome {
-	ctx, cancel := context.WithDeadline(ctx, attempt.Run.Deadline)
-	defer cancel()
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "target attempt", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	announcement, refusal := home.admit(attempt)
@@ -88,7 +87,7 @@
 	lane, use := home.enter(ctx, announcement)
 	defer use.stop()
 	queuedAt := time.Now()
-	admission, refusal := lane.gate.acquire(use.waiting, attempt.Run.Deadline, priorityOf(attempt.Run.RequestID), attempt.Why != First)
+	admission, refusal := lane.gate.acquire(use.running, attempt.Run.Deadline, priorityOf(attempt.Run.RequestID), attempt.Why != First)
 	home.metrics.Queue().WithLabelValues(announcement.Pool).Observe(time.Since(queuedAt).Seconds())
 	if refusal != nil {
 		use.leave()
@@ -101,6 +100,9 @@
 		admitted.release(false)
 		return refusal
 	}
+	if !use.start() {
+		return unconnected(use.running, admitted)
+	}
 	message, err := encode(ctx, http.MethodPost, announcement.Address, target.RunPath, &attempt.Run)
 	if err != nil {
 		admitted.release(false)
--- a/internal/target/usage.go
+++ b/internal/target/usage.go
@@ -14,36 +14,80 @@
 		lock  sync.Mutex
 		count int
 		idle  chan struct{}
-		// waiting ends when the lane is given up, and running when the lease
-		// has run out. Both are nil until the first use.
-		waiting, running         context.Context
-		stopWaiting, stopRunning context.CancelFunc
+		// uses holds the attempts that wait for their outcome.
+		uses map[*use]struct{}
+		// over states that the lease has run out.
+		over bool
+	}
+
+	// use is one attempt in a lane.
+	use struct {
+		usage *usage
+		// running ends with the attempt's own context, when the lease has run
+		// out, and until the attempt has started also when the lane is given
+		// up.
+		running context.Context
+		cancel  context.CancelFunc
+		// started and left are guarded by the usage's lock.
+		started, left bool
 	}
 )
 
-func (usage *usage) begin() (waiting, running context.Context) {
+func (usage *usage) begin(ctx context.Context) *use {
+	added := &use{usage: usage}
+	added.running, added.cancel = context.WithCancel(ctx)
 	usage.lock.Lock()
 	defer usage.lock.Unlock()
-	if usage.running == nil {
-		usage.running, usage.stopRunning = context.WithCancel(context.Background())
-	}
-	if usage.waiting == nil {
-		usage.waiting, usage.stopWaiting = context.WithCancel(context.Background())
+	if usage.uses == nil {
+		usage.uses = map[*use]struct{}{}
 	}
 	if usage.count == 0 {
 		usage.idle = make(chan struct{})
 	}
+	if usage.over {
+		added.cancel()
+	}
+	usage.uses[added] = struct{}{}
 	usage.count++
-	return usage.waiting, usage.running
+	return added
 }
 
-func (usage *usage) end() {
-	usage.lock.Lock()
-	defer usage.lock.Unlock()
-	usage.count--
-	if usage.count == 0 {
-		close(usage.idle)
+// start states that the attempt waits no longer, so that it is ended only with
+// the lease. It returns false where the attempt has ended before.
+func (use *use) start() bool {
+	use.usage.lock.Lock()
+	defer use.usage.lock.Unlock()
+	use.started = true
+	return use.running.Err() == nil
+}
+
+// leave ends the use, once the target has certainly ended the run.
+func (use *use) leave() {
+	use.usage.lock.Lock()
+	defer use.usage.lock.Unlock()
+	if use.left {
+		return
 	}
+	use.left = true
+	use.usage.count--
+	if use.usage.count == 0 {
+		close(use.usage.idle)
+	}
+}
+
+// stop ends the context, once the attempt has its outcome.
+func (use *use) stop() {
+	use.usage.lock.Lock()
+	delete(use.usage.uses, use)
+	use.usage.lock.Unlock()
+	use.cancel()
+}
+
+// isCut reports whether the lease has run out.
+func (use *use) isCut() bool {
+	use.usage.lock.Lock()
+	defer use.usage.lock.Unlock()
+	return use.usage.over
 }
 
 func (usage *usage) isIdle() bool {
@@ -56,9 +100,10 @@
 func (usage *usage) drain() <-chan struct{} {
 	usage.lock.Lock()
 	defer usage.lock.Unlock()
-	if usage.stopWaiting != nil {
-		usage.stopWaiting()
-		usage.waiting = nil
+	for use := range usage.uses {
+		if !use.started {
+			use.cancel()
+		}
 	}
 	return usage.idle
 }
@@ -66,9 +111,8 @@
 func (usage *usage) cut() {
 	usage.lock.Lock()
 	defer usage.lock.Unlock()
-	if usage.stopRunning != nil {
-		usage.stopWaiting()
-		usage.waiting = nil
-		usage.stopRunning()
+	usage.over = true
+	for use := range usage.uses {
+		use.cancel()
 	}
 }
