Let homes give up a millisecond before the coordinator

Cause: a home's deadline was the coordinator's without the way there and back, so that the home's proof that an attempt didn't run came at the very instant at which the coordinator gave up, and lost against it: the request was told that it may have run. Where the proof did come first, the coordinator sent the shard to another replica, whose report it could not get any more.

Change: reportMargin, 1 ms, and no further attempt of a shard at a home whose report couldn't come in time. A first attempt goes all the same, so that an estimate of the way that is too long is corrected.

Test: "deadline, while no slot is free" in the table of truthful refusals.

Ruled out: a margin from the spread of the measured way. The mean of the way is in the home's time already, and the margin costs a run no more than 1 ms.

--- a/internal/entry/outgoing.go
+++ b/internal/entry/outgoing.go
@@ -14,6 +14,13 @@
 	"gitlab.com/comfreythread/comfreythread/pkg/caller"
 )
 
+const (
+	// reportMargin is by how much the report of a home that gives up at its
+	// deadline precedes the coordinator's, so that what is proved not to have
+	// run is told so.
+	reportMargin = time.Millisecond
+)
+
 type (
 	// outgoing gathers the attempts that are sent together.
 	outgoing struct {
@@ -60,6 +67,12 @@
 		}
 		return
 	}
+	// A first attempt goes all the same: it shows whether the way to the home
+	// takes as long as is thought.
+	if !shard.begunAt.IsZero() && fanOut.timeAt(candidate.home.ID) <= 0 {
+		fanOut.giveUpIdle(shard)
+		return
+	}
 	if !fanOut.coordinator.estimates.spend(&fanOut.pool, why) {
 		fanOut.giveUpIdle(shard)
 		return
@@ -126,13 +139,16 @@
 	return time.Since(shard.begunAt)
 }
 
-// newBatch leaves the time of the way to the home and back out of the time
-// that the home has.
+// timeAt returns the time to the deadline that a home has: without that of the
+// way to the home and back.
+func (fanOut *fanOut) timeAt(homeID string) time.Duration {
+	return time.Until(fanOut.deadline) - fanOut.coordinator.estimates.roundTrip(homeID) - reportMargin
+}
+
 func (fanOut *fanOut) newBatch(homeID string) *Batch {
-	remaining := time.Until(fanOut.deadline) - fanOut.coordinator.estimates.roundTrip(homeID)
 	return &Batch{
 		RequestID: string(fanOut.request.ID), Kind: fanOut.request.Kind, Payload: fanOut.request.Payload,
-		Fingerprint: uint64(fanOut.fingerprint), Timeout: max(0, remaining), Layout: fanOut.plan.snapshot.Layout,
+		Fingerprint: uint64(fanOut.fingerprint), Timeout: max(0, fanOut.timeAt(homeID)), Layout: fanOut.plan.snapshot.Layout,
 		SuspectAfter: fanOut.hedgeDelay,
 	}
 }
--- a/internal/tier/refusal_test.go
+++ b/internal/tier/refusal_test.go
@@ -170,6 +170,18 @@
 			load.send(0, file("card"))
 			load.send(1, search("lookup"))
 		}),
+		ginkgo.Entry("deadline, while no slot is free", caller.RefusedDeadline, caller.NotRun, func(load *load) {
+			load.work(2 * runTime)
+			for number := range 3 * small.Pools[0].Targets * small.Pools[0].Slots {
+				long := file("card")
+				long.Timeout = duration.Of(runTime)
+				load.send(number, long)
+			}
+			time.Sleep(runTime / 2)
+			for number := range 20 {
+				load.send(number, file("card"))
+			}
+		}),
 		ginkgo.Entry("no replica, because connections open too slowly", caller.RefusedNoReplica, caller.NotRun, func(load *load) {
 			load.breakTargets()
 			load.network.SetConnect(func(_, to string) time.Duration {
