Confirm reads and renewals by a quorum, not by the leader's lease

Cause: Confirm, on which reads of the tables and renewals rest, was answered within a lease that the leader measured by its own clock. A VM that is suspended and resumed with its clocks standing still believes that lease while another replica leads: it read old tables as the newest and renewed leases that outlast the new leader's wait.

Now a reading is confirmed once a quorum has answered a message sent after the question. One round serves all that asked before it began; rounds begin at most every 5 ms and name the index where the follower is known to agree, so that they never take part in replication. Messages are told apart by a stamp that grows also where the clock stands still. It travels in the field Sent, which followers of the release before echo too, so mixed groups work.

Ruled out: checks of the leader's clock (both stand still); a term in the reply that the entry compares (the entry may not have heard from the new leader).

Failing first, on a copy of the code before: - go test ./internal/replica -run TestCoreUnderFaults, with the new schedule and readings: case 0, "a0#1 confirms in term 2 what was asked after the election of term 3". - go test ./internal/control -run TestLeaderWhoseClockStoodStill: "the frozen leader reads version 0 as the newest", "the frozen leader grants a lease".

The check "a lease rests on a quorum that gives no vote" goes, because nothing rests on the promise any more. In its place each reading is held against what was committed and who had been elected when it was asked, at all leaders in all cases, which is as strict: the old lease, put back, fails in case 0.

--- a/internal/replica/answer.go
+++ b/internal/replica/answer.go
@@ -2,13 +2,10 @@
 
 package replica
 
-import "time"
-
 type (
 	// confirmation is a Confirm that waits.
 	confirmation struct {
-		asked time.Time
-		index uint64
+		reading
 		reply chan outcome
 	}
 )
@@ -42,25 +39,19 @@
 	for position, reply := range replies {
 		driver.proposals[first+uint64(position)] = reply
 	}
-	driver.core.step(time.Now(), proposed{commands: commands})
+	driver.core.step(driver.now(), proposed{commands: commands})
 }
 
-func (driver *driver) confirm(now time.Time, reply chan outcome) {
+func (driver *driver) confirm(reply chan outcome) {
 	if err := driver.refusal(); err != nil {
 		reply <- outcome{err: err}
 		return
 	}
-	index := max(driver.core.commit, driver.core.termStart)
-	driver.confirmations = append(driver.confirmations, confirmation{asked: now, index: index, reply: reply})
-	if driver.core.confirmedAt(now).Before(now) {
-		driver.core.heartbeatDue = now
-		driver.core.step(now, ticked{})
-	}
+	driver.confirmations = append(driver.confirmations, confirmation{reading: driver.core.read(), reply: reply})
 }
 
 // settle answers what can be answered by now.
 func (driver *driver) settle() {
-	now := time.Now()
 	leading := driver.failed == nil && driver.core.role == roleLeader
 	if !leading || driver.core.Term != driver.proposalTerm {
 		for index, reply := range driver.proposals {
@@ -68,14 +59,13 @@
 			delete(driver.proposals, index)
 		}
 	}
-	confirmedAt := driver.core.confirmedAt(now)
 	waiting := driver.confirmations[:0]
 	for _, confirmation := range driver.confirmations {
 		err := driver.refusal()
 		switch {
 		case err != nil:
 			confirmation.reply <- outcome{err: err}
-		case !confirmedAt.Before(confirmation.asked) && driver.core.applied >= confirmation.index:
+		case driver.core.holdsAll(confirmation.reading):
 			confirmation.reply <- outcome{}
 		default:
 			waiting = append(waiting, confirmation)
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -15,11 +15,9 @@
 	// heartbeatInterval is the span between a leader's messages to a replica.
 	heartbeatInterval = 100 * time.Millisecond
 	// promiseSpan is how long a replica gives no vote after it has heard from
-	// a leader. It is the shortest time to an election.
+	// a leader, so that none is unseated whom a quorum hears. It is the shortest
+	// time to an election. What is read rests on no clock.
 	promiseSpan = 600 * time.Millisecond
-	// leaseSpan is how long a leader relies on such a promise: less, because
-	// the clock rates of two VMs may differ by 1% each way.
-	leaseSpan = promiseSpan * 98 / 100
 )
 
 const (
@@ -140,6 +138,10 @@
 		heartbeatDue time.Time
 		progress     map[string]*progress
 		handingOver  bool
+		// stamped is the stamp of the last message that was sent.
+		stamped    time.Duration
+		roundAsked bool
+		roundAfter time.Time
 
 		out output
 	}
@@ -171,7 +173,7 @@
 	core.durable = core.log.last()
 	slices.Sort(core.peers)
 	core.markDue = now.Add(markInterval)
-	// A promise given before a restart may still be relied upon.
+	// A leader that it had heard before the restart may lead on.
 	core.promise(now)
 }
 
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -64,6 +64,14 @@
 	}
 )
 
+// now returns the time of the VM's clock.
+func (driver *driver) now() time.Time {
+	if clock := driver.replica.options.Now; clock != nil {
+		return clock()
+	}
+	return time.Now()
+}
+
 // open reads the durable state and prepares the core. Records that are
 // damaged, and those of a replica that had no group yet, are set aside.
 func (driver *driver) open(now time.Time) error {
@@ -126,15 +134,15 @@
 		select {
 		case <-stopping:
 			stopping = nil
-			stopAt = driver.stopAt(time.Now())
+			stopAt = driver.stopAt(driver.now())
 			driver.step(handOverAsked{})
 		case request := <-driver.replica.requests:
 			driver.gather(request)
 		case <-timer.C:
-			driver.wake(time.Now())
+			driver.wake(driver.now())
 		}
 		driver.flush()
-		if stopping == nil && (driver.failed != nil || driver.core.followsAnother() || !time.Now().Before(stopAt)) {
+		if stopping == nil && (driver.failed != nil || driver.core.followsAnother() || !driver.now().Before(stopAt)) {
 			driver.end()
 			return
 		}
@@ -145,7 +153,7 @@
 // step tells the core something, unless the disk is not used any more.
 func (driver *driver) step(input input) {
 	if driver.failed == nil {
-		driver.core.step(time.Now(), input)
+		driver.core.step(driver.now(), input)
 	}
 }
 
@@ -170,7 +178,7 @@
 	if !stopAt.IsZero() && stopAt.Before(due) {
 		due = stopAt
 	}
-	timer.Reset(max(time.Until(due), time.Millisecond))
+	timer.Reset(max(due.Sub(driver.now()), time.Millisecond))
 }
 
 // gather handles a request and those that wait behind it, so that they share
@@ -195,17 +203,19 @@
 		}
 	}
 	driver.propose(commands, replies)
+	// What was asked together shares one round.
+	driver.step(ticked{})
 }
 
 func (driver *driver) handle(request *request) {
-	now := time.Now()
+	now := driver.now()
 	switch request.kind {
 	case requestDeliver:
 		if driver.failed == nil {
 			driver.core.step(now, arrived{parcel: request.parcel})
 		}
 	case requestConfirm:
-		driver.confirm(now, request.reply)
+		driver.confirm(request.reply)
 	case requestChange:
 		if err := driver.refusal(); err != nil {
 			request.reply <- outcome{err: err}
@@ -233,7 +243,7 @@
 			break
 		}
 		if wrote {
-			driver.core.step(time.Now(), synced{})
+			driver.core.step(driver.now(), synced{})
 		}
 		driver.replica.transport.send(out.late)
 		driver.apply(&out)
@@ -291,7 +301,7 @@
 		driver.replica.options.Logger.Error("the machine gave no snapshot", zap.Error(err))
 		return false
 	}
-	driver.core.step(time.Now(), snapshotTaken{index: driver.core.applied, data: data})
+	driver.core.step(driver.now(), snapshotTaken{index: driver.core.applied, data: data})
 	return true
 }
 
@@ -307,7 +317,7 @@
 		driver.fail(err)
 		return
 	}
-	if err := driver.begin(time.Now(), nil); err != nil {
+	if err := driver.begin(driver.now(), nil); err != nil {
 		driver.fail(err)
 	}
 }
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -1,12 +1,9 @@
-// This file exists so that at most one replica leads a term, and none while
-// the lease of another may last.
+// This file exists so that at most one replica leads a term, and none replaces
+// a leader that a quorum hears.
 
 package replica
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // promise keeps this replica from voting for a while, and then from standing
 // for election for a random while more.
@@ -25,7 +22,7 @@
 	case !core.formed() || !core.proved:
 		return core.helloDue
 	case core.role == roleLeader:
-		return core.heartbeatDue
+		return core.roundDue()
 	default:
 		return core.electionDue
 	}
@@ -99,7 +96,8 @@
 		core.replyVote(parcel, voteReply{Term: core.Term, Pre: request.Pre})
 		return
 	}
-	// A leader may rely on the promise: neither vote nor take over the term.
+	// A replica that only was cut off must not unseat a leader that others
+	// hear: neither vote nor take over the term.
 	bound := core.role == roleLeader || now.Before(core.promiseUntil)
 	if bound && !request.HandOver {
 		core.replyVote(parcel, voteReply{Term: core.Term, Pre: request.Pre})
@@ -173,54 +171,17 @@
 		core.beat(now)
 		core.arrangeMembers(now)
 	}
+	core.confirm(now)
 	if core.handingOver {
 		core.handOver(now)
 	}
 }
 
-// heardFromQuorum returns the latest time at which the replicas of a quorum
-// all still knew this leader, by messages sent then and answered since. A
-// replica that has answered nothing counts as heard at the floor.
-func (core *core) heardFromQuorum(now, floor time.Time) time.Time {
-	voters := core.voters()
-	if len(voters) == 0 {
-		return floor
-	}
-	times := make([]time.Time, 0, len(voters))
-	for _, id := range voters {
-		switch {
-		case id == core.id:
-			times = append(times, now)
-		case core.progress[id] != nil && !core.progress[id].heard.IsZero():
-			times = append(times, core.progress[id].heard)
-		default:
-			times = append(times, floor)
-		}
-	}
-	slices.SortFunc(times, func(left, right time.Time) int { return right.Compare(left) })
-	return times[len(voters)/2]
-}
-
-// confirmedAt returns the latest time at which this replica certainly led:
-// now within its lease, else when a quorum was last asked and answered. It is
-// zero where nothing is certain yet.
-func (core *core) confirmedAt(now time.Time) time.Time {
-	if core.role != roleLeader || core.handingOver || core.commit < core.termStart {
-		return time.Time{}
-	}
-	heard := core.heardFromQuorum(now, time.Time{})
-	if now.Sub(heard) < leaseSpan {
-		return now
-	}
-	return heard
-}
-
-// handOver lets the replica lead that has everything. The lease ends before
-// that replica is told, because others give it their votes at once.
+// handOver lets the replica lead that has everything.
 func (core *core) handOver(now time.Time) {
 	for _, member := range core.members() {
 		progress := core.progress[member.ID]
-		if !member.Voter || progress == nil || progress.match < core.log.last() || now.Sub(progress.heard) >= promiseSpan {
+		if !member.Voter || progress == nil || progress.match < core.log.last() || now.Sub(core.heard(progress)) >= promiseSpan {
 			continue
 		}
 		core.send(member.ID, member.Address, timeoutNow{Term: core.Term})
--- a/internal/replica/install.go
+++ b/internal/replica/install.go
@@ -57,7 +57,7 @@
 	part.Data = part.Data[progress.sentOffset:end]
 	progress.sentAt = now
 	core.send(member.ID, member.Address, installRequest{
-		Term: core.Term, Snapshot: part, Offset: progress.sentOffset, Done: done, Sent: now.Sub(core.started),
+		Term: core.Term, Snapshot: part, Offset: progress.sentOffset, Done: done, Sent: core.stamp(now),
 	})
 }
 
@@ -130,9 +130,7 @@
 		return
 	}
 	progress := core.progressOf(parcel.from)
-	if heard := core.started.Add(reply.Sent); heard.After(progress.heard) {
-		progress.heard = heard
-	}
+	progress.answered = max(progress.answered, reply.Sent)
 	if progress.sending == nil || progress.sending.Index != reply.Index || reply.Offset > len(progress.sending.Data) {
 		return
 	}
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -227,7 +227,7 @@
 
 func (core *core) isUp(now time.Time, id string) bool {
 	progress := core.progress[id]
-	return id == core.id || progress != nil && now.Sub(progress.heard) < promiseSpan
+	return id == core.id || progress != nil && now.Sub(core.heard(progress)) < promiseSpan
 }
 
 // survivesWithout reports whether a quorum of the voters besides one is up.
--- a/internal/replica/message.go
+++ b/internal/replica/message.go
@@ -49,7 +49,7 @@
 		LastTerm  uint64 `msgpack:"l"`
 		// Pre asks whether a vote would be given, without any effect.
 		Pre bool `msgpack:"p"`
-		// HandOver states that the leader gave up its lease for this
+		// HandOver states that the leader gave up its lead for this
 		// candidate.
 		HandOver bool `msgpack:"h"`
 	}
@@ -66,8 +66,8 @@
 		PrevTerm uint64  `msgpack:"q"`
 		Entries  []entry `msgpack:"e"`
 		Commit   uint64  `msgpack:"c"`
-		// Sent is the time since the leader's start, by the leader's clock.
-		// The reply carries it back.
+		// Sent is the leader's stamp: the time since its start, and greater than
+		// that of each message before. The reply carries it back.
 		Sent time.Duration `msgpack:"s"`
 	}
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -57,6 +57,8 @@
 		// nil FileSystem is the operating system's.
 		Folder     string
 		FileSystem disk.FileSystem
+		// Now is the VM's clock. A nil one is the runtime's.
+		Now func() time.Time
 	}
 
 	// Replica is one member of the group that agrees on the log. Construct it
@@ -115,7 +117,7 @@
 		return err
 	}
 	driver := &driver{replica: replica, empty: empty, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
-	if err := driver.open(time.Now()); !driver.begun(err) {
+	if err := driver.open(driver.now()); !driver.begun(err) {
 		return err
 	}
 	replica.start.Do(func() { go driver.run() })
--- a/internal/replica/replication.go
+++ b/internal/replica/replication.go
@@ -23,10 +23,11 @@
 		// inFlight holds the last index of each unanswered message with
 		// entries.
 		inFlight []uint64
-		// heard is when the latest message that was answered had been sent,
-		// and matchedAt when the answer arrived that gave match.
-		heard     time.Time
-		matchedAt time.Time
+		// answered is the stamp of the latest message that was answered, zero
+		// where none was. matchedAt is that of the last message sent before the
+		// answer that gave match.
+		answered  time.Duration
+		matchedAt time.Duration
 		// sending is the snapshot on its way, nil where none is.
 		sending    *snapshot
 		sentOffset int
@@ -139,12 +140,13 @@
 		prev, term = core.log.offset, core.log.offsetTerm
 	}
 	core.send(member.ID, member.Address, appendRequest{
-		Term: core.Term, Prev: prev, PrevTerm: term, Entries: entries, Commit: core.commit, Sent: now.Sub(core.started),
+		Term: core.Term, Prev: prev, PrevTerm: term, Entries: entries, Commit: core.commit, Sent: core.stamp(now),
 	})
 }
 
 // beat sends every replica a heartbeat. Its answer also shows what was lost.
 func (core *core) beat(now time.Time) {
+	core.roundAsked = false
 	for _, member := range core.members() {
 		if member.ID == core.id {
 			continue
@@ -222,21 +224,19 @@
 		return
 	}
 	progress := core.progressOf(parcel.from)
-	if heard := core.started.Add(reply.Sent); heard.After(progress.heard) {
-		progress.heard = heard
-	}
+	progress.answered = max(progress.answered, reply.Sent)
 	if reply.Rejected {
 		core.back(member, progress, reply)
 	} else {
-		core.accept(now, progress, reply)
+		core.accept(progress, reply)
 	}
 	core.replicate(now, member)
 }
 
 // accept notes how far a replica's log is equal to this one.
-func (core *core) accept(now time.Time, progress *progress, reply *appendReply) {
+func (core *core) accept(progress *progress, reply *appendReply) {
 	if reply.Match >= progress.match {
-		progress.match, progress.matchedAt = reply.Match, now
+		progress.match, progress.matchedAt = reply.Match, core.stamped
 	}
 	if progress.probing && reply.Match+1 >= progress.next {
 		// What was sent for probing may be lost; it is sent again.
@@ -258,7 +258,7 @@
 
 // back goes back to where a replica's log may be equal to this one.
 func (core *core) back(member member, progress *progress, reply *appendReply) {
-	if reply.Last < progress.match && core.started.Add(reply.Sent).After(progress.matchedAt) {
+	if reply.Last < progress.match && reply.Sent > progress.matchedAt {
 		// It once held more, durably: its disk went back to an earlier state.
 		core.send(member.ID, member.Address, outdated{Term: core.Term})
 		return
--- a/internal/replica/space.go
+++ b/internal/replica/space.go
@@ -27,7 +27,7 @@
 		if driver.spaceDue.IsZero() {
 			driver.replica.options.Logger.Error("this replica takes no part until its disk has space", zap.Error(driver.failed))
 		}
-		driver.spaceDue = time.Now().Add(spaceInterval)
+		driver.spaceDue = driver.now().Add(spaceInterval)
 		return
 	}
 	driver.spaceDue = time.Time{}
