--- a/internal/tier/request_test.go
+++ b/internal/tier/request_test.go
@@ -223,6 +223,24 @@
 		})
 	})
 
+	ginkgo.It("notices a restart without warning by the runs that it breaks, where no connection is idle", func() {
+		withOneEntry(nil, func(expect gomega.Gomega, load *load) {
+			load.steady(100, time.Second)
+			load.work(100 * time.Millisecond)
+			go load.steady(100, 100*time.Millisecond)
+			time.Sleep(60 * time.Millisecond)
+			for _, target := range load.tier.Targets() {
+				load.network.Break(target.IP())
+				target.TurnCold()
+			}
+			load.work(work)
+			load.steady(1000, 100*time.Millisecond)
+			for _, target := range load.tier.Targets() {
+				expect.Expect(target.Record().PeakCold).To(gomega.BeNumerically("<=", 1))
+			}
+		})
+	})
+
 	ginkgo.It("answers in time when one replica of a shard is slow for good", func() {
 		withTier(func(expect gomega.Gomega, load *load) {
 			load.steady(100, 2*time.Second)
