Stop the timer of a limit that a stand-in connection no longer has

Cause: each limit set on a connection in memory made a timer that nothing stopped. Servers and clients set one for each request, up to a minute off, so that long specs kept thousands of timers, each of which began a goroutine and woke the readers for nothing. Found in the profile of the tier's specs of rolling versions, where timers took 14% of the CPU.

The timer now belongs to the limit and ends with it or with the connection.

TestReadEndsAtItsNewestLimit holds what the change could break: without the wake for a limit in the past it fails with "the read ended after 1h0m0s", want 1s; without the timer it does so for a later and an earlier one. The tier under the detector wasn't run whole: the machine was too loaded for it.

--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -79,8 +79,15 @@
 		silent    bool
 		closed    bool
 		reset     bool
-		readLimit time.Time
-		sendLimit time.Time
+		readLimit limit
+		sendLimit limit
+	}
+
+	// limit is the time at which reads or writes fail, and what wakes those
+	// that wait at it.
+	limit struct {
+		at    time.Time
+		timer *time.Timer
 	}
 
 	chunk struct {
@@ -283,19 +290,24 @@
 	return nil
 }
 
-func (stream *stream) limit(field *time.Time, limit time.Time) {
+func (stream *stream) limit(changed *limit, at time.Time) {
 	stream.lock.Lock()
 	defer stream.lock.Unlock()
-	*field = limit
-	stream.wakeAt(limit)
-	stream.changed.Broadcast()
+	changed.stop()
+	changed.at = at
+	changed.timer = stream.wakeAt(at)
+	if changed.timer == nil {
+		stream.changed.Broadcast()
+	}
 }
 
-// wakeAt wakes waiting readers and writers at a time. The lock is held.
-func (stream *stream) wakeAt(at time.Time) {
+// wakeAt wakes waiting readers and writers at a time; it returns nil where
+// that has come. The lock is held.
+func (stream *stream) wakeAt(at time.Time) *time.Timer {
 	if wait := time.Until(at); !at.IsZero() && wait > 0 {
-		time.AfterFunc(wait, stream.wake)
+		return time.AfterFunc(wait, stream.wake)
 	}
+	return nil
 }
 
 func (stream *stream) wake() {
@@ -304,6 +316,15 @@
 	stream.changed.Broadcast()
 }
 
-func expired(limit time.Time) bool {
-	return !limit.IsZero() && !time.Now().Before(limit)
+// stop forgets the waking. Servers set a limit a minute off for each request,
+// so that a long run would have as many timers as requests in that time.
+func (limit *limit) stop() {
+	if limit.timer != nil {
+		limit.timer.Stop()
+		limit.timer = nil
+	}
+}
+
+func (limit *limit) expired() bool {
+	return !limit.at.IsZero() && !time.Now().Before(limit.at)
 }
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -20,7 +20,7 @@
 			return 0, syscall.ECONNRESET
 		case stream.closed:
 			return 0, net.ErrClosed
-		case expired(stream.readLimit):
+		case stream.readLimit.expired():
 			return 0, os.ErrDeadlineExceeded
 		}
 		if len(stream.chunks) > 0 && !time.Now().Before(stream.chunks[0].arrives) && !stream.chunks[0].arrives.IsZero() {
@@ -55,7 +55,7 @@
 			return 0, syscall.ECONNRESET
 		case stream.closed || stream.ended():
 			return 0, syscall.EPIPE
-		case expired(stream.sendLimit):
+		case stream.sendLimit.expired():
 			return 0, os.ErrDeadlineExceeded
 		}
 		if stream.buffered+len(data) <= maximumBuffered || stream.buffered == 0 {
@@ -112,8 +112,7 @@
 func (stream *stream) drop() {
 	stream.lock.Lock()
 	stream.closed = true
-	stream.chunks = nil
-	stream.changed.Broadcast()
+	stream.discard()
 	stream.lock.Unlock()
 	stream.network.forget(stream)
 }
@@ -121,8 +120,16 @@
 func (stream *stream) abort() {
 	stream.lock.Lock()
 	stream.reset = true
-	stream.chunks = nil
-	stream.changed.Broadcast()
+	stream.discard()
 	stream.lock.Unlock()
 	stream.network.forget(stream)
 }
+
+// discard drops what is on its way and lets all that wait go on. The lock is
+// held.
+func (stream *stream) discard() {
+	stream.chunks = nil
+	stream.readLimit.stop()
+	stream.sendLimit.stop()
+	stream.changed.Broadcast()
+}
