Give a stand-in proxy its network where it starts

Cause, found by reading: each proxy of the answers' specs wrote the network into a field that all of them share, while the connections of the proxies before it may already read it. No run showed the race: until now no entry connects to a target before all of them are there. The connection gets its dialer as an argument now.

Run: the 93 specs of the tier without the race detector, 93 passed.

--- a/internal/tier/answers_test.go
+++ b/internal/tier/answers_test.go
@@ -21,6 +21,7 @@
 	"gitlab.com/comfreythread/comfreythread/internal/entry"
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
 	"gitlab.com/comfreythread/comfreythread/internal/standin"
+	"gitlab.com/comfreythread/comfreythread/internal/tcp"
 	"gitlab.com/comfreythread/comfreythread/internal/tier"
 	"gitlab.com/comfreythread/comfreythread/pkg/caller"
 	"gitlab.com/comfreythread/comfreythread/pkg/target"
@@ -40,7 +41,6 @@
 
 	// proxies stand before targets and pass on what they don't tamper with.
 	proxies struct {
-		network   *standin.Network
 		listeners []net.Listener
 		// tampers holds a tamper for each target ID.
 		tampers map[string]*atomic.Pointer[tamper]
@@ -58,7 +58,6 @@
 	if err != nil {
 		panic(err)
 	}
-	proxies.network = network
 	proxies.listeners = append(proxies.listeners, listener)
 	chosen := new(atomic.Pointer[tamper])
 	proxies.tampers[announcement.ID] = chosen
@@ -68,7 +67,7 @@
 			if err != nil {
 				return
 			}
-			go proxies.pass(accepted, ip, behind, chosen)
+			go pass(accepted, network.Dialer(ip), behind, chosen)
 		}
 	}()
 }
@@ -79,9 +78,9 @@
 	}
 }
 
-func (proxies *proxies) pass(from net.Conn, ip, behind string, chosen *atomic.Pointer[tamper]) {
+func pass(from net.Conn, dial tcp.Dialer, behind string, chosen *atomic.Pointer[tamper]) {
 	defer func() { _ = from.Close() }()
-	to, err := proxies.network.Dialer(ip)(context.Background(), "tcp", behind)
+	to, err := dial(context.Background(), "tcp", behind)
 	if err != nil {
 		return
 	}
