Start the tiers of all specs in one place

Six places of internal/tier's tests started a tier on a network in memory, each with the same eight lines. helper_test.go does so now for all of them.

--- a/internal/tier/domain_test.go
+++ b/internal/tier/domain_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"strings"
 	"time"
 
@@ -38,21 +37,15 @@
 // startDomains starts Atelier's system, whose targets bear little in cold
 // start and run what has the payload "long" for longWork.
 func startDomains(expect gomega.Gomega) (*tier.Tier, *standin.Network, *steadyLoad) {
-	network := &standin.Network{}
-	network.SetLatency(atelierLatency)
 	long, _ := json.Marshal("long")
-	started, err := tier.Start(context.Background(), tier.Options{
-		Deployment: standin.Atelier, EntriesPerFailureDomain: 2, Memory: network, Logs: io.Discard,
-		Behave: func(*target.Announcement) standin.Behaviour {
-			return standin.Behaviour{ColdSlots: coldSlots, ColdRunsPerSecond: coldRate, WarmAfterRuns: 20, Work: func(run *target.Run) time.Duration {
-				if string(run.Payload) == string(long) {
-					return longWork
-				}
-				return workTime
-			}}
-		},
+	started, network := startAtelier(expect, func(*target.Announcement) standin.Behaviour {
+		return standin.Behaviour{ColdSlots: coldSlots, ColdRunsPerSecond: coldRate, WarmAfterRuns: 20, Work: func(run *target.Run) time.Duration {
+			if string(run.Payload) == string(long) {
+				return longWork
+			}
+			return workTime
+		}}
 	})
-	expect.Expect(err).NotTo(gomega.HaveOccurred())
 	load := &steadyLoad{client: caller.NewClient([]string{"10.1.1.1:80", "10.2.1.1:80"}, caller.Dialer(network.Dialer("10.0.0.2"))), stopped: make(chan struct{})}
 	load.running.Go(func() { load.run(20 * time.Millisecond) })
 	return started, network, load
--- a/internal/tier/helper_test.go
+++ b/internal/tier/helper_test.go
@@ -1,5 +1,4 @@
-// This file exists so that specs start a tier whose targets they change
-// beforehand.
+// This file exists so that specs start tiers in one place.
 
 package tier_test
 
@@ -16,23 +15,55 @@
 	"gitlab.com/comfreythread/comfreythread/pkg/target"
 )
 
+// startTier starts a tier on a network in memory. The caller stops it.
+func startTier(expect gomega.Gomega, latency func(from, to string) time.Duration, options tier.Options) (*tier.Tier, *standin.Network) {
+	if options.Memory == nil {
+		options.Memory = &standin.Network{}
+	}
+	options.Memory.SetLatency(latency)
+	options.Logs = io.Discard
+	started, err := tier.Start(context.Background(), options)
+	expect.Expect(err).NotTo(gomega.HaveOccurred())
+	return started, options.Memory
+}
+
+// startAtelier starts Atelier's system on six entries.
+func startAtelier(expect gomega.Gomega, behave func(*target.Announcement) standin.Behaviour) (*tier.Tier, *standin.Network) {
+	return startTier(expect, atelierLatency, tier.Options{Deployment: standin.Atelier, EntriesPerFailureDomain: 2, Behave: behave})
+}
+
+// behaveSmall has targets work for a while and bear little in cold start.
+func behaveSmall(*target.Announcement) standin.Behaviour {
+	return standin.Behaviour{Work: func(*target.Run) time.Duration { return work }, ColdSlots: 1, ColdRunsPerSecond: 200, WarmAfterRuns: 20}
+}
+
+func smallLatency(_, _ string) time.Duration { return 500 * time.Microsecond }
+
+// withTier runs a spec on a small tier whose targets work for a while.
+func withTier(body func(expect gomega.Gomega, load *load)) {
+	withDeployment(small, smallLatency, body)
+}
+
+func withDeployment(deployment standin.Deployment, latency func(from, to string) time.Duration, body func(expect gomega.Gomega, load *load)) {
+	withOptions(latency, tier.Options{Deployment: deployment, EntriesPerFailureDomain: 2, Behave: behaveSmall}, body)
+}
+
 // withOneEntry runs a spec on a small tier of one entry in each failure domain.
 // The change, where there is one, is made to each announcement before its
 // target starts.
 func withOneEntry(change func(network *standin.Network, announcement *target.Announcement), body func(expect gomega.Gomega, load *load)) {
+	network := &standin.Network{}
+	withOptions(smallLatency, tier.Options{Deployment: small, Memory: network, Behave: func(announcement *target.Announcement) standin.Behaviour {
+		if change != nil {
+			change(network, announcement)
+		}
+		return behaveSmall(announcement)
+	}}, body)
+}
+
+func withOptions(latency func(from, to string) time.Duration, options tier.Options, body func(expect gomega.Gomega, load *load)) {
 	bubble.Run(suite, func(expect gomega.Gomega) {
-		network := &standin.Network{}
-		network.SetLatency(func(_, _ string) time.Duration { return 500 * time.Microsecond })
-		started, err := tier.Start(context.Background(), tier.Options{
-			Deployment: small, Memory: network, Logs: io.Discard,
-			Behave: func(announcement *target.Announcement) standin.Behaviour {
-				if change != nil {
-					change(network, announcement)
-				}
-				return standin.Behaviour{Work: func(*target.Run) time.Duration { return work }, ColdSlots: 1, ColdRunsPerSecond: 200, WarmAfterRuns: 20}
-			},
-		})
-		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		started, network := startTier(expect, latency, options)
 		defer func() { _ = started.Stop(context.Background()) }()
 		body(expect, &load{tier: started, network: network})
 	})
--- a/internal/tier/partition_test.go
+++ b/internal/tier/partition_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"strings"
 	"time"
@@ -13,7 +12,6 @@
 
 	"gitlab.com/comfreythread/comfreythread/internal/bubble"
 	"gitlab.com/comfreythread/comfreythread/internal/control"
-	"gitlab.com/comfreythread/comfreythread/internal/standin"
 	"gitlab.com/comfreythread/comfreythread/internal/tier"
 	"gitlab.com/comfreythread/comfreythread/pkg/caller"
 	"gitlab.com/comfreythread/comfreythread/pkg/duration"
@@ -40,12 +38,7 @@
 // The rows are those of docs/design/partitions.md.
 var _ = ginkgo.DescribeTable("in a partition", func(lost cut, victimFences bool) {
 	bubble.Run(suite, func(expect gomega.Gomega) {
-		network := &standin.Network{}
-		network.SetLatency(atelierLatency)
-		started, err := tier.Start(context.Background(), tier.Options{
-			Deployment: standin.Atelier, EntriesPerFailureDomain: 2, Memory: network, Logs: io.Discard,
-		})
-		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		started, network := startAtelier(expect, nil)
 		defer func() { _ = started.Stop(context.Background()) }()
 		all := append(append([]string{}, controls...), entries...)
 		for _, target := range started.Targets() {
--- a/internal/tier/planned_stop_test.go
+++ b/internal/tier/planned_stop_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"slices"
 	"sync"
 	"time"
@@ -61,15 +60,9 @@
 // startUnderLoad starts Atelier's system on six entries, and callers that use
 // the Go client.
 func startUnderLoad(expect gomega.Gomega) (*tier.Tier, *steadyLoad) {
-	network := &standin.Network{}
-	network.SetLatency(atelierLatency)
-	started, err := tier.Start(context.Background(), tier.Options{
-		Deployment: standin.Atelier, EntriesPerFailureDomain: 2, Memory: network, Logs: io.Discard,
-		Behave: func(*target.Announcement) standin.Behaviour {
-			return standin.Behaviour{Work: func(*target.Run) time.Duration { return workTime }}
-		},
+	started, network := startAtelier(expect, func(*target.Announcement) standin.Behaviour {
+		return standin.Behaviour{Work: func(*target.Run) time.Duration { return workTime }}
 	})
-	expect.Expect(err).NotTo(gomega.HaveOccurred())
 	seeds := []string{}
 	for _, entry := range started.Entries() {
 		seeds = append(seeds, entry.Settings().HTTPAddress)
--- a/internal/tier/request_test.go
+++ b/internal/tier/request_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"slices"
 	"sync"
@@ -14,7 +13,6 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"gitlab.com/comfreythread/comfreythread/internal/bubble"
 	"gitlab.com/comfreythread/comfreythread/internal/standin"
 	"gitlab.com/comfreythread/comfreythread/internal/tier"
 	"gitlab.com/comfreythread/comfreythread/pkg/caller"
@@ -51,27 +49,6 @@
 	Pools: []standin.PoolShape{{Name: "desk", Shards: 4, Targets: 12, Slots: 2, Connections: 6}},
 }
 
-// withTier runs a spec on a small tier whose targets work for a while.
-func withTier(body func(expect gomega.Gomega, load *load)) {
-	withDeployment(small, func(_, _ string) time.Duration { return 500 * time.Microsecond }, body)
-}
-
-func withDeployment(deployment standin.Deployment, latency func(from, to string) time.Duration, body func(expect gomega.Gomega, load *load)) {
-	bubble.Run(suite, func(expect gomega.Gomega) {
-		network := &standin.Network{}
-		network.SetLatency(latency)
-		started, err := tier.Start(context.Background(), tier.Options{
-			Deployment: deployment, EntriesPerFailureDomain: 2, Memory: network, Logs: io.Discard,
-			Behave: func(*target.Announcement) standin.Behaviour {
-				return standin.Behaviour{Work: func(*target.Run) time.Duration { return work }, ColdSlots: 1, ColdRunsPerSecond: 200, WarmAfterRuns: 20}
-			},
-		})
-		expect.Expect(err).NotTo(gomega.HaveOccurred())
-		defer func() { _ = started.Stop(context.Background()) }()
-		body(expect, &load{tier: started, network: network})
-	})
-}
-
 func search(text string) *caller.Request {
 	payload, _ := json.Marshal(text)
 	return &caller.Request{
--- a/internal/tier/tier_test.go
+++ b/internal/tier/tier_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"time"
 
@@ -25,12 +24,7 @@
 var _ = ginkgo.Describe("a tier on a network in memory", func() {
 	ginkgo.It("starts, serves and stops in the runtime's paused clock", func() {
 		bubble.Run(suite, func(expect gomega.Gomega) {
-			network := &standin.Network{}
-			network.SetLatency(func(_, _ string) time.Duration { return time.Millisecond })
-			started, err := tier.Start(context.Background(), tier.Options{
-				Deployment: standin.Atelier, EntriesPerFailureDomain: 2, Memory: network, Logs: io.Discard,
-			})
-			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			started, _ := startTier(expect, func(_, _ string) time.Duration { return time.Millisecond }, tier.Options{Deployment: standin.Atelier, EntriesPerFailureDomain: 2})
 			expect.Expect(started.Entries()).To(gomega.HaveLen(6))
 			expect.Expect(started.Stop(context.Background())).To(gomega.Succeed())
 		})
