Keep room in a target's slots for runs of a home that is lost

Cause: a run whose deadline lies beyond its home's lease goes on at the target after the home is lost. The next home got no release, knew nothing of it and filled all slots beside it.

Failed first: go test ./internal/tier -ginkgo.focus 'a home that is lost' on the state before: the stand-in targets recorded 3 runs where 2 slots are, with the VM lost (runs that may be repeated, and that may not), two VMs lost one after the other, and a home cut off. The fifth row (a home that regains its lease at once) failed with the reserve of a cut home taken out.

Change: at most half of the slots, at least one, take runs that the lease at present doesn't outlast. A home that got no release keeps that half free for 65 s, tells the next one in a release, and starts no such run meanwhile. A run without a permit ends with the lease where the request may run again, waits where it may not, or is refused so that another replica takes it whole. A home's own runs that outlast a lost lease count when it regains the target. No change where deadlines are below 2 s.

After: 5 of 5 rows pass.

No row loses an entry, so the cost after a loss is stated by reasoning: half, or two thirds, of the slots of the lost entry's targets for 65 s.

--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -52,6 +52,10 @@
 		// ProvenWithin asks for a connection on which the target has answered
 		// within this span.
 		ProvenWithin time.Duration `msgpack:"p,omitempty"`
+		// Spare states that the request may run again on the shard.
+		Spare bool `msgpack:"c,omitempty"`
+		// Last states that no other replica of the shard is left to try.
+		Last bool `msgpack:"l,omitempty"`
 	}
 
 	// Cancellation drops attempts that are no longer waited for.
@@ -91,6 +95,8 @@
 
 		SuspectAfter: batch.SuspectAfter,
 		ProvenWithin: item.ProvenWithin,
+		Spare:        item.Spare,
+		Last:         item.Last,
 		Run: targetapi.Run{
 			RequestID:    batch.RequestID,
 			AttemptID:    item.AttemptID,
--- a/internal/entry/outgoing.go
+++ b/internal/entry/outgoing.go
@@ -109,6 +109,7 @@
 	batch.Attempts = append(batch.Attempts, BatchItem{
 		AttemptID: attempt.id, TargetID: chosen.target, Shard: shard.plan.shard,
 		IndexVersion: fanOut.plan.snapshot.IndexVersion, Why: why, ProvenWithin: fanOut.provenWithin(shard, chosen),
+		Spare: fanOut.mayRun(shard), Last: len(shard.tried) >= len(shard.plan.candidates),
 	})
 }
 
--- a/internal/target/gate.go
+++ b/internal/target/gate.go
@@ -27,9 +27,13 @@
 )
 
 type (
-	// gate admits runs to one target. The zero value is cold and, until
-	// limit is called, admits nothing.
+	// gate admits runs to one target. It is cold at first and, until limit is
+	// called, admits nothing.
 	gate struct {
+		// leaseUntil tells the time before which no other entry can be home.
+		leaseUntil func() time.Time
+		tally      *tally
+
 		lock   sync.Mutex
 		limits operator.Pool
 		// running counts the runs that occupy a slot, or may still do so.
@@ -42,6 +46,9 @@
 		// earlier don't count as signs of warmth.
 		epoch  uint64
 		starts startLog
+		// outlasting holds the deadlines of the runs in progress that were
+		// beyond the lease's end.
+		outlasting []time.Time
 		// typical is the median span of a run.
 		typical    time.Duration
 		wakeTimer  *time.Timer
@@ -52,6 +59,8 @@
 	admission struct {
 		epoch uint64
 		at    time.Time
+		// deadline is that of the run, which may have been brought forward.
+		deadline time.Time
 	}
 
 	// Load is what a home tells of a target, for the choice of replicas.
@@ -99,12 +108,12 @@
 
 // acquire waits for a slot. The outcome is nil once the run is admitted, and
 // otherwise that of a run that was never sent.
-func (gate *gate) acquire(ctx context.Context, deadline time.Time, priority float64, extra bool) (admission, Outcome) {
-	added, refusal := gate.enqueue(deadline, priority, extra)
+func (gate *gate) acquire(ctx context.Context, attempt *Attempt) (admission, Outcome) {
+	added, refusal := gate.enqueue(attempt)
 	if refusal != nil {
 		return admission{}, refusal
 	}
-	timer := time.NewTimer(time.Until(deadline))
+	timer := time.NewTimer(time.Until(attempt.Run.Deadline))
 	defer timer.Stop()
 	select {
 	case <-added.decided:
@@ -134,6 +143,7 @@
 	gate.lock.Lock()
 	defer gate.lock.Unlock()
 	gate.running--
+	gate.ended(admitted.deadline)
 	if answered {
 		gate.observe(time.Since(admitted.at))
 	}
@@ -156,18 +166,22 @@
 	}
 }
 
-func (gate *gate) enqueue(deadline time.Time, priority float64, extra bool) (*waiter, Outcome) {
+func (gate *gate) enqueue(attempt *Attempt) (*waiter, Outcome) {
 	gate.lock.Lock()
 	defer gate.lock.Unlock()
+	deadline, extra, priority := attempt.Run.Deadline, attempt.Why != First, priorityOf(attempt.Run.RequestID)
 	if extra {
 		// It would wait behind all first attempts.
 		priority = 0
 	}
+	if refusal := gate.refuseOutlasting(attempt); refusal != nil {
+		return nil, refusal
+	}
 	if refusal := gate.refuse(deadline, priority); refusal != nil {
 		return nil, refusal
 	}
 	gate.lastWaiter++
-	added := &waiter{deadline: deadline, extra: extra, order: gate.lastWaiter, decided: make(chan struct{})}
+	added := &waiter{deadline: deadline, extra: extra, spare: attempt.Spare, last: attempt.Last, order: gate.lastWaiter, decided: make(chan struct{})}
 	heap.Push(&gate.waiting, added)
 	gate.dispatch()
 	return added, nil
@@ -211,6 +225,7 @@
 
 // dispatch admits waiters while the limits allow. The lock is held.
 func (gate *gate) dispatch() {
+	var passed []*waiter
 	for len(gate.waiting) > 0 && gate.hasRoom() {
 		next, _ := heap.Pop(&gate.waiting).(*waiter)
 		now := time.Now()
@@ -222,19 +237,22 @@
 			close(next.decided)
 			continue
 		}
+		deadline, bounded := gate.bound(next)
+		if !bounded {
+			passed = append(passed, next)
+			continue
+		}
 		gate.running++
 		gate.starts.add(now)
-		next.admission = admission{epoch: gate.epoch, at: now}
+		next.admission = admission{epoch: gate.epoch, at: now, deadline: deadline}
 		close(next.decided)
 	}
-}
-
-// slots returns the slots that may be used at present. The lock is held.
-func (gate *gate) slots() int {
-	if gate.warm {
-		return gate.limits.Slots
+	for _, waiter := range passed {
+		heap.Push(&gate.waiting, waiter)
+	}
+	if len(passed) > 0 && gate.hasRoom() {
+		gate.wakeAfter(permitInterval)
 	}
-	return min(gate.limits.Slots, gate.limits.Cold.Slots)
 }
 
 func (gate *gate) hasRoom() bool {
--- a/internal/target/handover.go
+++ b/internal/target/handover.go
@@ -317,6 +317,7 @@
 	}
 	for id, lane := range home.lanes {
 		delete(home.lanes, id)
+		lane.tally.reserve(lane.gate.outlastingUntil())
 		lane.usage.cut()
 		lane.closeIdle()
 	}
--- a/internal/target/history.go
+++ b/internal/target/history.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gitlab.com/comfreythread/comfreythread/internal/membership"
+	"gitlab.com/comfreythread/comfreythread/pkg/caller"
 	"gitlab.com/comfreythread/comfreythread/pkg/target"
 )
 
@@ -16,8 +17,9 @@
 	// entries learn of a view, and between a view and the end of the leases
 	// that it ends.
 	leaseMargin = 5 * time.Second
-	// lostSpan is how long the connections of a lost home count as open.
-	lostSpan = silentSpan + leaseMargin
+	// lostSpan is how long the connections of a lost home count as open, and
+	// its runs as going on.
+	lostSpan = max(silentSpan, caller.MaximumTimeout) + leaseMargin
 	// historySpan is longer than lostSpan at any other entry.
 	historySpan = lostSpan + leaseMargin
 	// maximumHistory bounds the views that are kept.
--- a/internal/target/home.go
+++ b/internal/target/home.go
@@ -88,7 +88,7 @@
 	lane, use := home.enter(ctx, announcement)
 	defer use.stop()
 	queuedAt := time.Now()
-	admission, refusal := lane.gate.acquire(use.waiting, attempt.Run.Deadline, priorityOf(attempt.Run.RequestID), attempt.Why != First)
+	admission, refusal := lane.gate.acquire(use.waiting, attempt)
 	home.metrics.Queue().WithLabelValues(announcement.Pool).Observe(time.Since(queuedAt).Seconds())
 	if refusal != nil {
 		use.leave()
@@ -101,6 +101,7 @@
 		admitted.release(false)
 		return refusal
 	}
+	attempt.Run.Deadline = admission.deadline
 	message, err := encode(ctx, http.MethodPost, announcement.Address, target.RunPath, &attempt.Run)
 	if err != nil {
 		admitted.release(false)
@@ -164,7 +165,7 @@
 	pool, _ := tables.Pool(announcement.Pool)
 	found, known := home.lanes[announcement.ID]
 	if !known {
-		found = &lane{dial: home.dial, announcement: *announcement, tally: home.tally(announcement)}
+		found = home.newLane(announcement)
 		home.lanes[announcement.ID] = found
 	}
 	found.update(announcement, pool)
@@ -174,6 +175,13 @@
 	return found
 }
 
+// newLane returns the lane of a target that had none. The lock is held.
+func (home *Home) newLane(announcement *target.Announcement) *lane {
+	made := &lane{dial: home.dial, announcement: *announcement, tally: home.tally(announcement)}
+	made.gate.leaseUntil, made.gate.tally = home.board.InForce().LeaseUntil, made.tally
+	return made
+}
+
 // leaving stops new work for a target that says that it leaves, before its
 // announcement does.
 func (home *Home) leaving(targetID string, incarnation uint64) {
--- a/internal/target/outcome.go
+++ b/internal/target/outcome.go
@@ -35,7 +35,12 @@
 		// ProvenWithin asks for a connection on which the target has answered
 		// within this span, or a new one; zero takes any.
 		ProvenWithin time.Duration
-		Run          target.Run
+		// Spare states that the request may run again on the shard, so that
+		// this run may get an earlier deadline.
+		Spare bool
+		// Last states that no other replica of the shard is left to try.
+		Last bool
+		Run  target.Run
 	}
 
 	// Outcome says what became of an attempt. It is Answered, NotRun or Lost.
--- a/internal/target/queue.go
+++ b/internal/target/queue.go
@@ -13,6 +13,11 @@
 		deadline time.Time
 		// extra marks hedges and retries.
 		extra bool
+		// spare states that the request may run again, so that this run may
+		// be ended early.
+		spare bool
+		// last states that no other replica is left to try.
+		last  bool
 		order uint64
 		// decided is closed once the waiter is admitted or dropped.
 		decided   chan struct{}
--- a/internal/target/tally.go
+++ b/internal/target/tally.go
@@ -12,7 +12,8 @@
 
 type (
 	// tally counts the connections that a target may hold open, those of
-	// earlier homes included. The zero value counts none.
+	// earlier homes included, and knows how long runs of lost homes may go on.
+	// The zero value counts none.
 	tally struct {
 		lock sync.Mutex
 		// inherited states that it is known what earlier homes left.
@@ -26,6 +27,8 @@
 		// certainly closed them.
 		level      int
 		levelUntil time.Time
+		// reservedUntil is when the runs of lost homes have certainly ended.
+		reservedUntil time.Time
 		// freed is closed when a connection becomes idle or certainly closed.
 		freed chan struct{}
 	}
@@ -50,6 +53,8 @@
 		// open, which last for at most LevelFor.
 		Level    int           `msgpack:"l"`
 		LevelFor time.Duration `msgpack:"lf"`
+		// ReservedFor is for how long runs of lost homes may go on.
+		ReservedFor time.Duration `msgpack:"rf"`
 	}
 )
 
@@ -124,6 +129,7 @@
 	if left.Level > 0 {
 		left.LevelFor = time.Until(tally.levelUntil)
 	}
+	left.ReservedFor = max(0, time.Until(tally.reservedUntil))
 	return left
 }
 
@@ -133,6 +139,7 @@
 	defer tally.lock.Unlock()
 	tally.inherited = true
 	tally.level, tally.levelUntil = left.Level, at.Add(left.LevelFor)
+	tally.raiseReserve(at.Add(left.ReservedFor))
 	if left.Open > 0 {
 		tally.others = append(tally.others, leftOpen{view: left.View, count: left.Open, until: at.Add(left.OpenFor)})
 	}
@@ -159,6 +166,9 @@
 	if until.After(tally.levelUntil) {
 		tally.levelUntil = until
 	}
+	if level > 0 {
+		tally.raiseReserve(until)
+	}
 }
 
 // leave records that this entry is no longer the target's home.
@@ -178,7 +188,7 @@
 func (tally *tally) isEmpty() bool {
 	tally.lock.Lock()
 	defer tally.lock.Unlock()
-	return !tally.inherited && tally.open+tally.othersOpen() == 0 && tally.presentLevel() == 0
+	return !tally.inherited && !time.Now().Before(tally.reservedUntil) && tally.open+tally.othersOpen() == 0 && tally.presentLevel() == 0
 }
 
 // presentLevel returns the level at present. The lock is held.
