Let the peer's word of a deadline come after the deadline

Cause: the spec of a long call had a network without latency, so that the call's deadline fell at the caller and at the peer at the same instant. Where the peer's refusal ("unavailable: context deadline exceeded") came first, the spec failed, though the call had ended when and as it should: a verdict of the order of two goroutines.

The spec's network has a latency of 1 ms now; what it expects is the same.

--- a/internal/frame/demand_test.go
+++ b/internal/frame/demand_test.go
@@ -75,7 +75,10 @@
 
 	ginkgo.It("waits for a long call as long as the peer is alive", func() {
 		bubble.Run(suite, func(expect gomega.Gomega) {
-			client, _, stop := serveOnDemand(expect, &standin.Network{})
+			// The peer's word that the time is up comes after it is up here.
+			network := &standin.Network{}
+			network.SetLatency(func(_, _ string) time.Duration { return time.Millisecond })
+			client, _, stop := serveOnDemand(expect, network)
 			defer stop()
 			time.Sleep(30 * time.Second)
 			expect.Expect(wait(client, 5*time.Minute)).To(gomega.MatchError(context.DeadlineExceeded))
