Start the groups of the replicated log's specs in one place

Twelve specs each started a group of replicas and deferred its stop with the same four lines; withGroup does so now.

--- a/internal/replica/change_test.go
+++ b/internal/replica/change_test.go
@@ -7,7 +7,6 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"gitlab.com/comfreythread/comfreythread/internal/bubble"
 	"gitlab.com/comfreythread/comfreythread/internal/replica"
 )
 
@@ -93,10 +92,7 @@
 
 var _ = ginkgo.Describe("a group of five", func() {
 	ginkgo.It("goes on without two, stops without three, and goes on again", func() {
-		bubble.Run(suite, func(expect gomega.Gomega) {
-			group := newGroupOf(groupSize, 5*time.Millisecond)
-			group.startAll()
-			defer group.stopAll()
+		withGroup(groupSize, 5*time.Millisecond, func(expect gomega.Gomega, group *group) {
 			leader := indexOf(group.peers, group.propose("one"))
 			next := (leader + 1) % groupSize
 			group.crash(group.peers[leader])
@@ -121,10 +117,7 @@
 
 	ginkgo.DescribeTable("makes a change of replicas under a fault, loses nothing and bears further losses", func(change memberChange, size int, cause harm) {
 		for moment := range 6 {
-			bubble.Run(suite, func(expect gomega.Gomega) {
-				group := newGroupOf(groupSize, 5*time.Millisecond)
-				group.startAll()
-				defer group.stopAll()
+			withGroup(groupSize, 5*time.Millisecond, func(expect gomega.Gomega, group *group) {
 				leader := indexOf(group.peers, group.propose("one"))
 				group.start(groupSize)
 				time.Sleep(time.Second)
--- a/internal/replica/fault_test.go
+++ b/internal/replica/fault_test.go
@@ -200,10 +200,7 @@
 	})
 
 	ginkgo.It("loses nothing when all crash at once, and repairs a replica with a flipped bit", func() {
-		bubble.Run(suite, func(expect gomega.Gomega) {
-			group := newGroup(time.Millisecond)
-			group.startAll()
-			defer group.stopAll()
+		withGroup(3, time.Millisecond, func(expect gomega.Gomega, group *group) {
 			for number := range 20 {
 				group.propose(fmt.Sprint(number))
 			}
@@ -227,10 +224,7 @@
 	})
 
 	ginkgo.DescribeTable("goes on without a leader whose disk fails, which says why", func(fail func(group *group, address string)) {
-		bubble.Run(suite, func(expect gomega.Gomega) {
-			group := newGroup(time.Millisecond)
-			group.startAll()
-			defer group.stopAll()
+		withGroup(3, time.Millisecond, func(expect gomega.Gomega, group *group) {
 			first := group.propose("one")
 			fail(group, first)
 			second := group.propose("two")
@@ -251,10 +245,7 @@
 	)
 
 	ginkgo.It("keeps what it acknowledges after a restart that followed a failed sync", func() {
-		bubble.Run(suite, func(expect gomega.Gomega) {
-			group := newGroup(time.Millisecond)
-			group.startAll()
-			defer group.stopAll()
+		withGroup(3, time.Millisecond, func(expect gomega.Gomega, group *group) {
 			leader := group.propose("one")
 			failing := group.peers[(indexOf(group.peers, leader)+1)%3]
 			away := group.peers[(indexOf(group.peers, leader)+2)%3]
@@ -281,10 +272,7 @@
 	})
 
 	ginkgo.It("serves again without a restart once a full disk has space", func() {
-		bubble.Run(suite, func(expect gomega.Gomega) {
-			group := newGroup(time.Millisecond)
-			group.startAll()
-			defer group.stopAll()
+		withGroup(3, time.Millisecond, func(expect gomega.Gomega, group *group) {
 			full := group.propose("one")
 			group.disks[full].Limit(group.disks[full].Size() + 10)
 			second := group.propose("two")
@@ -311,10 +299,7 @@
 	})
 
 	ginkgo.It("starts on a full disk and serves once it has space", func() {
-		bubble.Run(suite, func(expect gomega.Gomega) {
-			group := newGroup(time.Millisecond)
-			group.startAll()
-			defer group.stopAll()
+		withGroup(3, time.Millisecond, func(expect gomega.Gomega, group *group) {
 			full := group.propose("one")
 			group.stop(full)
 			group.disks[full].Limit(group.disks[full].Size())
@@ -330,10 +315,7 @@
 	})
 
 	ginkgo.It("brings a replica back by a snapshot in parts after the log has moved on", func() {
-		bubble.Run(suite, func(expect gomega.Gomega) {
-			group := newGroup(time.Millisecond)
-			group.startAll()
-			defer group.stopAll()
+		withGroup(3, time.Millisecond, func(expect gomega.Gomega, group *group) {
 			leader := group.propose("one")
 			away := (indexOf(group.peers, leader) + 1) % 3
 			group.stop(group.peers[away])
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -88,6 +88,16 @@
 	return group
 }
 
+// withGroup runs a spec on a group that has started.
+func withGroup(size int, latency time.Duration, body func(expect gomega.Gomega, group *group)) {
+	bubble.Run(suite, func(expect gomega.Gomega) {
+		group := newGroupOf(size, latency)
+		group.startAll()
+		defer group.stopAll()
+		body(expect, group)
+	})
+}
+
 func ipOf(number int) string { return fmt.Sprintf("10.0.0.%d", number+1) }
 
 func (group *group) start(number int) *running {
@@ -165,10 +175,7 @@
 
 var _ = ginkgo.Describe("a group of replicas", func() {
 	ginkgo.It("agrees, follows a new leader after a planned stop, and names the leader", func() {
-		bubble.Run(suite, func(expect gomega.Gomega) {
-			group := newGroup(12 * time.Millisecond)
-			group.startAll()
-			defer group.stopAll()
+		withGroup(3, 12*time.Millisecond, func(expect gomega.Gomega, group *group) {
 			first := group.propose("one")
 			time.Sleep(time.Second)
 			for address, replica := range group.replicas {
@@ -195,10 +202,7 @@
 	})
 
 	ginkgo.It("confirms nothing at a leader cut off one way, within its lease, and takes it back", func() {
-		bubble.Run(suite, func(expect gomega.Gomega) {
-			group := newGroup(time.Millisecond)
-			group.startAll()
-			defer group.stopAll()
+		withGroup(3, time.Millisecond, func(expect gomega.Gomega, group *group) {
 			first := group.propose("one")
 			old := group.replicas[first]
 			for _, peer := range group.peers {
@@ -227,10 +231,7 @@
 	})
 
 	ginkgo.It("replaces a replica whose disk is lost, without its vote, and then bears the loss of a second", func() {
-		bubble.Run(suite, func(expect gomega.Gomega) {
-			group := newGroup(time.Millisecond)
-			group.startAll()
-			defer group.stopAll()
+		withGroup(3, time.Millisecond, func(expect gomega.Gomega, group *group) {
 			leader := group.propose("one")
 			lost := (indexOf(group.peers, leader) + 1) % 3
 			group.stop(group.peers[lost])
@@ -252,10 +253,7 @@
 	})
 
 	ginkgo.It("adds and removes replicas one at a time on an operator's word", func() {
-		bubble.Run(suite, func(expect gomega.Gomega) {
-			group := newGroup(time.Millisecond)
-			group.startAll()
-			defer group.stopAll()
+		withGroup(3, time.Millisecond, func(expect gomega.Gomega, group *group) {
 			leader := group.replicas[group.propose("one")]
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			defer cancel()
