Tell truly what replica add and remove did, and wait for one that just started

Cause, found by following docs/OPERATING.md on real processes: a mistyped `replica remove --id control-9` ended with 0 and "replica control-9 is removed; its data folder may be deleted". `replica add` of a replica that isn't up ended with 5 and the remedy to check that a quorum is up, because the client took the refusal (unavailable) for a lost leader and asked the others.

Now a removal says that the name doesn't belong to the group, which is true of a resend too. A newcomer that hasn't said hello is not_found (exit 1, HTTP 404) with its own remedy, final for the client; the leader waits up to 2 s for the hello first, so that an add right after the start goes on as before.

Ruled out: refusing the removal of an unknown name. A resend after a lost answer would be refused.

Failing first: go test ./internal/verb -ginkgo.focus OPERATING: "replica control-luzon is removed; its data folder may be deleted", expected "doesn't belong to the group". The row of replica add was not run against the old code; by hand it gave 503 and the wrong remedy.

After, by hand: `replica add` of nobody: not_found after 2.0 s, exit 1. Add of a replica started in the same moment: counted, exit 0.

--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -34,7 +34,7 @@
 
 		leaders   map[uint64]string
 		committed map[uint64]string
-		records records
+		records   records
 		// applied is the node that was the first to apply the newest entry.
 		applied  *node
 		accepted []string
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -192,7 +192,7 @@
 	}
 	newcomer, known := core.newcomers[address]
 	if !known || now.Sub(newcomer.heard) >= newcomerSpan || nameOf(newcomer.id) != name {
-		return fault.New(fault.Unavailable, "no new replica named "+name+" has said hello from "+address,
+		return fault.New(fault.NotFound, "no new replica named "+name+" has said hello from "+address,
 			"start it there with an empty data folder and with the group's addresses in control_replicas, then try again")
 	}
 	if !core.canChange() {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"gitlab.com/comfreythread/comfreythread/internal/disk"
@@ -181,9 +182,11 @@
 // AddReplica adds the replica that runs at a peer address under a name. It
 // returns nil once the replica has caught up and is counted in quorums.
 func (replica *Replica) AddReplica(ctx context.Context, name, address string) error {
-	for {
+	for due := time.Now().Add(newcomerSpan); ; {
 		outcome, err := replica.ask(ctx, request{kind: requestChange, change: addAsked{name: name, address: address}})
-		if err != nil || outcome.err != nil {
+		// A replica that has only just started may not have said hello yet.
+		awaited := isNotFound(outcome.err) && time.Now().Before(due)
+		if err != nil || outcome.err != nil && !awaited {
 			return firstOf(err, outcome.err)
 		}
 		for _, member := range replica.Status().Replicas {
@@ -207,6 +210,11 @@
 	return replica.Confirm(ctx)
 }
 
+func isNotFound(err error) bool {
+	var typed *fault.Error
+	return errors.As(err, &typed) && typed.Kind == fault.NotFound
+}
+
 func firstOf(first, second error) error {
 	if first != nil {
 		return first
--- a/internal/verb/replica.go
+++ b/internal/verb/replica.go
@@ -65,6 +65,6 @@
 		return err
 	}
 	return print(command, done, func(writer io.Writer) {
-		_, _ = fmt.Fprintf(writer, "replica %s is removed; its data folder may be deleted\n", id)
+		_, _ = fmt.Fprintf(writer, "replica %s doesn't belong to the group; where status listed it before, its data folder may be deleted\n", id)
 	})
 }
