Check one home for each target by the targets' own record

Stand-in targets now record which IP address sent each run and the most that had runs in progress at a time.

--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -35,10 +35,12 @@
 		server       *http.Server
 		record       Record
 		running      int
-		open         int
-		warm         bool
-		answered     int
-		started      []time.Time
+		// callers are the runs in progress by the IP address that sent them.
+		callers  map[string]int
+		open     int
+		warm     bool
+		answered int
+		started  []time.Time
 		// cancels ends the runs in progress, by attempt ID; nil marks an
 		// attempt that was cancelled before it came.
 		cancels map[string]context.CancelFunc
@@ -79,6 +81,9 @@
 		Crashes int
 		Sheds   int
 		Cancels int
+		// PeakCallers is the most IP addresses whose runs were in progress at
+		// a time.
+		PeakCallers int
 		// LastRun is the time at which the newest run began.
 		LastRun time.Time
 		// Arrivals lists all that was sent to the target.
@@ -92,7 +97,9 @@
 	Arrival struct {
 		At        time.Time
 		RequestID string
-		Shard     int
+		// From is the IP address that sent the run.
+		From  string
+		Shard int
 		// Shed states that the target refused the run without running it.
 		Shed bool
 	}
@@ -114,7 +121,8 @@
 func NewTarget(announcement target.Announcement, behaviour Behaviour, dial tcp.Dialer) *Target {
 	standin := &Target{
 		dial: dial, announcement: announcement, behaviour: behaviour,
-		warm: announcement.State == target.Warm, record: Record{Runs: map[string]int{}},
+		callers: map[string]int{},
+		warm:    announcement.State == target.Warm, record: Record{Runs: map[string]int{}},
 		cancels: map[string]context.CancelFunc{}, ended: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -223,7 +231,8 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
-	behaviour, shed := standin.begin(&run)
+	from, _, _ := net.SplitHostPort(request.RemoteAddr)
+	behaviour, shed := standin.begin(&run, from)
 	if shed != nil {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		_ = json.NewEncoder(writer).Encode(shed)
@@ -233,7 +242,7 @@
 	// cancel or the deadline ends a run early.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(request.Context()), run.Deadline)
 	defer cancel()
-	defer standin.end(&run)
+	defer standin.end(&run, from)
 	standin.register(&run, cancel)
 	if behaviour.Crashes != nil && behaviour.Crashes(&run) {
 		standin.crash(writer)
@@ -275,16 +284,18 @@
 }
 
 // begin admits a run and records it, or sheds it.
-func (standin *Target) begin(run *target.Run) (Behaviour, *target.Shed) {
+func (standin *Target) begin(run *target.Run, from string) (Behaviour, *target.Shed) {
 	standin.lock.Lock()
 	defer standin.lock.Unlock()
 	reason := standin.shedReason(run)
-	standin.record.Arrivals = append(standin.record.Arrivals, Arrival{At: time.Now(), RequestID: run.RequestID, Shard: standin.announcement.Shard, Shed: reason != ""})
+	standin.record.Arrivals = append(standin.record.Arrivals, Arrival{At: time.Now(), RequestID: run.RequestID, From: from, Shard: standin.announcement.Shard, Shed: reason != ""})
 	if reason != "" {
 		standin.record.Sheds++
 		return Behaviour{}, &target.Shed{RequestID: run.RequestID, AttemptID: run.AttemptID, Reason: reason, Incarnation: standin.announcement.Incarnation}
 	}
 	standin.running++
+	standin.callers[from]++
+	standin.record.PeakCallers = max(standin.record.PeakCallers, len(standin.callers))
 	standin.record.Peak = max(standin.record.Peak, standin.running)
 	if !standin.warm {
 		standin.record.PeakCold = max(standin.record.PeakCold, standin.running)
@@ -326,10 +337,14 @@
 	standin.cancels[run.AttemptID] = cancel
 }
 
-func (standin *Target) end(run *target.Run) {
+func (standin *Target) end(run *target.Run, from string) {
 	standin.lock.Lock()
 	defer standin.lock.Unlock()
 	standin.running--
+	standin.callers[from]--
+	if standin.callers[from] == 0 {
+		delete(standin.callers, from)
+	}
 	delete(standin.cancels, run.AttemptID)
 	close(standin.ended)
 	standin.ended = make(chan struct{})
