Even out homes by exceptions in the agreed view

Cause: plain rendezvous spreads homes like a draw.

The view now carries a bounded list of exceptions (target, entry). A home is still a function of the view alone, so the handover and its argument hold as they are. The first entry that serves proposes exceptions once homes were uneven for 30 s under one settled view, 64 moves at most; control takes them for the newest view only, and they travel as what changed. A view with a member whose release doesn't know exceptions has none; control replicas must be upgraded before entries.

Ruled out: an agreed list of all targets in the view (each restart of a target would change it); weights for entries (a weight moves targets that nobody asked for, and counts of 7 can't be steered by it; not measured).

Failed first: the spec "are evened out under load" with the balancer not run: homes of 12 targets on 6 entries hold 3, 2, 1, 2, 4 and 0.

--- a/internal/blackboard/membership_test.go
+++ b/internal/blackboard/membership_test.go
@@ -50,19 +50,21 @@
 	random := rand.New(rand.NewPCG(seed, 1))
 	agreement := &agreement{entries: map[string]*participant{}}
 	present := map[string]bool{"a": true, "b": true, "c": true}
-	agreement.publish(present)
+	agreement.publish(present, random)
 	var late []release
 	kept := 0
 	for range 200 {
 		id := string(rune('a' + random.IntN(4)))
-		switch random.IntN(8) {
+		switch random.IntN(9) {
+		case 8:
+			agreement.publish(present, random)
 		case 0:
 			present[id] = !present[id]
 			if !present[id] {
 				// Control removes an entry only once its lease is over.
 				agreement.entry(id).fence()
 			}
-			agreement.publish(present)
+			agreement.publish(present, random)
 		case 1:
 			agreement.entry(id).fence()
 		case 2:
@@ -88,11 +90,18 @@
 	return agreement.entries[id]
 }
 
-func (agreement *agreement) publish(present map[string]bool) {
+// publish makes a view whose exceptions are random, since whatever they are no
+// target may have two homes.
+func (agreement *agreement) publish(present map[string]bool, random *rand.Rand) {
 	view := membership.View{Number: uint64(len(agreement.views) + 1)}
 	for _, id := range []string{"a", "b", "c", "d"} {
 		if present[id] {
-			view.Members = append(view.Members, membership.Member{ID: id})
+			view.Members = append(view.Members, membership.Member{ID: id, Heeds: true})
+		}
+	}
+	for _, targetID := range targetIDs() {
+		if random.IntN(3) == 0 {
+			view.Exceptions = append(view.Exceptions, membership.Exception{Target: targetID, Entry: string(rune('a' + random.IntN(4)))})
 		}
 	}
 	agreement.views = append(agreement.views, view)
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -130,6 +130,12 @@
 	return call[StatusRequest, operator.Status](ctx, client, MethodStatus, &StatusRequest{}, attemptTimeout)
 }
 
+// Balance replaces the exceptions of a view.
+func (client *Client) Balance(ctx context.Context, request *BalanceRequest) error {
+	_, err := call[BalanceRequest, Balanced](ctx, client, MethodBalance, request, attemptTimeout)
+	return err
+}
+
 // Grant asks for a run right.
 func (client *Client) Grant(ctx context.Context, request *GrantRequest) (*Grant, error) {
 	return call[GrantRequest, Grant](ctx, client, MethodGrant, request, attemptTimeout)
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -15,7 +15,8 @@
 )
 
 type (
-	// command is beginTenure, changeTables, editView, grantRun or recordRun.
+	// command is beginTenure, changeTables, editView, balanceView,
+	// grantRun or recordRun.
 	command interface {
 		isCommand()
 	}
@@ -43,6 +44,12 @@
 		Term uint64 `msgpack:"t"`
 	}
 
+	// balanceView replaces the exceptions of the view for which they were
+	// computed, and changes nothing under another one.
+	balanceView struct {
+		Request BalanceRequest `msgpack:"r"`
+	}
+
 	grantRun struct {
 		Request GrantRequest `msgpack:"r"`
 		// Now is the leader's time, by which expired rights are dropped.
@@ -58,6 +65,7 @@
 		BeginTenure  *beginTenure  `msgpack:"b,omitempty"`
 		ChangeTables *changeTables `msgpack:"t,omitempty"`
 		EditView     *editView     `msgpack:"v,omitempty"`
+		BalanceView  *balanceView  `msgpack:"x,omitempty"`
 		GrantRun     *grantRun     `msgpack:"g,omitempty"`
 		RecordRun    *recordRun    `msgpack:"r,omitempty"`
 	}
@@ -73,6 +81,7 @@
 func (beginTenure) isCommand()  {}
 func (changeTables) isCommand() {}
 func (editView) isCommand()     {}
+func (balanceView) isCommand()  {}
 func (grantRun) isCommand()     {}
 func (recordRun) isCommand()    {}
 
@@ -93,6 +102,8 @@
 		envelope.ChangeTables = &command
 	case editView:
 		envelope.EditView = &command
+	case balanceView:
+		envelope.BalanceView = &command
 	case grantRun:
 		envelope.GrantRun = &command
 	case recordRun:
@@ -107,6 +118,8 @@
 		return *envelope.BeginTenure, nil
 	case envelope.ChangeTables != nil:
 		return *envelope.ChangeTables, nil
+	case envelope.BalanceView != nil:
+		return *envelope.BalanceView, nil
 	case envelope.EditView != nil:
 		return *envelope.EditView, nil
 	case envelope.GrantRun != nil:
--- /dev/null
+++ b/internal/control/exceptions_test.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"gitlab.com/comfreythread/comfreythread/internal/membership"
+)
+
+// TestExceptionsTravelAsWhatChanged holds that each earlier view, and what
+// changed since, give the newest view, over random edits.
+func TestExceptionsTravelAsWhatChanged(t *testing.T) {
+	random, state := rand.New(rand.NewPCG(6, 0)), &State{}
+	views := []membership.View{}
+	for range 200 {
+		state.Apply(0, encode(t, randomEdits(random, state)))
+		if newest := state.View(); len(views) == 0 || views[len(views)-1].Number != newest.Number {
+			views = append(views, newest)
+		}
+	}
+	newest := state.View()
+	for _, base := range views {
+		delta, known := state.viewSince(base.Number)
+		if !known {
+			continue
+		}
+		view, applied := delta.apply(&base)
+		if !applied || !sameHomes(view, &newest) {
+			t.Fatalf("what changed since view %d doesn't lead to view %d", base.Number, newest.Number)
+		}
+	}
+	if len(views) < 100 || len(newest.Exceptions) == 0 {
+		t.Fatalf("%d views, %d exceptions", len(views), len(newest.Exceptions))
+	}
+}
+
+// TestExceptionsForAnEarlierViewAreNotTaken holds that a proposal which was
+// held up changes nothing.
+func TestExceptionsForAnEarlierViewAreNotTaken(t *testing.T) {
+	state := &State{}
+	state.Apply(0, encode(t, []command{editView{Member: membership.Member{ID: "a", Incarnation: 1}}}))
+	state.Apply(0, encode(t, []command{editView{Member: membership.Member{ID: "b", Incarnation: 1}}}))
+	state.Apply(0, encode(t, []command{balanceView{Request: BalanceRequest{View: 1, Exceptions: []membership.Exception{{Target: "t", Entry: "a"}}}}}))
+	if view := state.View(); view.Number != 2 || len(view.Exceptions) != 0 {
+		t.Errorf("view %d has exceptions %v", view.Number, view.Exceptions)
+	}
+}
+
+func TestExceptionsAreChecked(t *testing.T) {
+	many := BalanceRequest{}
+	for number := range membership.MaximumExceptions + 1 {
+		many.Exceptions = append(many.Exceptions, membership.Exception{Target: fmt.Sprintf("%05d", number), Entry: "a"})
+	}
+	refused := []BalanceRequest{
+		many,
+		{Exceptions: []membership.Exception{{Target: "t", Entry: "a"}, {Target: "t", Entry: "b"}}},
+		{Exceptions: []membership.Exception{{Target: "u", Entry: "a"}, {Target: "t", Entry: "b"}}},
+		{Exceptions: []membership.Exception{{Target: "t"}}},
+	}
+	for index, request := range refused {
+		if request.check() == nil {
+			t.Errorf("request %d is taken", index)
+		}
+	}
+	many.Exceptions = many.Exceptions[1:]
+	if err := many.check(); err != nil {
+		t.Error(err)
+	}
+}
+
+// randomEdits returns one or two edits, one of which may be of exceptions.
+func randomEdits(random *rand.Rand, state *State) []command {
+	view := state.View()
+	id := fmt.Sprint(random.IntN(6))
+	present, known := view.Member(id)
+	edit := editView{Present: present.Incarnation, Member: membership.Member{ID: id, Incarnation: present.Incarnation + 1}, Remove: known && random.IntN(3) == 0}
+	request := BalanceRequest{View: view.Number}
+	for number := range 10 {
+		if random.IntN(2) == 0 {
+			request.Exceptions = append(request.Exceptions, membership.Exception{Target: fmt.Sprint(number), Entry: fmt.Sprint(random.IntN(6))})
+		}
+	}
+	switch random.IntN(3) {
+	case 0:
+		return []command{edit}
+	case 1:
+		return []command{balanceView{Request: request}}
+	default:
+		return []command{balanceView{Request: request}, edit}
+	}
+}
+
+func encode(t *testing.T, commands []command) []byte {
+	t.Helper()
+	encoded, err := encodeCommands(commands)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
+
+func sameHomes(left, right *membership.View) bool {
+	members := func(view *membership.View) map[string]membership.Member {
+		byID := map[string]membership.Member{}
+		for _, member := range view.Members {
+			byID[member.ID] = member
+		}
+		return byID
+	}
+	a, _ := msgpack.Marshal(left.Exceptions)
+	b, _ := msgpack.Marshal(right.Exceptions)
+	return left.Number == right.Number && string(a) == string(b) && fmt.Sprint(members(left)) == fmt.Sprint(members(right))
+}
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -24,6 +24,8 @@
 	MethodGrant = "control.grant"
 	// MethodRecord records the outcome of a granted run.
 	MethodRecord = "control.record"
+	// MethodBalance evens out the loads of homes.
+	MethodBalance = "control.balance"
 	// MethodReplicas changes the group of replicas.
 	MethodReplicas = "control.replicas"
 )
@@ -67,6 +69,17 @@
 		Unknown bool `msgpack:"u,omitempty"`
 	}
 
+	// BalanceRequest replaces the exceptions of the view with the given number,
+	// in the order of their targets.
+	BalanceRequest struct {
+		View       uint64                 `msgpack:"v"`
+		Exceptions []membership.Exception `msgpack:"e"`
+	}
+
+	// Balanced is the reply to a BalanceRequest. Whether the exceptions are in
+	// the view, the view itself tells.
+	Balanced struct{}
+
 	// TablesRequest asks for one version; zero asks for the newest.
 	TablesRequest struct {
 		Version uint64 `msgpack:"v"`
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -84,6 +84,7 @@
 	handle(server, MethodGrant, service.grant)
 	handle(server, MethodRecord, service.record)
 	handle(server, MethodReplicas, service.replicas)
+	handle(server, MethodBalance, service.balance)
 }
 
 // handle offers a method whose reply names the leader where this replica
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -58,6 +58,8 @@
 		return stateData.Tables.change(&command.Change, &stateData.View)
 	case editView:
 		stateData.View.edit(&command, viewNumber)
+	case balanceView:
+		stateData.View.balance(&command.Request, viewNumber)
 	case grantRun:
 		return result{Grant: stateData.Ledger.grant(&command)}
 	case recordRun:
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -31,11 +31,13 @@
 		deltas []viewEdit
 	}
 
-	// viewEdit is one edit that led to the view with the given number.
+	// viewEdit is one edit that led to the view with the given number: of a
+	// member, or of exceptions where moved isn't nil.
 	viewEdit struct {
 		number  uint64
 		member  membership.Member
 		removed bool
+		moved   []membership.Exception
 	}
 
 	// ViewDelta leads from the view Base to the view Number.
@@ -44,6 +46,8 @@
 		Number  uint64              `msgpack:"n"`
 		Removed []string            `msgpack:"x,omitempty"`
 		Members []membership.Member `msgpack:"m,omitempty"`
+		// Moved are the exceptions that differ; one without an entry is gone.
+		Moved []membership.Exception `msgpack:"e,omitempty"`
 	}
 )
 
@@ -62,8 +66,12 @@
 		members = append(members, edit.Member)
 		viewData.see(edit.Member.FailureDomain)
 	}
-	viewData.View = membership.View{Number: number, Members: members}
-	viewData.deltas = append(viewData.deltas, viewEdit{number: number, member: edit.Member, removed: edit.Remove})
+	viewData.View = membership.View{Number: number, Members: members, Exceptions: viewData.View.Exceptions}
+	viewData.remember(viewEdit{number: number, member: edit.Member, removed: edit.Remove})
+}
+
+func (viewData *viewData) remember(edit viewEdit) {
+	viewData.deltas = append(viewData.deltas, edit)
 	if excess := len(viewData.deltas) - maximumDeltas; excess > 0 {
 		viewData.deltas = append([]viewEdit(nil), viewData.deltas[excess:]...)
 	}
@@ -83,12 +91,19 @@
 	if number == 0 || len(viewData.deltas) == 0 || viewData.deltas[0].number > number {
 		return delta, false
 	}
-	last := map[string]viewEdit{}
+	last, moved := map[string]viewEdit{}, map[string]string{}
 	for _, edit := range viewData.deltas {
-		if edit.number > number {
+		switch {
+		case edit.number <= number:
+		case edit.moved != nil:
+			for _, exception := range edit.moved {
+				moved[exception.Target] = exception.Entry
+			}
+		default:
 			last[edit.member.ID] = edit
 		}
 	}
+	delta.Moved = sortedExceptions(moved)
 	for id, edit := range last {
 		if edit.removed {
 			delta.Removed = append(delta.Removed, id)
@@ -112,7 +127,7 @@
 	for _, member := range delta.Members {
 		gone[member.ID] = true
 	}
-	view := &membership.View{Number: delta.Number}
+	view := &membership.View{Number: delta.Number, Exceptions: move(base.Exceptions, delta.Moved)}
 	for _, member := range base.Members {
 		if !gone[member.ID] {
 			view.Members = append(view.Members, member)
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -138,6 +138,7 @@
 func (leaseholder *Leaseholder) present() membership.Member {
 	tables, _ := leaseholder.board.InForce().Tables()
 	member := leaseholder.member
+	member.Heeds = true
 	member.Stopping = leaseholder.stopping || tables.Out(member.FailureDomain) || !leaseholder.board.Directory().IsComplete()
 	return member
 }
--- a/internal/membership/placement.go
+++ b/internal/membership/placement.go
@@ -4,6 +4,8 @@
 package membership
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -16,6 +18,8 @@
 		view     View
 		byDomain map[string][]candidate
 		all      []candidate
+		// exceptions are the homes that differ from rendezvous hashing.
+		exceptions map[string]string
 	}
 
 	candidate struct {
@@ -27,7 +31,12 @@
 // NewPlacement returns the placement of a view, whose members must not be
 // changed any more.
 func NewPlacement(view View) *Placement {
-	placement := &Placement{view: view, byDomain: map[string][]candidate{}}
+	placement := &Placement{view: view, byDomain: map[string][]candidate{}, exceptions: map[string]string{}}
+	if !slices.ContainsFunc(view.Members, func(member Member) bool { return !member.Heeds }) {
+		for _, exception := range view.Exceptions {
+			placement.exceptions[exception.Target] = exception.Entry
+		}
+	}
 	for index := range view.Members {
 		member := &view.Members[index]
 		if member.Stopping {
@@ -45,14 +54,33 @@
 	return placement.view
 }
 
-// Home returns the one entry that is home to a target: by rendezvous hashing
-// among the members in the target's failure domain, or among all members
-// where that domain has none. Members that stop are left out.
+// Home returns the one entry that is home to a target: the one that the view's
+// exceptions name where it may be, or else by rendezvous hashing, among the
+// members in the target's failure domain, or among all members where that
+// domain has none. Members that stop are left out.
 func (placement *Placement) Home(targetID, failureDomain string) (Member, bool) {
-	candidates := placement.byDomain[failureDomain]
-	if len(candidates) == 0 {
-		candidates = placement.all
+	if exception, found := placement.exceptions[targetID]; found {
+		for _, candidate := range placement.candidates(failureDomain) {
+			if candidate.member.ID == exception {
+				return *candidate.member, true
+			}
+		}
 	}
+	return placement.plain(targetID, failureDomain)
+}
+
+// candidates returns the members that may be home to a failure domain's
+// targets.
+func (placement *Placement) candidates(failureDomain string) []candidate {
+	if candidates := placement.byDomain[failureDomain]; len(candidates) > 0 {
+		return candidates
+	}
+	return placement.all
+}
+
+// plain is rendezvous hashing alone.
+func (placement *Placement) plain(targetID, failureDomain string) (Member, bool) {
+	candidates := placement.candidates(failureDomain)
 	if len(candidates) == 0 {
 		return Member{}, false
 	}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -2,6 +2,11 @@
 // rule that gives each target its one home.
 package membership
 
+const (
+	// MaximumExceptions bounds the exceptions of one view.
+	MaximumExceptions = 4096
+)
+
 type (
 	// Member is one entry of a View.
 	Member struct {
@@ -18,12 +23,25 @@
 		// failure domain was taken out. It is home to no target and callers
 		// aren't sent to it.
 		Stopping bool `msgpack:"s"`
+		// Heeds states that the entry's release knows exceptions. A view with a
+		// member that doesn't has none.
+		Heeds bool `msgpack:"h,omitempty"`
 	}
 
 	// View is one agreed state of the membership.
 	View struct {
 		Number  uint64   `msgpack:"n"`
 		Members []Member `msgpack:"m"`
+		// Exceptions even out the loads of homes, in the order of the targets.
+		// One that names an entry which may not be home to the target has no
+		// effect.
+		Exceptions []Exception `msgpack:"e,omitempty"`
+	}
+
+	// Exception gives a target another home than rendezvous hashing does.
+	Exception struct {
+		Target string `msgpack:"t"`
+		Entry  string `msgpack:"e"`
 	}
 )
 
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -26,7 +26,7 @@
 		return fx.Options()
 	}
 	return fx.Module("entry",
-		fx.Provide(newBoard, newHome, newPeers, newHomes, newCoordinator, newSpreader, newHandover, newLeaseholder),
+		fx.Provide(newBoard, newHome, newPeers, newHomes, newCoordinator, newSpreader, newBalancer, newHandover, newLeaseholder),
 		fx.Invoke(registerEntry, runEntry),
 	)
 }
@@ -47,6 +47,10 @@
 	return targetserver.NewHome(settings.Name, board, network.Dial, metrics)
 }
 
+func newBalancer(settings *settings.Settings, board *blackboard.Board, client *control.Client, logger *zap.Logger) *entry.Balancer {
+	return entry.NewBalancer(settings.Name, board, client, logger)
+}
+
 func newHandover(settings *settings.Settings, board *blackboard.Board, home *targetserver.Home, peers *entry.Peers) *entry.Handover {
 	return entry.NewHandover(settings.Name, board, home, peers)
 }
@@ -90,13 +94,14 @@
 
 // runEntry keeps the lease while the process runs. It stops after the HTTP
 // server, so that the entry leaves the view after its last request.
-func runEntry(leaseholder *entry.Leaseholder, home *targetserver.Home, spreader *entry.Spreader, peers *entry.Peers, lifecycle fx.Lifecycle, logger *zap.Logger) {
+func runEntry(leaseholder *entry.Leaseholder, home *targetserver.Home, spreader *entry.Spreader, balancer *entry.Balancer, peers *entry.Peers, lifecycle fx.Lifecycle, logger *zap.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go leaseholder.Run(ctx)
 			go home.Guard(ctx)
 			go spreader.Run(ctx)
+			go balancer.Run(ctx)
 			return nil
 		},
 		OnStop: func(stopContext context.Context) error {
--- a/internal/tier/homes_test.go
+++ b/internal/tier/homes_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +14,7 @@
 
 	"gitlab.com/comfreythread/comfreythread/internal/control"
 	"gitlab.com/comfreythread/comfreythread/internal/standin"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
 const (
@@ -27,8 +31,30 @@
 	soleInterval = 20 * time.Millisecond
 	// overlapWork makes it likely that runs of two homes meet.
 	overlapWork = 20 * time.Millisecond
+	// evenedSpan is by when uneven homes have been evened out.
+	evenedSpan = time.Minute
 )
 
+// homes returns the number of targets of each home, as an entry sees them.
+func (load *load) homes(expect gomega.Gomega, entry int) map[string]int {
+	client := &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return load.network.Dialer("10.0.0.9")(ctx, network, address)
+		},
+	}}
+	reply, err := client.Get("http://" + load.tier.Entries()[entry].Settings().HTTPAddress + "/v1/directory")
+	expect.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = reply.Body.Close() }()
+	var directory operator.Directory
+	expect.Expect(json.NewDecoder(reply.Body).Decode(&directory)).To(gomega.Succeed())
+	homes := map[string]int{}
+	for _, target := range directory.Targets {
+		homes[target.Home]++
+	}
+	return homes
+}
+
 // oneHome expects that no target ever had runs of two homes at a time.
 func (load *load) oneHome(expect gomega.Gomega) {
 	for _, target := range load.tier.Targets() {
@@ -183,4 +209,26 @@
 			expect.Expect(time.Since(started)).To(gomega.BeNumerically(">=", unreachedSpan))
 		})
 	})
+
+	ginkgo.It("are evened out under load, and none is asked for by two", func() {
+		withTier(func(expect gomega.Gomega, load *load) {
+			expect.Expect(slices.Max(values(load.homes(expect, 0)))).To(gomega.BeNumerically(">", 2), "these names are even by themselves")
+			load.steady(50, evenedSpan)
+			expect.Expect(load.complete()).To(gomega.Equal(int(evenedSpan.Seconds()) * 50))
+			for number := range load.tier.Entries() {
+				expect.Expect(load.homes(expect, number)).To(gomega.HaveEach(2))
+				expect.Expect(load.homes(expect, number)).To(gomega.HaveLen(len(load.tier.Entries())))
+			}
+			load.oneHome(expect)
+			load.bears(expect)
+		})
+	})
 })
+
+func values(homes map[string]int) []int {
+	var values []int
+	for _, count := range homes {
+		values = append(values, count)
+	}
+	return values
+}
