--- a/internal/entry/balance.go
+++ b/internal/entry/balance.go
@@ -53,12 +53,19 @@
 func (balancer *Balancer) Run(ctx context.Context) {
 	for pause(ctx, balanceInterval) == nil {
 		if request := balancer.look(); request != nil {
-			err := balancer.proposer.Balance(ctx, request)
-			balancer.logger.Info("homes evened out", zap.Uint64("view", request.View), zap.Int("exceptions", len(request.Exceptions)), zap.Error(err))
+			balancer.propose(ctx, request)
 		}
 	}
 }
 
+func (balancer *Balancer) propose(ctx context.Context, request *control.BalanceRequest) {
+	if err := balancer.proposer.Balance(ctx, request); err != nil {
+		balancer.logger.Warn("control took no exceptions; homes stay uneven until the next look", zap.Uint64("view", request.View), zap.Error(err))
+		return
+	}
+	balancer.logger.Info("homes are being evened out", zap.Uint64("view", request.View), zap.Int("exceptions", len(request.Exceptions)))
+}
+
 // look returns what to propose, or nil.
 func (balancer *Balancer) look() *control.BalanceRequest {
 	members := balancer.board.Membership()
