Tell what is due by its type

A timer of a request had three fields of which one was set, and resume told them apart by nil. What is due is a sealed interface now, as the house style wants, and resume does what all waits have in common.

--- a/internal/entry/fan_out.go
+++ b/internal/entry/fan_out.go
@@ -213,7 +213,7 @@
 	pause := movingPause << min(shard.parked, 6)
 	shard.parked++
 	shard.waits = true
-	heap.Push(&fanOut.timers, dueTimer{at: time.Now().Add(pause), again: attempt})
+	heap.Push(&fanOut.timers, dueTimer{at: time.Now().Add(pause), due: anotherTry{attempt}})
 }
 
 func (fanOut *fanOut) lost(ctx context.Context, attempt *attemptProgress, outcome *target.Lost) {
@@ -264,13 +264,20 @@
 	var late []*shardProgress
 	for len(fanOut.timers) > 0 && !fanOut.timers[0].at.After(now) {
 		timer, _ := heap.Pop(&fanOut.timers).(dueTimer)
-		if timer.again != nil || timer.awaits != nil {
-			fanOut.resume(ctx, &timer)
-			continue
-		}
-		attempt := timer.attempt
-		if !attempt.resolved && !attempt.shard.done && attempt == attempt.shard.latest {
-			late = append(late, attempt.shard)
+		switch due := timer.due.(type) {
+		case lateAttempt:
+			attempt := due.attempt
+			if !attempt.resolved && !attempt.shard.done && attempt == attempt.shard.latest {
+				late = append(late, attempt.shard)
+			}
+		case anotherTry:
+			delete(due.attempt.shard.tried, due.attempt.target)
+			fanOut.resume(ctx, due.attempt.shard, due.attempt.generation)
+		case anotherVersion:
+			if due.shard.generation == due.generation {
+				fanOut.replan(ctx)
+			}
+			fanOut.resume(ctx, due.shard, due.generation)
 		}
 	}
 	if len(late) == 0 {
@@ -280,29 +287,19 @@
 	for _, shard := range late {
 		if !shard.done && shard.latest.sentAt.Before(now) && shard.pending > 0 {
 			// The budget had nothing left; it may have later.
-			heap.Push(&fanOut.timers, dueTimer{at: now.Add(fanOut.hedgeDelay), attempt: shard.latest})
+			heap.Push(&fanOut.timers, dueTimer{at: now.Add(fanOut.hedgeDelay), due: lateAttempt{shard.latest}})
 		}
 	}
 }
 
 // resume goes on with a shard that has waited, unless it has been moved to
 // another snapshot since.
-func (fanOut *fanOut) resume(ctx context.Context, timer *dueTimer) {
-	shard, generation := timer.awaits, timer.generation
-	if again := timer.again; again != nil {
-		shard, generation = again.shard, again.generation
-		delete(shard.tried, again.target)
-	}
-	if generation != shard.generation {
+func (fanOut *fanOut) resume(ctx context.Context, shard *shardProgress, generation int) {
+	if shard.generation != generation {
 		return
 	}
 	shard.waits = false
-	if timer.awaits != nil {
-		fanOut.replan(ctx)
-	}
-	if shard.generation == generation {
-		fanOut.advanceAll(ctx, []*shardProgress{shard}, target.First)
-	}
+	fanOut.advanceAll(ctx, []*shardProgress{shard}, target.First)
 }
 
 // abandonAll ends the wait for all attempts in progress; each may have run.
--- a/internal/entry/outgoing.go
+++ b/internal/entry/outgoing.go
@@ -119,7 +119,7 @@
 	fanOut.coordinator.estimates.sent(attempt)
 	if !fanOut.once && !fanOut.pool.DisableHedges {
 		late := attempt.sentAt.Add(fanOut.hedgeDelay + fanOut.coordinator.estimates.roundTrip(attempt.home.ID))
-		heap.Push(&fanOut.timers, dueTimer{at: late, attempt: attempt})
+		heap.Push(&fanOut.timers, dueTimer{at: late, due: lateAttempt{attempt}})
 	}
 	batch.Attempts = append(batch.Attempts, BatchItem{
 		AttemptID: attempt.id, TargetID: chosen.target, Shard: shard.plan.shard,
--- a/internal/entry/replan.go
+++ b/internal/entry/replan.go
@@ -79,7 +79,7 @@
 	}
 	shard.versionPauses++
 	shard.waits = true
-	heap.Push(&fanOut.timers, dueTimer{at: at, awaits: shard, generation: shard.generation})
+	heap.Push(&fanOut.timers, dueTimer{at: at, due: anotherVersion{shard: shard, generation: shard.generation}})
 	return true
 }
 
--- a/internal/entry/shard.go
+++ b/internal/entry/shard.go
@@ -60,14 +60,31 @@
 		again bool
 	}
 
-	// dueTimer says when an attempt is late, may be made again, or is looked
-	// for in another version.
+	// dueTimer says when something is due.
 	dueTimer struct {
-		at      time.Time
+		at  time.Time
+		due due
+	}
+
+	// due is lateAttempt, anotherTry or anotherVersion.
+	due interface {
+		isDue()
+	}
+
+	// lateAttempt is an attempt that is to be hedged.
+	lateAttempt struct {
+		attempt *attemptProgress
+	}
+
+	// anotherTry is an attempt that may be made again.
+	anotherTry struct {
 		attempt *attemptProgress
-		again   *attemptProgress
-		// awaits is the shard that waits for another version since generation.
-		awaits     *shardProgress
+	}
+
+	// anotherVersion is a shard that has waited for another version since a
+	// generation.
+	anotherVersion struct {
+		shard      *shardProgress
 		generation int
 	}
 
@@ -75,6 +92,10 @@
 	timerQueue []dueTimer
 )
 
+func (lateAttempt) isDue()    {}
+func (anotherTry) isDue()     {}
+func (anotherVersion) isDue() {}
+
 // mayRun reports whether the allowed runs permit one more attempt.
 func (fanOut *fanOut) mayRun(shard *shardProgress) bool {
 	allowed := fanOut.request.AllowedRuns()
