Wait for a slot by the attempt's own deadline alone

Since a batch has one context for the deadline that its attempts share, each attempt's wait set a second timer for the same time. The one caller of acquire passes a context that ends at the deadline or before. The outcome is the same for both.

--- a/internal/target/gate.go
+++ b/internal/target/gate.go
@@ -106,19 +106,17 @@
 	return Load{Waiting: len(gate.waiting), Running: gate.running, Slots: gate.slots(), Typical: gate.typical}
 }
 
-// acquire waits for a slot. The outcome is nil once the run is admitted, and
-// otherwise that of a run that was never sent.
+// acquire waits for a slot until ctx ends, at the run's deadline at the latest.
+// The outcome is nil once the run is admitted, and otherwise that of a run that
+// was never sent.
 func (gate *gate) acquire(ctx context.Context, attempt *Attempt) (admission, Outcome) {
 	added, refusal := gate.enqueue(attempt)
 	if refusal != nil {
 		return admission{}, refusal
 	}
-	timer := time.NewTimer(time.Until(attempt.Run.Deadline))
-	defer timer.Stop()
 	select {
 	case <-added.decided:
 	case <-ctx.Done():
-	case <-timer.C:
 	}
 	if gate.withdraw(added) {
 		return admission{}, NotRun{Reason: caller.MissingDeadline, RetryAfter: overloadRetryAfter}
