Draw partners by turns at the start, too

A young entry that looks for one to learn from drew it anew each time, by the rule that turns replaced for the comparisons after it. Both use the same turns now; one that can't be reached isn't asked again before the others. The map of turns is made in one place.

--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
@@ -147,7 +146,7 @@
 // complete compares the directory with that of one other entry as soon as
 // there is one, so that this entry gets neither targets nor callers before it
 // knows the targets. Where no other entry can be reached it goes on without.
-func (spreader *Spreader) complete(ctx context.Context) {
+func (spreader *Spreader) complete(ctx context.Context, turns *turns) {
 	defer spreader.board.Directory().Complete()
 	var until time.Time
 	for {
@@ -159,7 +158,7 @@
 			until = time.Now().Add(completeTimeout)
 		}
 		if len(others) > 0 {
-			if _, err := spreader.exchange(ctx, &others[rand.IntN(len(others))]); err == nil || time.Now().After(until) {
+			if _, err := spreader.exchange(ctx, turns.next(others)); err == nil || time.Now().After(until) {
 				return
 			}
 		}
@@ -187,9 +186,9 @@
 }
 
 func (spreader *Spreader) sync(ctx context.Context) {
-	spreader.complete(ctx)
-	spreader.equalAt = time.Now()
 	turns := new(turns)
+	spreader.complete(ctx, turns)
+	spreader.equalAt = time.Now()
 	for pause(ctx, SyncInterval) == nil {
 		others := spreader.others()
 		if len(others) == 0 {
--- a/internal/entry/turns.go
+++ b/internal/entry/turns.go
@@ -21,14 +21,11 @@
 // next returns one of the members, of which there must be one at least.
 func (turns *turns) next(members []membership.Member) *membership.Member {
 	waiting := turns.waiting(members)
-	if len(waiting) == 0 {
+	if turns.taken == nil || len(waiting) == 0 {
 		turns.taken = map[string]bool{}
 		waiting = turns.waiting(members)
 	}
 	chosen := &members[waiting[rand.IntN(len(waiting))]]
-	if turns.taken == nil {
-		turns.taken = map[string]bool{}
-	}
 	turns.taken[chosen.ID] = true
 	return chosen
 }
