Give a closed connection up by one timer that ends with it

lane.close set a timer of a minute for each connection it closed, which went on also where the target had confirmed the close at once. The connection keeps the timer and stops it once it has ended, and lane.close, which only passed the call on, is gone. What counts as open, and for how long, is as before.

--- a/internal/target/connection.go
+++ b/internal/target/connection.go
@@ -38,6 +38,8 @@
 		provenAt time.Time
 		// closedAt is when this side closed the connection, or zero.
 		closedAt time.Time
+		// giveUp closes the connection where the target doesn't.
+		giveUp *time.Timer
 		// finished states that nobody reads the connection any more.
 		finished bool
 	}
@@ -141,19 +143,19 @@
 }
 
 // closeHere closes the sending side, so that the end of what the target sends
-// shows that the target has closed its side too. It returns false where that
-// was done before.
-func (connection *connection) closeHere() bool {
+// shows that the target has closed its side too. Without that end the
+// connection is given up after silentSpan.
+func (connection *connection) closeHere() {
 	connection.lock.Lock()
 	before := !connection.closedAt.IsZero()
 	if !before {
 		connection.closedAt = time.Now()
+		connection.giveUp = time.AfterFunc(silentSpan, func() { _ = connection.Close() })
 	}
 	connection.lock.Unlock()
 	if !before {
 		connection.closeSending()
 	}
-	return !before
 }
 
 func (connection *connection) closeSending() {
@@ -164,12 +166,16 @@
 	_ = connection.Close()
 }
 
-// awaitEnd reads until the target has closed its side or the connection is
-// given up. It reports whether the target has certainly closed its side: this
-// side's kernel gives a silent connection up without word from the target.
+// awaitEnd reads until the target has closed its side or the connection, closed
+// here before, is given up. It reports whether the target has certainly closed
+// its side: this side's kernel gives a silent connection up without word from
+// the target.
 func (connection *connection) awaitEnd() bool {
 	_, err := io.Copy(io.Discard, connection.reader)
 	_ = connection.Close()
+	connection.lock.Lock()
+	defer connection.lock.Unlock()
+	connection.giveUp.Stop()
 	return err == nil || errors.Is(err, syscall.ECONNRESET)
 }
 
--- a/internal/target/lane.go
+++ b/internal/target/lane.go
@@ -107,7 +107,7 @@
 		stale := lane.takeOldest()
 		lane.lock.Unlock()
 		if stale != nil {
-			lane.close(stale)
+			stale.closeHere()
 		}
 		select {
 		case <-freed:
@@ -132,7 +132,7 @@
 // the target has certainly closed it.
 func (lane *lane) receive(connection *connection) {
 	connection.receive(func(err error) { lane.unexpected(connection, err) })
-	lane.close(connection)
+	connection.closeHere()
 	if connection.awaitEnd() {
 		lane.tally.closed()
 		return
@@ -150,7 +150,7 @@
 	}
 	lane.lock.Unlock()
 	if closed {
-		lane.close(connection)
+		connection.closeHere()
 	}
 }
 
@@ -167,14 +167,6 @@
 	}
 }
 
-// close closes a connection. It counts as open until the target has closed
-// its side, or for silentSpan.
-func (lane *lane) close(connection *connection) {
-	if connection.closeHere() {
-		time.AfterFunc(silentSpan, func() { _ = connection.Close() })
-	}
-}
-
 // suspect checks the idle connections on which the target hasn't answered
 // since the given time, because one of their age has gone silent.
 func (lane *lane) suspect(since time.Time) {
@@ -216,7 +208,7 @@
 	exchange := newExchange(connection, func(received *response, err error) {
 		switch {
 		case err != nil || received.last:
-			lane.close(connection)
+			connection.closeHere()
 		default:
 			lane.put(connection)
 		}
@@ -234,7 +226,7 @@
 		}
 		return received, nil
 	case <-ctx.Done():
-		lane.close(connection)
+		connection.closeHere()
 		return nil, ctx.Err()
 	}
 }
@@ -247,6 +239,6 @@
 	lane.idle, lane.closed = nil, true
 	lane.lock.Unlock()
 	for _, connection := range idle {
-		lane.close(connection)
+		connection.closeHere()
 	}
 }
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -126,7 +126,7 @@
 // expire ends the wait for a run whose deadline has passed at the target too.
 func (run *run) expire() {
 	if run.exchange.waiting() {
-		run.lane.close(run.exchange.connection)
+		run.exchange.connection.closeHere()
 	}
 	run.release(false)
 }
@@ -142,7 +142,7 @@
 		run.home.metrics.Dropped().WithLabelValues(droppedRepeated).Inc()
 	}
 	if err != nil || received.last || received.repeated {
-		run.lane.close(run.exchange.connection)
+		run.exchange.connection.closeHere()
 	} else {
 		run.lane.put(run.exchange.connection)
 	}
@@ -209,7 +209,7 @@
 		run.home.metrics.Dropped().WithLabelValues(reason).Inc()
 	}
 	run.lane.gate.turnCold()
-	run.lane.close(run.exchange.connection)
+	run.exchange.connection.closeHere()
 	if written == 0 {
 		run.release(false)
 		return NotRun{Reason: caller.MissingLost, RetryAfter: notHomeRetryAfter}
