Serve the users' platform: routes by host and path, gathered queries, targets that announce themselves

The product gains HTTP routes beside requests by kind: forwarding whole to one target or to one target of each shard, a directory of announced targets that entries watch at all control processes, declared versions of which the highest wins, and a control group that takes in and replaces replicas by itself. platform/ translates the users' names, formats and calls.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +48,11 @@
 		// that control sent, so that neither travels again.
 		member membership.Member
 		view   *membership.View
+		// seeds are the addresses from the settings. group numbers the group
+		// of replicas that control told, and replicas are its addresses.
+		seeds    []string
+		group    uint64
+		replicas []string
 	}
 
 	// round counts the attempts of a call since its last pause.
@@ -59,12 +65,61 @@
 // It learns of other replicas as they come to lead.
 func NewClient(addresses []string, dial tcp.Dialer) *Client {
 	client := &Client{dial: dial}
-	for _, address := range addresses {
-		client.peers = append(client.peers, frame.NewClient(address, dial))
-	}
+	client.Reseed(addresses)
 	return client
 }
 
+// Reseed replaces the addresses from the settings, which may change while the
+// process runs.
+func (client *Client) Reseed(addresses []string) {
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	client.seeds = slices.Clone(addresses)
+	client.arrange()
+}
+
+// Replicas returns the peer addresses of the group of replicas: those that
+// control told with the last lease, or those from the settings before.
+func (client *Client) Replicas() []string {
+	client.lock.Lock()
+	defer client.lock.Unlock()
+	if len(client.replicas) == 0 {
+		return slices.Clone(client.seeds)
+	}
+	return slices.Clone(client.replicas)
+}
+
+// arrange makes the list of peers: the group first, then the seeds, which lead
+// to a group that has moved. The lock is held.
+func (client *Client) arrange() {
+	known := map[string]*frame.Client{}
+	for _, peer := range client.peers {
+		known[peer.Address()] = peer
+	}
+	leader := ""
+	if client.leader < len(client.peers) {
+		leader = client.peers[client.leader].Address()
+	}
+	client.peers, client.leader = nil, 0
+	for _, address := range slices.Concat(client.replicas, client.seeds) {
+		if slices.ContainsFunc(client.peers, func(peer *frame.Client) bool { return peer.Address() == address }) {
+			continue
+		}
+		peer := known[address]
+		if peer == nil {
+			peer = frame.NewClient(address, client.dial)
+		}
+		delete(known, address)
+		if address == leader {
+			client.leader = len(client.peers)
+		}
+		client.peers = append(client.peers, peer)
+	}
+	for _, dropped := range known {
+		dropped.Close()
+	}
+}
+
 // Close closes the connections to all replicas.
 func (client *Client) Close() {
 	client.lock.Lock()
@@ -93,9 +148,10 @@
 	client.lock.Lock()
 	defer client.lock.Unlock()
 	sent := *renewal
+	sent.Group = client.group
 	if sent.Member == client.member {
 		sent.Brief = true
-		sent.Member = membership.Member{ID: renewal.Member.ID, Incarnation: renewal.Member.Incarnation, Stopping: renewal.Member.Stopping}
+		sent.Member = membership.Member{ID: renewal.Member.ID, Incarnation: renewal.Member.Incarnation, Stopping: renewal.Member.Stopping, Leaving: renewal.Member.Leaving}
 	}
 	sent.AcceptsDelta = client.view != nil && client.view.Number == renewal.KnownView
 	return &sent
@@ -106,6 +162,10 @@
 	client.lock.Lock()
 	defer client.lock.Unlock()
 	client.member = renewal.Member
+	if lease.Replicas != nil {
+		client.group, client.replicas = lease.Group, lease.Replicas
+		client.arrange()
+	}
 	if lease.Delta != nil {
 		view, applied := lease.Delta.apply(client.view)
 		if !applied {
@@ -125,6 +185,11 @@
 	return call[operator.Change, operator.Accepted](ctx, client, MethodChange, change, attemptTimeout)
 }
 
+// OrderDomain takes a failure domain out or in.
+func (client *Client) OrderDomain(ctx context.Context, order *operator.DomainOrder) (*operator.Accepted, error) {
+	return call[operator.DomainOrder, operator.Accepted](ctx, client, MethodDomain, order, attemptTimeout)
+}
+
 // Tables reads one version of the tables; zero reads the newest.
 func (client *Client) Tables(ctx context.Context, version uint64) (*operator.Versioned, error) {
 	return call[TablesRequest, operator.Versioned](ctx, client, MethodTables, &TablesRequest{Version: version}, attemptTimeout)
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -15,8 +15,8 @@
 )
 
 type (
-	// command is beginTenure, changeTables, editView, balanceView,
-	// grantRun or recordRun.
+	// command is beginTenure, changeTables, orderDomain, editView,
+	// balanceView, grantRun or recordRun.
 	command interface {
 		isCommand()
 	}
@@ -31,6 +31,10 @@
 		Change operator.Change `msgpack:"c"`
 	}
 
+	orderDomain struct {
+		Order operator.DomainOrder `msgpack:"o"`
+	}
+
 	// editView puts a member in the view or removes it. An edit whose
 	// Present differs from the view changes nothing, so that edits decided
 	// at the same time don't undo each other.
@@ -64,6 +68,7 @@
 	envelope struct {
 		BeginTenure  *beginTenure  `msgpack:"b,omitempty"`
 		ChangeTables *changeTables `msgpack:"t,omitempty"`
+		OrderDomain  *orderDomain  `msgpack:"o,omitempty"`
 		EditView     *editView     `msgpack:"v,omitempty"`
 		BalanceView  *balanceView  `msgpack:"x,omitempty"`
 		GrantRun     *grantRun     `msgpack:"g,omitempty"`
@@ -80,6 +85,7 @@
 
 func (beginTenure) isCommand()  {}
 func (changeTables) isCommand() {}
+func (orderDomain) isCommand()  {}
 func (editView) isCommand()     {}
 func (balanceView) isCommand()  {}
 func (grantRun) isCommand()     {}
@@ -100,6 +106,8 @@
 		envelope.BeginTenure = &command
 	case changeTables:
 		envelope.ChangeTables = &command
+	case orderDomain:
+		envelope.OrderDomain = &command
 	case editView:
 		envelope.EditView = &command
 	case balanceView:
@@ -118,6 +126,8 @@
 		return *envelope.BeginTenure, nil
 	case envelope.ChangeTables != nil:
 		return *envelope.ChangeTables, nil
+	case envelope.OrderDomain != nil:
+		return *envelope.OrderDomain, nil
 	case envelope.BalanceView != nil:
 		return *envelope.BalanceView, nil
 	case envelope.EditView != nil:
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -6,8 +6,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gitlab.com/comfreythread/comfreythread/internal/membership"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 )
@@ -117,7 +121,7 @@
 func (service *Service) fill(member *membership.Member) bool {
 	view := service.state.View()
 	present, known := view.Member(member.ID)
-	if !known || present.Incarnation != member.Incarnation || present.Stopping != member.Stopping {
+	if !known || present.Incarnation != member.Incarnation || present.Stopping != member.Stopping || present.Leaving != member.Leaving {
 		return false
 	}
 	*member = present
@@ -148,6 +152,10 @@
 	if renewal.Version < newest.Version {
 		lease.Tables = &newest.Tables
 	}
+	lease.Group, lease.Replicas = service.group()
+	if lease.Group == renewal.Group {
+		lease.Replicas = nil
+	}
 	if renewal.KnownView >= view.Number {
 		return lease, nil, nil
 	}
@@ -159,6 +167,18 @@
 	return lease, nil, nil
 }
 
+// group returns the peer addresses of the group of replicas, and a number that
+// tells this list from others.
+func (service *Service) group() (uint64, []string) {
+	var addresses []string
+	for _, member := range service.log.Status().Replicas {
+		addresses = append(addresses, member.Address)
+	}
+	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
+	return xxhash.Sum64String(strings.Join(addresses, ",")), addresses
+}
+
 // leave removes an entry that has stopped. Where another process of its name
 // may still hold a lease, the removal waits for that lease's end.
 func (service *Service) leave(ctx context.Context, tenure *tenure, renewal *Renewal) (*Lease, error) {
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -26,6 +26,8 @@
 	MethodRecord = "control.record"
 	// MethodBalance evens out the loads of homes.
 	MethodBalance = "control.balance"
+	// MethodDomain takes a failure domain out or in.
+	MethodDomain = "control.domain"
 	// MethodReplicas changes the group of replicas.
 	MethodReplicas = "control.replicas"
 )
@@ -46,6 +48,8 @@
 		// Brief states that Member holds the ID, the incarnation and whether
 		// it stops, because the rest is as control has it.
 		Brief bool `msgpack:"b,omitempty"`
+		// Group is the number of the group of replicas that the entry knows.
+		Group uint64 `msgpack:"g,omitempty"`
 		// AcceptsDelta states that the reply may hold Delta in place of View.
 		AcceptsDelta bool `msgpack:"d,omitempty"`
 	}
@@ -64,6 +68,10 @@
 		// that may act on an earlier view has acknowledged it, or has
 		// certainly lost its lease. Zero states that none is known to be.
 		Settled uint64 `msgpack:"s"`
+		// Group numbers the group of replicas, and Replicas holds its peer
+		// addresses where the entry knows another number.
+		Group    uint64   `msgpack:"g,omitempty"`
+		Replicas []string `msgpack:"r,omitempty"`
 		// Unknown states that a brief renewal must be sent in full. No lease
 		// is granted.
 		Unknown bool `msgpack:"u,omitempty"`
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -84,6 +84,7 @@
 	handle(server, MethodGrant, service.grant)
 	handle(server, MethodRecord, service.record)
 	handle(server, MethodReplicas, service.replicas)
+	handle(server, MethodDomain, service.domain)
 	handle(server, MethodBalance, service.balance)
 }
 
@@ -147,6 +148,19 @@
 	return &versioned, nil
 }
 
+// domain takes a failure domain out or in, whether or not an entry of it was
+// ever seen: targets may run where no entry does.
+func (service *Service) domain(ctx context.Context, order *operator.DomainOrder) (*operator.Accepted, error) {
+	if order.FailureDomain == "" || len(order.FailureDomain) > operator.MaximumNameBytes {
+		return nil, fault.New(fault.BadRequest, "the failure domain is missing or too long", fmt.Sprintf("use 1 to %d bytes", operator.MaximumNameBytes))
+	}
+	result, err := service.changes.submit(ctx, orderDomain{Order: *order})
+	if err != nil {
+		return nil, err
+	}
+	return &operator.Accepted{Version: result.Version}, nil
+}
+
 func (service *Service) grant(ctx context.Context, request *GrantRequest) (*Grant, error) {
 	expiry, err := request.RequestID.Expiry()
 	if err != nil {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -56,6 +56,8 @@
 		stateData.View.Term = max(stateData.View.Term, command.Term)
 	case changeTables:
 		return stateData.Tables.change(&command.Change, &stateData.View)
+	case orderDomain:
+		return stateData.Tables.order(&command.Order)
 	case editView:
 		stateData.View.edit(&command, viewNumber)
 	case balanceView:
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -6,6 +6,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -71,6 +72,9 @@
 // change makes a new version, or answers a resend with the version that its
 // first sending made.
 func (tablesData *tablesData) change(change *operator.Change, view *viewData) result {
+	if change.Declared != 0 {
+		return tablesData.declare(change)
+	}
 	version, known, refused := tablesData.judge(change, view)
 	if refused != nil {
 		return result{Fault: refused}
@@ -78,14 +82,46 @@
 	if known {
 		return result{Version: version}
 	}
-	version = tablesData.newest().Version + 1
-	encoded, _ := msgpack.Marshal(&change.Tables)
-	tablesData.Versions = append(tablesData.Versions, keptVersion{
-		Versioned: operator.Versioned{Version: version, ChangeID: change.ID, Tables: change.Tables}, Bytes: len(encoded),
-	})
-	tablesData.Changes = append(tablesData.Changes, acceptedChange{ID: change.ID, Version: version, Digest: digest(change)})
+	newest := tablesData.newest()
+	return tablesData.add(change, operator.Versioned{ChangeID: change.ID, Tables: change.Tables, Declared: newest.Declared, Source: newest.Source})
+}
+
+// declare makes a new version of tables that have a higher number of the
+// operator's own. A number that isn't higher changes nothing: it is a resend, or
+// was overtaken.
+func (tablesData *tablesData) declare(change *operator.Change) result {
+	newest := tablesData.newest()
+	if change.Declared <= newest.Declared {
+		return result{Version: newest.Version}
+	}
+	change.Tables.FailureDomainsOut = newest.Tables.FailureDomainsOut
+	return tablesData.add(change, operator.Versioned{ChangeID: change.ID, Tables: change.Tables, Declared: change.Declared, Source: change.Source})
+}
+
+// order takes a failure domain out or in. Where it is so already, nothing
+// changes.
+func (tablesData *tablesData) order(order *operator.DomainOrder) result {
+	newest := tablesData.newest()
+	if newest.Tables.Out(order.FailureDomain) == order.Out {
+		return result{Version: newest.Version}
+	}
+	out := slices.DeleteFunc(slices.Clone(newest.Tables.FailureDomainsOut), func(name string) bool { return name == order.FailureDomain })
+	if order.Out {
+		out = append(out, order.FailureDomain)
+	}
+	newest.Tables.FailureDomainsOut = out
+	newest.ChangeID = fmt.Sprintf("failure domain %s out: %t, after version %d", order.FailureDomain, order.Out, newest.Version)
+	return tablesData.add(&operator.Change{ID: newest.ChangeID, Base: newest.Version, Tables: newest.Tables}, newest)
+}
+
+// add makes the next version.
+func (tablesData *tablesData) add(change *operator.Change, added operator.Versioned) result {
+	added.Version = tablesData.newest().Version + 1
+	encoded, _ := msgpack.Marshal(&added)
+	tablesData.Versions = append(tablesData.Versions, keptVersion{Versioned: added, Bytes: len(encoded)})
+	tablesData.Changes = append(tablesData.Changes, acceptedChange{ID: change.ID, Version: added.Version, Digest: digest(change)})
 	tablesData.forget()
-	return result{Version: version}
+	return result{Version: added.Version}
 }
 
 // judge says whether a change is a resend of an accepted one, or why it is
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -139,6 +139,7 @@
 	tables, _ := leaseholder.board.InForce().Tables()
 	member := leaseholder.member
 	member.Heeds = true
+	member.Leaving = leaseholder.stopping
 	member.Stopping = leaseholder.stopping || tables.Out(member.FailureDomain) || !leaseholder.board.Directory().IsComplete()
 	return member
 }
--- /dev/null
+++ b/internal/httpcaller/journal.go
@@ -0,0 +1,75 @@
+// The log lines about requests.
+
+package httpcaller
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
+	"gitlab.com/comfreythread/comfreythread/internal/policy"
+)
+
+type (
+	// journal writes one line for each decision on a request that failed or was
+	// answered in part. Whole answers are written at the debug level.
+	journal struct {
+		logger *zap.Logger
+	}
+)
+
+func newJournal(logger *zap.Logger) *journal {
+	return &journal{logger: logger}
+}
+
+func (journal *journal) fields(call *call, more ...zap.Field) []zap.Field {
+	route := ""
+	if call.route != nil {
+		route = call.route.Kind
+	}
+	_, version := call.server.board.InForce().Tables()
+	return append(more, zap.String("request", call.request.ID), zap.String("route", route), zap.Duration("elapsed", time.Since(call.begun)),
+		zap.Duration("limit", call.limit), zap.Int64("attempts", call.sent.Load()), zap.Uint64("tables", version))
+}
+
+func (journal *journal) attempt(call *call, target *httptarget.Target, outcome string, sent int, fields ...zap.Field) {
+	journal.logger.Info("attempt failed", journal.fields(call, append(fields, zap.String("target", target.ID()), zap.String("outcome", outcome), zap.Int("attempt", sent))...)...)
+}
+
+func (journal *journal) refused(call *call, reason policy.Reason, after time.Duration) {
+	journal.logger.Info("request refused", journal.fields(call, zap.Stringer("reason", reason), zap.Duration("retry_after", after), zap.Int("in_flight", call.server.InFlight()))...)
+}
+
+func (journal *journal) lost(call *call, result *answer, status int) {
+	journal.logger.Info("request lost", journal.fields(call, zap.Int("status", status), zap.Bool("ran", result.ran), zap.Error(result.cause))...)
+}
+
+func (journal *journal) failed(call *call, status int, message string) {
+	journal.logger.Info("request wrong", journal.fields(call, zap.Int("status", status), zap.String("message", message))...)
+}
+
+func (journal *journal) left(call *call) {
+	journal.logger.Info("caller left", journal.fields(call)...)
+}
+
+func (journal *journal) unwritten(call *call, err error) {
+	journal.logger.Info("answer not written", journal.fields(call, zap.Error(err))...)
+}
+
+func (journal *journal) passed(call *call, result *answer) {
+	if entry := journal.logger.Check(zap.DebugLevel, "request answered"); entry != nil {
+		entry.Write(journal.fields(call, zap.Int("status", result.answered.Status), zap.String("target", result.target.ID()))...)
+	}
+}
+
+func (journal *journal) gathered(call *call, query *query) {
+	level := zap.DebugLevel
+	if len(query.parts) < len(query.shards) || time.Since(call.begun) > call.route.HTTP.TargetLatency.Std() {
+		level = zap.InfoLevel
+	}
+	if entry := journal.logger.Check(level, "query answered"); entry != nil {
+		entry.Write(journal.fields(call, zap.Int("shards", len(query.shards)), zap.Int("parts", len(query.parts)), zap.Int("failed", query.failed),
+			zap.Int("hedges", query.hedges), zap.Int("retries", query.retries))...)
+	}
+}
--- /dev/null
+++ b/internal/httpcaller/server.go
@@ -0,0 +1,253 @@
+// How a request of an HTTP route comes in and which way it takes.
+
+package httpcaller
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
+	"gitlab.com/comfreythread/comfreythread/internal/dialect"
+	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
+	"gitlab.com/comfreythread/comfreythread/internal/metrics"
+	"gitlab.com/comfreythread/comfreythread/internal/policy"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+)
+
+const (
+	// DefaultBodyBytes bounds the body of a request where the tables don't.
+	DefaultBodyBytes = 256 << 10
+	// DefaultTimeout bounds a request whose caller names no deadline.
+	DefaultTimeout = 30 * time.Second
+	// MaximumStaleness is how long an entry that control doesn't answer goes on
+	// with the tables that it has: callers are better served by tables of a
+	// minute ago than by none.
+	MaximumStaleness = time.Minute
+)
+
+var (
+	tracer = otel.Tracer("comfreythread/httpcaller")
+
+	errTooLarge = errors.New("the body is larger than allowed; send less")
+)
+
+type (
+	// Options say where an entry stands and what it may spend.
+	Options struct {
+		FailureDomain string
+		Region        string
+		// Regions holds the region of each failure domain.
+		Regions map[string]string
+		Headers dialect.Headers
+		Budget  policy.BudgetLimits
+	}
+
+	// Server forwards requests of HTTP routes. Construct it with NewServer.
+	Server struct {
+		options   Options
+		board     *blackboard.Board
+		directory *httptarget.Directory
+		sender    *httptarget.Sender
+		budgets   *policy.Budgets
+		journal   *journal
+		metrics   *metrics.Metrics
+		startedAt time.Time
+
+		routes   atomic.Pointer[indexed]
+		inFlight atomic.Int64
+		stopping atomic.Bool
+	}
+
+	// indexed are the routes of one version of the tables.
+	indexed struct {
+		tables *operator.Tables
+		routes *policy.Routes
+	}
+
+	// call is one request on its way.
+	call struct {
+		server  *Server
+		ctx     context.Context
+		request httptarget.Request
+		route   *operator.Route
+		indexed *indexed
+		begun   time.Time
+		// limit is the span after begun at which no answer is of use any more.
+		limit time.Duration
+		// sent counts the attempts, for the log.
+		sent atomic.Int64
+	}
+)
+
+// NewServer returns a server that is ready once its entry has tables.
+func NewServer(options Options, board *blackboard.Board, directory *httptarget.Directory, sender *httptarget.Sender, logger *zap.Logger, metrics *metrics.Metrics) *Server {
+	return &Server{
+		options: options, board: board, directory: directory, sender: sender, budgets: policy.NewBudgets(options.Budget),
+		journal: newJournal(logger), metrics: metrics, startedAt: time.Now(),
+	}
+}
+
+// Ready reports whether callers should be sent here.
+func (server *Server) Ready() bool {
+	_, version := server.board.InForce().Tables()
+	return version > 0 && !server.stopping.Load() && server.directory.Heard() && !server.stale()
+}
+
+// Stop lets callers know, with each answer from now on, that this entry stops.
+func (server *Server) Stop() {
+	server.stopping.Store(true)
+}
+
+// InFlight returns the number of requests in progress.
+func (server *Server) InFlight() int {
+	return int(server.inFlight.Load())
+}
+
+func (server *Server) stale() bool {
+	return time.Since(server.board.InForce().LeaseUntil()) > MaximumStaleness
+}
+
+// ServeHTTP implements http.Handler.
+func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	begun := time.Now()
+	inFlight := server.inFlight.Add(1)
+	defer server.inFlight.Add(-1)
+	if server.stopping.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	call := &call{server: server, begun: begun, indexed: server.index()}
+	call.request.ID = request.Header.Get(server.options.Headers.RequestID)
+	if call.indexed == nil {
+		call.refuse(writer, policy.NoTables)
+		return
+	}
+	path, _, _ := strings.Cut(request.RequestURI, "?")
+	route, found := call.indexed.routes.Match(request.Host, path)
+	if !found {
+		call.fail(writer, http.StatusNotFound, "no route has this host and path; see the table of routes")
+		return
+	}
+	call.route = route
+	ctx, span := tracer.Start(request.Context(), "forward "+route.Kind)
+	defer span.End()
+	call.ctx = ctx
+	call.limit = server.limitOf(request, route)
+	switch {
+	case server.stale():
+		call.refuse(writer, policy.Stale)
+		return
+	case !policy.AdmitEntry(int(inFlight), route.HTTP.Priority):
+		call.refuse(writer, policy.NoRoom)
+		return
+	}
+	if !call.read(writer, request) {
+		return
+	}
+	call.forward(writer, span)
+}
+
+func (call *call) forward(writer http.ResponseWriter, span trace.Span) {
+	if call.route.HTTP.Gather != nil {
+		call.gather(writer)
+	} else {
+		call.forwardOne(writer)
+	}
+	span.End()
+}
+
+// index returns the routes in force, or nil where there are no tables yet.
+func (server *Server) index() *indexed {
+	tables, version := server.board.InForce().Tables()
+	if version == 0 {
+		return nil
+	}
+	known := server.routes.Load()
+	if known == nil || known.tables != tables {
+		known = &indexed{tables: tables, routes: policy.NewRoutes(tables)}
+		server.routes.Store(known)
+	}
+	return known
+}
+
+// limitOf returns how long the request may take: what its caller waits, and what
+// the route allows.
+func (server *Server) limitOf(request *http.Request, route *operator.Route) time.Duration {
+	limit := min(DefaultTimeout, route.HTTP.Timeout.Std())
+	milliseconds, err := strconv.ParseFloat(request.Header.Get(server.options.Headers.Deadline), 64)
+	if err == nil && milliseconds >= 0 {
+		limit = min(limit, time.Duration(milliseconds*float64(time.Millisecond)))
+	}
+	return limit
+}
+
+// read takes in the whole request, and reports whether it may go on.
+func (call *call) read(writer http.ResponseWriter, request *http.Request) bool {
+	limit := DefaultBodyBytes
+	if limits := call.indexed.tables.HTTPLimits; limits != nil && limits.BodyBytes > 0 {
+		limit = limits.BodyBytes
+	}
+	body, err := readBody(request, limit)
+	if errors.Is(err, errTooLarge) {
+		writer.Header().Set("Connection", "close")
+		call.fail(writer, http.StatusRequestEntityTooLarge, err.Error())
+		return false
+	}
+	if err != nil {
+		writer.Header().Set("Connection", "close")
+		call.fail(writer, http.StatusBadRequest, "the body broke off; send as many bytes as the head says")
+		return false
+	}
+	call.request.Method, call.request.URI, call.request.Host = request.Method, request.RequestURI, request.Host
+	call.request.Header, call.request.Body = endToEnd(request.Header), body
+	return true
+}
+
+func readBody(request *http.Request, limit int) ([]byte, error) {
+	if request.ContentLength == 0 {
+		return nil, nil
+	}
+	if request.ContentLength > int64(limit) {
+		return nil, errTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(request.Body, int64(limit)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > limit {
+		return nil, errTooLarge
+	}
+	return body, nil
+}
+
+// entries returns the number of entries among which what all may spend is
+// shared.
+func (server *Server) entries() int {
+	return max(1, len(server.board.Membership().View().Members))
+}
+
+func (server *Server) elapsed() time.Duration {
+	return time.Since(server.startedAt)
+}
+
+func (call *call) left() time.Duration {
+	return call.limit - time.Since(call.begun)
+}
+
+func draw(count int) []float64 {
+	drawn := make([]float64, count)
+	for index := range drawn {
+		drawn[index] = rand.Float64()
+	}
+	return drawn
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -15,14 +15,20 @@
 		// for callers.
 		PeerAddress   string `msgpack:"p"`
 		CallerAddress string `msgpack:"c"`
-		FailureDomain string `msgpack:"f"`
-		Region        string `msgpack:"r"`
+		// GatewayAddress is the IP:port for callers of HTTP routes; none where
+		// the entry serves no such callers.
+		GatewayAddress string `msgpack:"g,omitempty"`
+		FailureDomain  string `msgpack:"f"`
+		Region         string `msgpack:"r"`
 		// Incarnation grows with each start of the entry's process.
 		Incarnation uint64 `msgpack:"n"`
 		// Stopping states that the entry withdraws: it is shutting down or its
 		// failure domain was taken out. It is home to no target and callers
 		// aren't sent to it.
 		Stopping bool `msgpack:"s"`
+		// Leaving states that the entry shuts down, so that nobody is sent to
+		// it, not even callers that it could serve by targets elsewhere.
+		Leaving bool `msgpack:"l,omitempty"`
 		// Heeds states that the entry's release knows exceptions. A view with a
 		// member that doesn't has none.
 		Heeds bool `msgpack:"h,omitempty"`
--- /dev/null
+++ b/internal/policy/budget.go
@@ -0,0 +1,97 @@
+// How often a request may be sent to a second target. Load: a pool slows down as
+// a whole, and every entry would hedge and retry, which slows it further.
+
+package policy
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// budgetParts is the number of parts that a window is counted in. The bound
+	// holds for every window that begins with a part, and one part less is spent
+	// so that it holds for all.
+	budgetParts = 20
+)
+
+type (
+	// BudgetLimits bound the extra arrivals at a pool in any window.
+	BudgetLimits struct {
+		// Ratio is the share of the requests that may be extra, and Slack the
+		// number beyond, for all entries together.
+		Ratio  float64
+		Slack  float64
+		Window time.Duration
+	}
+
+	// Budgets counts requests and extra arrivals by pool. Construct it with
+	// NewBudgets.
+	Budgets struct {
+		limits BudgetLimits
+
+		lock  sync.Mutex
+		pools map[string]*budget
+	}
+
+	// budget holds counts by part of the window, the newest at the index of the
+	// part's number.
+	budget struct {
+		part     int64
+		requests [budgetParts + 1]int
+		extra    [budgetParts + 1]int
+	}
+)
+
+// NewBudgets returns empty budgets.
+func NewBudgets(limits BudgetLimits) *Budgets {
+	return &Budgets{limits: limits, pools: map[string]*budget{}}
+}
+
+// Count counts a request for a pool. Elapsed is the time since the start of the
+// process.
+func (budgets *Budgets) Count(pool string, elapsed time.Duration) {
+	budgets.lock.Lock()
+	defer budgets.lock.Unlock()
+	budget := budgets.present(pool, elapsed)
+	budget.requests[budget.part%int64(len(budget.requests))]++
+}
+
+// Spend allows one extra arrival at a pool, or returns false. Entries is the
+// number of entries among which the slack is shared.
+func (budgets *Budgets) Spend(pool string, entries int, elapsed time.Duration) bool {
+	budgets.lock.Lock()
+	defer budgets.lock.Unlock()
+	budget := budgets.present(pool, elapsed)
+	requests, extra := 0, 0
+	for index := range budget.requests {
+		requests += budget.requests[index]
+		extra += budget.extra[index]
+	}
+	slack := budgets.limits.Slack / float64(max(1, entries))
+	if float64(extra+1) > budgets.limits.Ratio*float64(requests)+slack {
+		return false
+	}
+	budget.extra[budget.part%int64(len(budget.extra))]++
+	return true
+}
+
+// present returns a pool's budget with the parts that have passed emptied. The
+// lock is held.
+func (budgets *Budgets) present(pool string, elapsed time.Duration) *budget {
+	part := int64(elapsed / max(1, budgets.limits.Window/budgetParts))
+	known := budgets.pools[pool]
+	if known == nil {
+		known = &budget{part: part}
+		budgets.pools[pool] = known
+	}
+	if part-known.part >= int64(len(known.requests)) {
+		*known = budget{part: part}
+	}
+	for known.part < part {
+		known.part++
+		index := known.part % int64(len(known.requests))
+		known.requests[index], known.extra[index] = 0, 0
+	}
+	return known
+}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
 	"gitlab.com/comfreythread/comfreythread/internal/control"
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
 	"gitlab.com/comfreythread/comfreythread/internal/replica"
 	"gitlab.com/comfreythread/comfreythread/internal/settings"
 )
@@ -19,8 +21,8 @@
 		return fx.Options()
 	}
 	return fx.Module("control",
-		fx.Provide(newState, newReplica, newControlService),
-		fx.Invoke(registerControl),
+		fx.Provide(newState, newReplica, newControlService, newRegistry),
+		fx.Invoke(registerControl, runRegistry),
 	)
 }
 
@@ -41,6 +43,7 @@
 	return replica.New(replica.Options{
 		Name: settings.Name, Address: settings.PeerAddress, Peers: settings.ControlReplicas,
 		Dial: network.Dial, Logger: logger, Folder: settings.Control.DataFolder, FileSystem: network.FileSystem,
+		JoinOnly: settings.Control.JoinOnly, SelfManaged: settings.Control.SelfManaged,
 	}, state)
 }
 
@@ -48,6 +51,16 @@
 	return control.NewService(replica, state)
 }
 
+func newRegistry(logger *zap.Logger) *httptarget.Registry {
+	return httptarget.NewRegistry(rand.Uint64(), logger)
+}
+
+func runRegistry(registry *httptarget.Registry, server *frame.Server, lifecycle fx.Lifecycle) {
+	registry.Register(server)
+	ctx, cancel := context.WithCancel(context.Background())
+	lifecycle.Append(fx.StartStopHook(func() { go registry.Run(ctx) }, cancel))
+}
+
 func registerControl(service *control.Service, replica *replica.Replica, server *frame.Server) {
 	service.Register(server)
 	replica.Register(server)
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -36,6 +36,9 @@
 	if !settings.Entry {
 		return fx.Options()
 	}
+	if settings.Gateway != nil {
+		return fx.Invoke(withdrawGateway)
+	}
 	return fx.Invoke(withdrawEntry)
 }
 
@@ -73,12 +76,13 @@
 
 func newLeaseholder(settings *settings.Settings, board *blackboard.Board, client *control.Client, home *targetserver.Home, handover *entry.Handover, logger *zap.Logger, metrics *metrics.Metrics) *entry.Leaseholder {
 	member := membership.Member{
-		ID:            settings.Name,
-		PeerAddress:   settings.PeerAddress,
-		CallerAddress: settings.HTTPAddress,
-		FailureDomain: settings.FailureDomain,
-		Region:        settings.Region,
-		Incarnation:   uint64(time.Now().UnixNano()),
+		ID:             settings.Name,
+		PeerAddress:    settings.PeerAddress,
+		CallerAddress:  settings.HTTPAddress,
+		GatewayAddress: gatewayAddress(settings),
+		FailureDomain:  settings.FailureDomain,
+		Region:         settings.Region,
+		Incarnation:    uint64(time.Now().UnixNano()),
 	}
 	return entry.NewLeaseholder(member, board, client, home, handover, logger, metrics)
 }
--- /dev/null
+++ b/internal/process/gateway.go
@@ -0,0 +1,129 @@
+// How an entry serves HTTP routes, and how it stops without cutting a request.
+
+package process
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+
+	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
+	"gitlab.com/comfreythread/comfreythread/internal/control"
+	"gitlab.com/comfreythread/comfreythread/internal/dialect"
+	"gitlab.com/comfreythread/comfreythread/internal/entry"
+	"gitlab.com/comfreythread/comfreythread/internal/httpcaller"
+	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
+	"gitlab.com/comfreythread/comfreythread/internal/metrics"
+	"gitlab.com/comfreythread/comfreythread/internal/policy"
+	"gitlab.com/comfreythread/comfreythread/internal/settings"
+)
+
+const (
+	// gatewayConnections bounds the callers' connections, so that descriptors
+	// are left for connections to targets.
+	gatewayConnections = 2048
+	// gatewayIdle is how long a caller's connection may wait for use: longer
+	// than callers keep one, so that no request crosses the close.
+	gatewayIdle = 2 * time.Minute
+	// gatewayHeaderTimeout bounds the reading of a head.
+	gatewayHeaderTimeout = 5 * time.Second
+	// lastRequests is the end of a planned stop, in which no request is taken
+	// any more and those in progress end.
+	lastRequests = 1500 * time.Millisecond
+	// leaveSpan is how long the steps after the last request may take.
+	leaveSpan = 400 * time.Millisecond
+)
+
+type (
+	// gatewayServer is the HTTP server for callers of HTTP routes.
+	gatewayServer struct {
+		*http.Server
+	}
+)
+
+func gatewayAddress(settings *settings.Settings) string {
+	if settings.Gateway == nil {
+		return ""
+	}
+	return settings.Gateway.Address
+}
+
+func gatewayModule(settings *settings.Settings) fx.Option {
+	if settings.Gateway == nil {
+		return fx.Options()
+	}
+	return fx.Module("gateway",
+		fx.Provide(dialect.Default, httptarget.NewDirectory, newSender, newGateway, newGatewayServer),
+		fx.Invoke(runWatcher, startGateway),
+	)
+}
+
+func newSender(headers dialect.Headers, network Network) *httptarget.Sender {
+	return httptarget.NewSender(headers, network.Dial)
+}
+
+func newGateway(settings *settings.Settings, headers dialect.Headers, board *blackboard.Board, directory *httptarget.Directory, sender *httptarget.Sender, logger *zap.Logger, metrics *metrics.Metrics) *httpcaller.Server {
+	gateway := settings.Gateway
+	return httpcaller.NewServer(httpcaller.Options{
+		FailureDomain: settings.FailureDomain, Region: settings.Region, Regions: gateway.Regions, Headers: headers,
+		Budget: policy.BudgetLimits{Ratio: gateway.RetryRatio, Slack: gateway.RetrySlack, Window: gateway.RetryWindow.Std()},
+	}, board, directory, sender, logger, metrics)
+}
+
+func newGatewayServer(server *httpcaller.Server, logger *zap.Logger) *gatewayServer {
+	return &gatewayServer{Server: &http.Server{
+		Handler: server, ReadHeaderTimeout: gatewayHeaderTimeout, IdleTimeout: gatewayIdle, ErrorLog: zap.NewStdLog(logger),
+	}}
+}
+
+func runWatcher(directory *httptarget.Directory, client *control.Client, network Network, logger *zap.Logger, lifecycle fx.Lifecycle) {
+	watcher := httptarget.NewWatcher(directory, client.Replicas, network.Dial, logger)
+	ctx, cancel := context.WithCancel(context.Background())
+	lifecycle.Append(fx.StartStopHook(func() { go watcher.Run(ctx) }, cancel))
+}
+
+func startGateway(listeners *Listeners, server *gatewayServer, logger *zap.Logger, lifecycle fx.Lifecycle) {
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go report(logger, "gateway ended", func() error {
+				err := server.Serve(netutil.LimitListener(listeners.gateway, gatewayConnections))
+				if errors.Is(err, http.ErrServerClosed) {
+					return nil
+				}
+				return err
+			})
+			return nil
+		},
+		OnStop: func(context.Context) error { return server.Close() },
+	})
+}
+
+// withdrawGateway makes the first part of a planned stop: the entry serves on
+// while callers learn that it stops, then ends its listener and what is in
+// progress. The whole stop takes StopSpan, whatever control answers.
+func withdrawGateway(settings *settings.Settings, board *blackboard.Board, leaseholder *entry.Leaseholder, gateway *httpcaller.Server, server *gatewayServer, lifecycle fx.Lifecycle, logger *zap.Logger) {
+	lifecycle.Append(fx.StopHook(func(ctx context.Context) error {
+		span := settings.Gateway.StopSpan.Std()
+		serving, cancel := context.WithTimeout(ctx, max(0, span-lastRequests))
+		defer cancel()
+		logger.Info("withdrawing", zap.Duration("stop_span", span), zap.Int("in_flight", gateway.InFlight()))
+		board.InForce().Stop()
+		gateway.Stop()
+		if err := leaseholder.Withdraw(serving); err != nil {
+			logger.Warn("withdrawn without word from all entries", zap.Error(err))
+		}
+		<-serving.Done()
+		logger.Info("taking no more requests", zap.Int("in_flight", gateway.InFlight()))
+		ending, cancelEnding := context.WithTimeout(ctx, lastRequests-leaveSpan)
+		defer cancelEnding()
+		if err := server.Shutdown(ending); err != nil {
+			logger.Warn("requests cut at the end of the stop", zap.Int("in_flight", gateway.InFlight()), zap.Error(err))
+		}
+		return nil
+	}))
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -53,12 +53,15 @@
 	Listeners struct {
 		http net.Listener
 		peer net.Listener
+		// gateway is nil where the settings have none.
+		gateway net.Listener
 	}
 )
 
 // New returns the process that the settings describe, on listeners from
-// Listen.
-func New(settings *settings.Settings, listeners *Listeners, network Network, logger *zap.Logger, stdout io.Writer) *fx.App {
+// Listen. More options add servers that begin after the roles and end before
+// them.
+func New(settings *settings.Settings, listeners *Listeners, network Network, logger *zap.Logger, stdout io.Writer, more ...fx.Option) *fx.App {
 	return fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(StartTimeout),
@@ -72,7 +75,9 @@
 		// view, and only then do peers lose this process.
 		fx.Invoke(startPeerServer),
 		entryModule(settings),
+		gatewayModule(settings),
 		fx.Invoke(startHTTPServer),
+		fx.Options(more...),
 		controlLifecycle(settings),
 		entryStopModule(settings),
 	)
@@ -104,7 +109,18 @@
 	}
 	settings.HTTPAddress = http.Addr().String()
 	settings.PeerAddress = peer.Addr().String()
-	return &Listeners{http: http, peer: peer}, nil
+	listeners := &Listeners{http: http, peer: peer}
+	if settings.Gateway == nil {
+		return listeners, nil
+	}
+	listeners.gateway, err = network.Listen(ctx, settings.Gateway.Address)
+	if err != nil {
+		_ = http.Close()
+		_ = peer.Close()
+		return nil, errors.Wrap(err, "listen; choose a free gateway.address")
+	}
+	settings.Gateway.Address = listeners.gateway.Addr().String()
+	return listeners, nil
 }
 
 // Sockets returns the network of real sockets.
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -105,8 +105,12 @@
 		address string
 		sizes   sizes
 		peers   []string
-		random  *rand.Rand
-		started time.Time
+		// joinOnly replicas never found a group; selfManaged groups take in
+		// newcomers and replace members that are silent for long by themselves.
+		joinOnly    bool
+		selfManaged bool
+		random      *rand.Rand
+		started     time.Time
 
 		hardState
 		// proved is false after a restart until a quorum has confirmed that no
@@ -270,7 +274,9 @@
 func (core *core) receiveProved(now time.Time, parcel *parcel) {
 	switch message := parcel.message.(type) {
 	case voteRequest:
-		core.receiveVoteRequest(now, parcel, &message)
+		if !core.dismiss(parcel.from, parcel.fromAddress) {
+			core.receiveVoteRequest(now, parcel, &message)
+		}
 	case voteReply:
 		core.receiveVoteReply(now, parcel, &message)
 	case appendRequest:
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -106,7 +106,8 @@
 // begin makes a core from durable state, or a new replica where it is nil.
 func (driver *driver) begin(now time.Time, state *durableState) error {
 	options := &driver.replica.options
-	core := &core{id: newID(options.Name), address: options.Address, sizes: defaultSizes(), peers: append([]string(nil), options.Peers...), random: driver.random}
+	core := &core{id: newID(options.Name), address: options.Address, sizes: defaultSizes(), peers: append([]string(nil), options.Peers...),
+		joinOnly: options.JoinOnly, selfManaged: options.SelfManaged, random: driver.random}
 	if len(core.peers) == 0 {
 		core.peers = []string{core.address}
 	}
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -46,7 +46,7 @@
 // same list. A replica that belongs to a group says none, so a replica that
 // lost its disk can't found a second one.
 func (core *core) found(now time.Time) {
-	if len(core.peers) == 0 || core.peers[0] != core.address {
+	if core.joinOnly || len(core.peers) == 0 || core.peers[0] != core.address {
 		return
 	}
 	members := []member{{ID: core.id, Address: core.address, Voter: true}}
@@ -75,6 +75,12 @@
 		slices.Sort(greeting.Peers)
 		core.newcomers[parcel.fromAddress] = newcomer{id: parcel.from, peers: greeting.Peers, heard: now}
 	}
+	if core.followsAnother() && parcel.fromAddress != core.leaderPlace {
+		// The newcomer may not have the leader in its list.
+		forwarded := *parcel
+		forwarded.toAddress = core.leaderPlace
+		core.out.early = append(core.out.early, forwarded)
+	}
 	if !core.formed() || core.log.offset != 0 {
 		return
 	}
@@ -268,19 +274,27 @@
 		core.promote(now, member.ID)
 		return
 	}
-	core.welcome(now)
+	if core.welcome(now) || !core.selfManaged {
+		return
+	}
+	if old, found := core.replaceable(now); found {
+		core.setMembers(now, core.without(old.ID))
+		return
+	}
+	core.takeIn(now)
 }
 
 // welcome adds the first newcomer that replaces a silent member.
-func (core *core) welcome(now time.Time) {
+func (core *core) welcome(now time.Time) bool {
 	for _, old := range core.members() {
 		newcomer, known := core.newcomers[old.Address]
 		if !known || now.Sub(newcomer.heard) >= newcomerSpan || core.isMember(newcomer.id) || core.isUp(now, old.ID) {
 			continue
 		}
 		core.setMembers(now, append(core.without(""), member{ID: newcomer.id, Address: old.Address}))
-		return
+		return true
 	}
+	return false
 }
 
 // silentAt returns the voter at an address besides one ID.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -54,6 +54,11 @@
 		Peers   []string
 		Dial    tcp.Dialer
 		Logger  *zap.Logger
+		// JoinOnly keeps a replica without a group from founding one.
+		JoinOnly bool
+		// SelfManaged lets the group take in replicas that say hello, and
+		// replace members that stay silent, without an operator.
+		SelfManaged bool
 		// Folder holds the replica's state; none keeps it in memory alone. A
 		// nil FileSystem is the operating system's.
 		Folder     string
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,7 +30,8 @@
 	// MaximumAddressMaxAge bounds it, because a planned stop takes longer.
 	MaximumAddressMaxAge = 30 * time.Second
 
-	maximumReplicas = 19
+	maximumReplicas   = 19
+	maximumRetrySlack = 1 << 20
 )
 
 type (
@@ -53,13 +54,36 @@
 		// ControlReplicas lists the IP:port peer addresses of all control
 		// replicas.
 		ControlReplicas []string `json:"control_replicas"`
-		LogLevel        string   `json:"log_level,omitempty"`
-		Tracing         Tracing  `json:"tracing,omitzero"`
+		// Gateway lets an entry serve HTTP routes.
+		Gateway  *Gateway `json:"gateway,omitempty"`
+		LogLevel string   `json:"log_level,omitempty"`
+		Tracing  Tracing  `json:"tracing,omitzero"`
 	}
 
 	// Control holds the settings of the control role.
 	Control struct {
 		DataFolder string `json:"data_folder"`
+		// JoinOnly keeps a replica with an empty disk from founding a group.
+		JoinOnly bool `json:"join_only,omitempty"`
+		// SelfManaged lets the group take in new replicas and replace lost
+		// ones without an operator.
+		SelfManaged bool `json:"self_managed,omitempty"`
+	}
+
+	// Gateway holds the settings for HTTP routes.
+	Gateway struct {
+		// Address is the IP:port for callers of HTTP routes.
+		Address string `json:"address"`
+		// Regions holds the region of each failure domain.
+		Regions map[string]string `json:"regions,omitempty"`
+		// RetryRatio is the share of a pool's requests that may be sent to a
+		// second target, and RetrySlack the number beyond, in any
+		// RetryWindow, by all entries together.
+		RetryRatio  float64           `json:"retry_ratio"`
+		RetrySlack  float64           `json:"retry_slack"`
+		RetryWindow duration.Duration `json:"retry_window"`
+		// StopSpan is how long a planned stop may take.
+		StopSpan duration.Duration `json:"stop_span"`
 	}
 
 	// Tracing chooses where spans go.
@@ -118,6 +142,7 @@
 	if settings.AddressMaxAge < 0 || settings.AddressMaxAge.Std() > MaximumAddressMaxAge {
 		check.add("address_max_age", "the span is out of range", "use a span up to "+MaximumAddressMaxAge.String()+", or leave it out")
 	}
+	check.gateway(settings)
 	check.oneOf("log_level", settings.LogLevel, "debug", "info", "warn", "error")
 	check.oneOf("tracing.exporter", settings.Tracing.Exporter, ExportNone, ExportStdout, ExportOTLP)
 	if settings.Tracing.Exporter == ExportOTLP {
@@ -142,6 +167,29 @@
 	}
 }
 
+func (check *check) gateway(settings *Settings) {
+	gateway := settings.Gateway
+	if gateway == nil {
+		return
+	}
+	if !settings.Entry {
+		check.add("gateway", "only an entry serves HTTP routes", "set entry to true, or leave gateway out")
+	}
+	check.address("gateway.address", gateway.Address)
+	if !(gateway.RetryRatio >= 0 && gateway.RetryRatio <= 1) {
+		check.add("gateway.retry_ratio", "the share is out of range", "use 0 to 1")
+	}
+	if !(gateway.RetrySlack >= 0 && gateway.RetrySlack <= maximumRetrySlack) {
+		check.add("gateway.retry_slack", "the number is out of range", fmt.Sprintf("use 0 to %d", maximumRetrySlack))
+	}
+	if gateway.RetryWindow.Std() < time.Second || gateway.RetryWindow.Std() > time.Hour {
+		check.add("gateway.retry_window", "the span is out of range", "use 1s to 1h")
+	}
+	if gateway.StopSpan.Std() < time.Second || gateway.StopSpan.Std() > time.Hour {
+		check.add("gateway.stop_span", "the span is out of range", "use 1s to 1h")
+	}
+}
+
 func (check *check) oneOf(path, value string, allowed ...string) {
 	if value == "" || slices.Contains(allowed, value) {
 		return
--- a/pkg/operator/change.go
+++ b/pkg/operator/change.go
@@ -20,6 +20,21 @@
 		AllowAllOut bool `json:"allow_all_out,omitempty" msgpack:"o"`
 		// DryRun asks for the check alone; nothing is changed.
 		DryRun bool `json:"dry_run,omitempty" msgpack:"d,omitempty"`
+		// Declared is the operator's own version number. Where it is set, Base
+		// and the domains that are out aren't looked at: the tables replace
+		// those of any lower number, and a number that isn't higher is
+		// acknowledged and changes nothing.
+		Declared uint64 `json:"declared,omitempty" msgpack:"n,omitempty"`
+		// Source is the document from which a declared version was made. It is
+		// kept as it is.
+		Source []byte `json:"source,omitempty" msgpack:"s,omitempty"`
+	}
+
+	// DomainOrder takes one failure domain out, or takes it in again. The
+	// rest of the tables stays as it is.
+	DomainOrder struct {
+		FailureDomain string `json:"failure_domain" msgpack:"f"`
+		Out           bool   `json:"out" msgpack:"o"`
 	}
 
 	// Accepted is the reply to an accepted change, and to its resends.
@@ -36,6 +51,9 @@
 		Version  uint64 `json:"version"`
 		ChangeID string `json:"change_id"`
 		Tables   Tables `json:"tables"`
+		// Declared and Source are those of the newest change that had them.
+		Declared uint64 `json:"declared,omitempty"`
+		Source   []byte `json:"source,omitempty"`
 	}
 
 	// Status describes the system for operators.
--- a/pkg/operator/check.go
+++ b/pkg/operator/check.go
@@ -43,10 +43,12 @@
 	for index := range tables.Pools {
 		check.pool(index, &tables.Pools[index], pools)
 	}
-	kinds := map[string]bool{}
+	kinds, places := map[string]bool{}, map[string]bool{}
 	for index := range tables.Routes {
 		check.route(index, &tables.Routes[index], kinds, pools)
+		check.httpRoute(index, &tables.Routes[index], places, pools)
 	}
+	check.httpLimits(tables.HTTPLimits)
 	out := map[string]bool{}
 	for index, failureDomain := range tables.FailureDomainsOut {
 		check.name(fmt.Sprintf("failure_domains_out[%d]", index), failureDomain, out)
@@ -93,7 +95,7 @@
 func (tableCheck *tableCheck) route(index int, route *Route, kinds, pools map[string]bool) {
 	path := fmt.Sprintf("routes[%d]", index)
 	tableCheck.name(path+".kind", route.Kind, kinds)
-	if !pools[route.Pool] {
+	if route.HTTP == nil && !pools[route.Pool] {
 		tableCheck.add(path+".pool", fmt.Sprintf("pool %q is unknown", route.Pool), "name a pool of the table of pools")
 	}
 }
@@ -101,6 +103,13 @@
 func (tableCheck *tableCheck) pool(index int, pool *Pool, pools map[string]bool) {
 	path := fmt.Sprintf("pools[%d]", index)
 	tableCheck.name(path+".name", pool.Name, pools)
+	if pool.HTTP != nil {
+		tableCheck.between(path+".connections", pool.Connections, 1, MaximumConnections)
+		if !(pool.HTTP.ColdRunsPerSecond >= 0 && pool.HTTP.ColdRunsPerSecond <= MaximumRunsPerSecond) {
+			tableCheck.add(path+".http.cold_runs_per_second", "the rate is out of range", fmt.Sprintf("use 0 to %d", MaximumRunsPerSecond))
+		}
+		return
+	}
 	tableCheck.between(path+".slots", pool.Slots, 1, MaximumSlots)
 	tableCheck.between(path+".connections", pool.Connections, 1, MaximumConnections)
 	tableCheck.between(path+".hedge_percent", pool.HedgePercent, 0, MaximumPercent)
