Keep a connection to each target open, and tell slow targets from paused ones

Cause: a hedge went to another region over a connection that had to be opened first (two round trips of 24 ms and 6 ms to accept), so it came too late. One pause of 150 ms inflated a target's deviation, which delayed hedges further.

--- a/internal/httpcaller/ask.go
+++ b/internal/httpcaller/ask.go
@@ -5,7 +5,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -47,6 +50,19 @@
 		sent, arrived, run int
 		inFlight           int
 		outcomes           chan attempted
+
+		lock sync.Mutex
+		// sends lists the attempts for the log.
+		sends []send
+	}
+
+	// send is one attempt: to whom, when after the request came, and what was
+	// expected of the target then.
+	send struct {
+		target   string
+		after    time.Duration
+		expected time.Duration
+		why      string
 	}
 
 	attempted struct {
@@ -110,7 +126,7 @@
 	return policy.Candidate{
 		RoundTrip: server.roundTrip(target.FailureDomain()), Slots: condition.Slots, Cold: condition.Cold, Suspect: condition.Suspect,
 		Measured: condition.Known, Latency: condition.Latency, Usual: condition.Usual, Forgotten: httptarget.Forgotten(condition.Age),
-		Running: condition.Running, Oldest: condition.Oldest,
+		Running: condition.Running, Oldest: condition.Oldest, Connected: condition.Connected,
 	}
 }
 
@@ -214,6 +230,22 @@
 	return policy.HedgeDelay(first, second, time.Until(ask.useful))
 }
 
+// rank puts the targets that were not tried yet in order anew.
+func (ask *ask) rank() {
+	now := time.Now()
+	untried := ask.order[ask.next:]
+	candidates := make([]policy.Candidate, len(untried))
+	for position, index := range untried {
+		ask.candidates[index] = ask.call.server.candidate(ask.targets[index], now)
+		candidates[position] = ask.candidates[index]
+	}
+	ranked := make([]int, len(untried))
+	for position, chosen := range policy.Rank(candidates, draw(len(candidates))) {
+		ranked[position] = untried[chosen]
+	}
+	copy(untried, ranked)
+}
+
 // maySend reports whether the route allows another attempt.
 func (ask *ask) maySend() bool {
 	allowed := max(1, ask.call.route.HTTP.MaxAttempts)
@@ -237,8 +269,14 @@
 	if ask.next >= len(ask.order) {
 		return false
 	}
+	if ask.next > 0 {
+		ask.rank()
+	}
 	server := ask.call.server
 	target := ask.targets[ask.order[ask.next]]
+	ask.lock.Lock()
+	ask.sends = append(ask.sends, send{target: target.ID(), after: time.Since(ask.call.begun), expected: ask.candidates[ask.order[ask.next]].Expect(), why: why})
+	ask.lock.Unlock()
 	ask.next++
 	ask.sent++
 	ask.arrived++
@@ -255,3 +293,15 @@
 	}()
 	return true
 }
+
+// String describes the attempts for the log.
+func (ask *ask) String() string {
+	ask.lock.Lock()
+	defer ask.lock.Unlock()
+	var text strings.Builder
+	text.WriteString(ask.pool)
+	for _, send := range ask.sends {
+		fmt.Fprintf(&text, " %s:%s@%s~%s", send.why, send.target, send.after.Round(time.Millisecond), send.expected.Round(time.Millisecond))
+	}
+	return text.String()
+}
--- a/internal/httpcaller/gather.go
+++ b/internal/httpcaller/gather.go
@@ -19,6 +19,8 @@
 		call    *call
 		shards  []string
 		answers chan answer
+		// open are the questions without an answer yet, by shard.
+		open    map[string]*ask
 		parts   [][]byte
 		proofs  []string
 		failed  int
@@ -32,7 +34,7 @@
 // that the policy chooses.
 func (call *call) gather(writer http.ResponseWriter) {
 	gather := call.route.HTTP.Gather
-	query := &query{call: call, shards: gather.Pools, answers: make(chan answer, len(gather.Pools))}
+	query := &query{call: call, shards: gather.Pools, answers: make(chan answer, len(gather.Pools)), open: map[string]*ask{}}
 	state := &policy.Gathering{
 		TargetLatency: call.route.HTTP.TargetLatency.Std(), Limit: call.limit, Shards: len(gather.Pools), MinimumCoverage: gather.MinimumCoverage,
 	}
@@ -80,6 +82,7 @@
 		return reason
 	}
 	for _, ask := range asks {
+		query.open[ask.pool] = ask
 		go func() { query.answers <- ask.answer(ctx) }()
 	}
 	return 0
@@ -119,6 +122,7 @@
 		query.ran = query.ran || answer.ran || answered != nil
 		return
 	}
+	delete(query.open, answer.pool)
 	query.parts = append(query.parts, answered.Body)
 	query.proofs = append(query.proofs, answered.Proof)
 	query.ran = true
--- a/internal/httpcaller/journal.go
+++ b/internal/httpcaller/journal.go
@@ -69,7 +69,11 @@
 		level = zap.InfoLevel
 	}
 	if entry := journal.logger.Check(level, "query answered"); entry != nil {
-		entry.Write(journal.fields(call, zap.Int("shards", len(query.shards)), zap.Int("parts", len(query.parts)), zap.Int("failed", query.failed),
+		missing := make([]string, 0, len(query.open))
+		for _, ask := range query.open {
+			missing = append(missing, ask.String())
+		}
+		entry.Write(journal.fields(call, zap.Strings("missing", missing), zap.Int("shards", len(query.shards)), zap.Int("parts", len(query.parts)), zap.Int("failed", query.failed),
 			zap.Int("hedges", query.hedges), zap.Int("retries", query.retries))...)
 	}
 }
--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -228,6 +228,24 @@
 	return newConnection(opened), nil
 }
 
+// Connect opens a connection to wait for use, where none waits that stays open
+// for a margin.
+func (sender *Sender) Connect(ctx context.Context, target *Target, limit int, margin time.Duration) {
+	now := time.Now()
+	if target.connections.expire(now, margin) > 0 || target.connections.busy() || !target.connections.reserve(limit) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	opened, err := sender.dial(ctx, "tcp", target.Address())
+	if err != nil {
+		target.connections.release()
+		target.unreachable(now, time.Now())
+		return
+	}
+	target.connections.keep(newConnection(opened), time.Now())
+}
+
 func earlier(first, second time.Time) time.Time {
 	if first.Before(second) {
 		return first
@@ -254,7 +272,7 @@
 		}()
 	} else {
 		close(exchange.written)
-		if written, err := connection.Write(message); err != nil && written == 0 && !connection.used {
+		if written, err := connection.Write(message); err != nil && written == 0 {
 			return &Refused{Reason: Unreachable, Cause: err}, false
 		}
 	}
--- a/internal/httptarget/connection.go
+++ b/internal/httptarget/connection.go
@@ -33,7 +33,6 @@
 		reader   *bufio.Reader
 		idleSpan time.Duration
 		idleFrom time.Time
-		used     bool
 	}
 
 	// idleConnections holds the connections that wait for use, the one used
@@ -69,6 +68,40 @@
 	}
 }
 
+// waiting returns the number of connections that wait for use.
+func (connections *idleConnections) waiting() int {
+	connections.lock.Lock()
+	defer connections.lock.Unlock()
+	return len(connections.idle)
+}
+
+// busy reports whether a connection is open that isn't waiting.
+func (connections *idleConnections) busy() bool {
+	connections.lock.Lock()
+	defer connections.lock.Unlock()
+	return connections.open > len(connections.idle)
+}
+
+// expire ends waiting connections that have broken or that the target closes
+// within a margin, and returns the number left.
+func (connections *idleConnections) expire(now time.Time, margin time.Duration) int {
+	connections.lock.Lock()
+	var kept, expired []*connection
+	for _, waiting := range connections.idle {
+		if now.Sub(waiting.idleFrom)+margin < waiting.idleSpan && waiting.sound() {
+			kept = append(kept, waiting)
+		} else {
+			expired = append(expired, waiting)
+		}
+	}
+	connections.idle = kept
+	connections.lock.Unlock()
+	for _, old := range expired {
+		connections.end(old)
+	}
+	return len(kept)
+}
+
 // reserve counts a connection that is about to be opened, or returns false where
 // as many are open as may be.
 func (connections *idleConnections) reserve(limit int) bool {
@@ -90,7 +123,7 @@
 
 // keep lets a connection wait for use, and ends those that have waited too long.
 func (connections *idleConnections) keep(kept *connection, now time.Time) {
-	kept.idleFrom, kept.used = now, true
+	kept.idleFrom = now
 	connections.lock.Lock()
 	if connections.closed {
 		connections.lock.Unlock()
--- a/internal/httptarget/target.go
+++ b/internal/httptarget/target.go
@@ -18,6 +18,14 @@
 	// deviationRoom is how many deviations above the smoothed latency an answer
 	// still counts as usual, as in RFC 6298.
 	deviationRoom = 4
+	// outlierFactor and outlierRoom bound how far one sample counts: a target that
+	// pauses for a moment is as fast as before afterwards, and one that has
+	// turned slow shows it by many samples.
+	outlierFactor = 2
+	outlierRoom   = 4 * time.Millisecond
+	// pauseSpan is how far apart two attempts in a row begin that were both late
+	// through one pause of the target; further apart they show that it is slow.
+	pauseSpan = 200 * time.Millisecond
 	// forgetSpan is the time after which half of what was measured is forgotten,
 	// so that a target that was slow is tried again.
 	forgetSpan = 3 * time.Second
@@ -43,6 +51,9 @@
 		latency    time.Duration
 		deviation  time.Duration
 		measuredAt time.Time
+		// lateSince is when the first of the latest attempts began that were all
+		// late; zero after one that wasn't.
+		lateSince time.Time
 		// running holds the beginnings of the attempts in progress.
 		running      []time.Time
 		failures     int
@@ -68,6 +79,8 @@
 		// since the first of them began.
 		Running int
 		Oldest  time.Duration
+		// Connected states that an open connection waits for use.
+		Connected bool
 	}
 )
 
@@ -91,7 +104,7 @@
 	condition := Condition{
 		Slots: target.record.Slots, Cold: now.Before(target.coldUntil), Suspect: now.Before(target.suspectUntil),
 		Known: !target.measuredAt.IsZero(), Latency: target.latency, Usual: target.latency + deviationRoom*target.deviation,
-		Running: len(target.running),
+		Running: len(target.running), Connected: target.connections.waiting() > 0,
 	}
 	if condition.Known {
 		condition.Age = now.Sub(target.measuredAt)
@@ -132,18 +145,29 @@
 	defer target.lock.Unlock()
 	target.finish(begun)
 	target.failures, target.suspectUntil = 0, time.Time{}
-	target.measure(now.Sub(begun), now)
+	target.measure(begun, now)
 }
 
-func (target *Target) measure(sample time.Duration, now time.Time) {
-	if target.measuredAt.IsZero() {
+// measure takes the time of an attempt into the estimates.
+func (target *Target) measure(begun, now time.Time) {
+	sample, usual := now.Sub(begun), outlierFactor*target.latency+outlierRoom
+	late := sample > usual
+	switch {
+	case target.measuredAt.IsZero():
 		target.latency, target.deviation = sample, sample/2
-	} else {
-		difference := sample - target.latency
+	case late && !target.lateSince.IsZero() && begun.Sub(target.lateSince) > pauseSpan:
+		target.latency, target.deviation = sample, sample/4
+	default:
+		difference := min(sample, usual) - target.latency
 		target.deviation += (difference.Abs() - target.deviation) / deviationWeight
 		target.latency += difference / latencyWeight
 	}
 	target.measuredAt = now
+	if !late {
+		target.lateSince = time.Time{}
+	} else if target.lateSince.IsZero() {
+		target.lateSince = begun
+	}
 }
 
 // failed ends an attempt that met a fault of the target or of the way to it.
@@ -156,6 +180,12 @@
 	target.suspectUntil = now.Add(span)
 }
 
+// unreachable takes a connection that couldn't be opened for later use.
+func (target *Target) unreachable(begun, now time.Time) {
+	target.begin(begun)
+	target.failed(begun, now)
+}
+
 // shed ends an attempt that the target turned away without running it.
 func (target *Target) shed(begun time.Time) {
 	target.lock.Lock()
@@ -170,7 +200,7 @@
 	defer target.lock.Unlock()
 	target.finish(begun)
 	if waited := now.Sub(begun); target.measuredAt.IsZero() || waited > target.latency {
-		target.measure(waited, now)
+		target.measure(begun, now)
 	}
 }
 
--- a/internal/policy/choose.go
+++ b/internal/policy/choose.go
@@ -22,6 +22,9 @@
 	// target is slower.
 	suspectPenalty = 5 * time.Second
 	coldPenalty    = 60 * time.Millisecond
+	// connectRoom is what a target takes to accept a connection, besides the round
+	// trip.
+	connectRoom = 6 * time.Millisecond
 	// leastHedgeDelay bounds how soon a second target is asked.
 	leastHedgeDelay = 8 * time.Millisecond
 )
@@ -46,6 +49,8 @@
 		// target, and Oldest the age of the first.
 		Running int
 		Oldest  time.Duration
+		// Connected states that an open connection to the target waits for use.
+		Connected bool
 	}
 )
 
@@ -61,6 +66,9 @@
 		run := max(0, expected-candidate.RoundTrip)
 		expected += run * time.Duration(queued) / time.Duration(max(1, candidate.Slots))
 	}
+	if !candidate.Connected {
+		expected += candidate.RoundTrip + connectRoom
+	}
 	if candidate.Cold {
 		expected += coldPenalty
 	}
@@ -111,7 +119,7 @@
 // one needs to answer within the time that is left.
 func HedgeDelay(first, second *Candidate, left time.Duration) time.Duration {
 	overdue := max(leastHedgeDelay, first.usual(first.Usual))
-	last := left - second.Expect()
+	last := left - max(second.Expect(), second.usual(second.Usual))
 	if last < leastHedgeDelay {
 		// Too late for the second one to be of full use: only a first one that
 		// is far overdue is worth it.
--- a/internal/policy/gather.go
+++ b/internal/policy/gather.go
@@ -12,7 +12,7 @@
 	// ReturnMargin is the time that an answer takes from the decision to the
 	// caller: the merge, the way to the caller, and the caller's own way here,
 	// which this side doesn't see.
-	ReturnMargin = 16 * time.Millisecond
+	ReturnMargin = 21 * time.Millisecond
 	// finalMargin is how long before the last moment a final answer is sent.
 	finalMargin = 25 * time.Millisecond
 )
--- a/internal/policy/routes.go
+++ b/internal/policy/routes.go
@@ -4,6 +4,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
@@ -15,6 +16,8 @@
 		// byHost holds the routes of each host by prefix.
 		byHost map[string]map[string]*operator.Route
 		pools  map[string]*operator.Pool
+		// used lists the pools that routes name.
+		used []string
 	}
 )
 
@@ -31,13 +34,34 @@
 			routes.byHost[host] = map[string]*operator.Route{}
 		}
 		routes.byHost[host][route.HTTP.PathPrefix] = route
+		routes.use(route)
 	}
+	slices.Sort(routes.used)
+	routes.used = slices.Compact(routes.used)
 	for index := range tables.Pools {
 		routes.pools[tables.Pools[index].Name] = &tables.Pools[index]
 	}
 	return routes
 }
 
+func (routes *Routes) use(route *operator.Route) {
+	switch {
+	case route.HTTP.Gather != nil:
+		routes.used = append(routes.used, route.HTTP.Gather.Pools...)
+	case len(route.HTTP.Split) > 0:
+		for _, part := range route.HTTP.Split {
+			routes.used = append(routes.used, part.Pool)
+		}
+	default:
+		routes.used = append(routes.used, route.Pool)
+	}
+}
+
+// Used returns the names of the pools that HTTP routes name, in order.
+func (routes *Routes) Used() []string {
+	return routes.used
+}
+
 // Match returns the route of a host, with or without a port, and a path: the one
 // with the longest prefix.
 func (routes *Routes) Match(host, path string) (*operator.Route, bool) {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -59,7 +59,7 @@
 	}
 	return fx.Module("gateway",
 		fx.Provide(dialect.Default, httptarget.NewDirectory, newSender, newGateway, newGatewayServer),
-		fx.Invoke(runWatcher, startGateway),
+		fx.Invoke(runWatcher, runWarmer, startGateway),
 	)
 }
 
@@ -87,6 +87,11 @@
 	lifecycle.Append(fx.StartStopHook(func() { go watcher.Run(ctx) }, cancel))
 }
 
+func runWarmer(gateway *httpcaller.Server, lifecycle fx.Lifecycle) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lifecycle.Append(fx.StartStopHook(func() { go gateway.KeepConnected(ctx) }, cancel))
+}
+
 func startGateway(listeners *Listeners, server *gatewayServer, logger *zap.Logger, lifecycle fx.Lifecycle) {
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
