--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"path/filepath"
 
 	"go.uber.org/fx"
 	"go.uber.org/zap"
@@ -16,6 +17,11 @@
 	"gitlab.com/comfreythread/comfreythread/internal/settings"
 )
 
+const (
+	// registryFolder is where, in the data folder, the announced targets are.
+	registryFolder = "registry"
+)
+
 func controlModule(settings *settings.Settings) fx.Option {
 	if settings.Control == nil {
 		return fx.Options()
@@ -55,10 +61,15 @@
 	return httptarget.NewRegistry(rand.Uint64(), logger)
 }
 
-func runRegistry(registry *httptarget.Registry, server *frame.Server, lifecycle fx.Lifecycle) {
+func runRegistry(settings *settings.Settings, network Network, registry *httptarget.Registry, server *frame.Server, lifecycle fx.Lifecycle) {
 	registry.Register(server)
+	store := httptarget.NewStore(filepath.Join(settings.Control.DataFolder, registryFolder), network.FileSystem)
 	ctx, cancel := context.WithCancel(context.Background())
-	lifecycle.Append(fx.StartStopHook(func() { go registry.Run(ctx) }, cancel))
+	lifecycle.Append(fx.StartStopHook(func() {
+		registry.Load(store)
+		go registry.Run(ctx)
+		go registry.Save(ctx, store)
+	}, cancel))
 }
 
 func registerControl(service *control.Service, replica *replica.Replica, server *frame.Server) {
--- a/internal/replica/answer.go
+++ b/internal/replica/answer.go
@@ -2,6 +2,12 @@
 
 package replica
 
+import (
+	"slices"
+
+	"go.uber.org/zap"
+)
+
 type (
 	// confirmation is a Confirm that waits.
 	confirmation struct {
@@ -87,5 +93,27 @@
 	for _, member := range core.members() {
 		published.status.Replicas = append(published.status.Replicas, core.statusOf(member))
 	}
-	driver.replica.view.Store(published)
+	former := driver.replica.view.Swap(published)
+	driver.report(&former.status, &published.status)
+}
+
+// report logs what this replica believes of the group where that has changed.
+func (driver *driver) report(former, present *Status) {
+	if former.ID == present.ID && former.Term == present.Term && former.LeaderID == present.LeaderID && slices.EqualFunc(former.Replicas, present.Replicas, sameMember) {
+		return
+	}
+	members := make([]string, 0, len(present.Replicas))
+	for _, member := range present.Replicas {
+		text := member.ID
+		if !member.Voter {
+			text += " (learner)"
+		}
+		members = append(members, text)
+	}
+	driver.replica.options.Logger.Info("group", zap.String("replica", present.ID), zap.Uint64("term", present.Term), zap.String("leader", present.LeaderID),
+		zap.Bool("leading", present.Leading), zap.Uint64("applied", present.Applied), zap.Strings("members", members))
+}
+
+func sameMember(former, present MemberStatus) bool {
+	return former.ID == present.ID && former.Address == present.Address && former.Voter == present.Voter
 }
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -118,6 +118,9 @@
 		// acknowledged.
 		proved   bool
 		provedBy map[string]bool
+		// leaderless are the replicas that have said since the start that they
+		// follow nobody.
+		leaderless map[string]bool
 
 		log         entryLog
 		snapshot    snapshot
@@ -172,6 +175,7 @@
 	core.started = now
 	core.newcomers = map[string]newcomer{}
 	core.provedBy = map[string]bool{}
+	core.leaderless = map[string]bool{}
 	core.commit = max(core.commit, core.snapshot.Index)
 	core.applied = core.snapshot.Index
 	core.durable = core.log.last()
@@ -258,7 +262,7 @@
 	case register:
 		core.receiveRegister(parcel, &message)
 	case registered:
-		core.receiveRegistered(parcel, &message)
+		core.receiveRegistered(now, parcel, &message)
 	case outdated:
 		core.out.reset = core.out.reset || message.Term >= core.Term
 	default:
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -12,10 +12,18 @@
 
 const (
 	helloInterval = 200 * time.Millisecond
+	// proofInterval is the span between two questions whether this disk is the
+	// newest: about two round trips between regions. A replica serves nothing
+	// before.
+	proofInterval = 50 * time.Millisecond
 	// markInterval is the span between two marks of a running replica.
 	markInterval = 10 * time.Second
 	// newcomerSpan is how long a hello is remembered.
 	newcomerSpan = 2 * time.Second
+	// restartPatienceShare is by how much sooner replicas stand for election that
+	// know, after a restart, that there is no leader: within a few round trips
+	// between regions, spread so that seldom two stand at once.
+	restartPatienceShare = 4
 )
 
 func (core *core) isMember(id string) bool {
@@ -113,7 +121,7 @@
 	if now.Before(core.helloDue) {
 		return
 	}
-	core.helloDue = now.Add(helloInterval)
+	core.helloDue = now.Add(proofInterval)
 	core.sendMark()
 }
 
@@ -140,7 +148,7 @@
 
 func (core *core) receiveRegister(request *parcel, asked *register) {
 	known := core.Marks[request.from]
-	reply := registered{Mark: asked.Mark, Outdated: known.Number > asked.Mark.Number || known.Number == asked.Mark.Number && known != asked.Mark}
+	reply := registered{Mark: asked.Mark, Leaderless: core.formed() && core.role != roleLeader && core.leader == "", Outdated: known.Number > asked.Mark.Number || known.Number == asked.Mark.Number && known != asked.Mark}
 	if known.Number < asked.Mark.Number {
 		if core.Marks == nil {
 			core.Marks = map[string]mark{}
@@ -151,7 +159,7 @@
 	core.sendDurable(request.from, request.fromAddress, reply)
 }
 
-func (core *core) receiveRegistered(reply *parcel, answer *registered) {
+func (core *core) receiveRegistered(now time.Time, reply *parcel, answer *registered) {
 	if answer.Mark != core.Mark {
 		return
 	}
@@ -160,6 +168,23 @@
 		return
 	}
 	core.provedBy[reply.from] = true
+	if answer.Leaderless {
+		core.leaderless[reply.from] = true
+		core.releasePromise(now)
+	}
+}
+
+// releasePromise ends the promise that a restart begins with, once a quorum has
+// said since that it follows nobody: the promise protects a leader that a quorum
+// hears, and there is none. So a group whose replicas all restarted doesn't wait
+// for a leader that is gone.
+func (core *core) releasePromise(now time.Time) {
+	leaderless := func(id string) bool { return id == core.id || core.leaderless[id] }
+	if core.leader != "" || core.role != roleFollower || !core.hasQuorum(leaderless) || now.After(core.promiseUntil) {
+		return
+	}
+	core.promiseUntil = now
+	core.electionDue = now.Add(core.patience() / restartPatienceShare)
 }
 
 // canChange reports whether a change of members may be added: the last one
--- a/internal/replica/message.go
+++ b/internal/replica/message.go
@@ -36,6 +36,8 @@
 		// Outdated states that a later mark is on record, or another one of
 		// the same number.
 		Outdated bool `msgpack:"o"`
+		// Leaderless states that the sender neither leads nor follows.
+		Leaderless bool `msgpack:"l,omitempty"`
 	}
 
 	// outdated tells a replica that it lacks entries that it once had.
