Name the callers one entry in their failure domain alone, and elect sooner after a restart of all

After all lost power replicas waited 600 ms for the answer of a lost disk, then stood at once and split the votes, and waited 600 to 1,200 ms more.

--- a/internal/httpcaller/addresses.go
+++ b/internal/httpcaller/addresses.go
@@ -9,8 +9,8 @@
 const (
 	// MaximumAddresses bounds the addresses that a caller is given.
 	MaximumAddresses = 64
-	// leastAddresses is how many a caller is given where there are as many, so
-	// that one that fails leaves it another.
+	// leastAddresses is how many of a region a caller is given where none stands
+	// in its failure domain.
 	leastAddresses = 2
 )
 
@@ -24,7 +24,7 @@
 		func(*membership.Member) bool { return true },
 	}
 	var addresses []string
-	for _, near := range nearest {
+	for step, near := range nearest {
 		addresses = addresses[:0]
 		for index := range members {
 			member := &members[index]
@@ -32,7 +32,9 @@
 				addresses = append(addresses, member.GatewayAddress)
 			}
 		}
-		if len(addresses) >= leastAddresses {
+		// One in the failure domain is better than several at the round trip to
+		// another region.
+		if len(addresses) >= leastAddresses || step == 0 && len(addresses) > 0 {
 			break
 		}
 	}
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -18,6 +18,10 @@
 	// a leader, so that none is unseated whom a quorum hears. It is the shortest
 	// time to an election. What is read rests on no clock.
 	promiseSpan = 600 * time.Millisecond
+	// retrySpan is the least time until a replica that found no quorum stands
+	// again: several round trips between regions. It unseats nobody by that,
+	// because those that hear a leader refuse.
+	retrySpan = 150 * time.Millisecond
 )
 
 const (
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -48,7 +48,7 @@
 // stand asks the voters whether they would vote for this replica. Only then
 // does it raise its term, so that a replica that was cut off disturbs nobody.
 func (core *core) stand(now time.Time) {
-	core.electionDue = now.Add(promiseSpan + core.patience())
+	core.electionDue = now.Add(retrySpan + core.patience())
 	if !core.isVoter(core.id) {
 		return
 	}
@@ -60,7 +60,7 @@
 
 // campaign asks the voters for their votes in a new term.
 func (core *core) campaign(now time.Time, handOver bool) {
-	core.electionDue = now.Add(promiseSpan + core.patience())
+	core.electionDue = now.Add(retrySpan + core.patience())
 	core.role, core.leader, core.leaderPlace = roleCandidate, "", ""
 	core.Term, core.Vote = core.Term+1, core.id
 	core.recordHard()
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -20,10 +20,14 @@
 	markInterval = 10 * time.Second
 	// newcomerSpan is how long a hello is remembered.
 	newcomerSpan = 2 * time.Second
-	// restartPatienceShare is by how much sooner replicas stand for election that
-	// know, after a restart, that there is no leader: within a few round trips
-	// between regions, spread so that seldom two stand at once.
-	restartPatienceShare = 4
+	// proofSpan is how long after a restart the answers of all voters are waited
+	// for: processes that start together do so within that time. Then a quorum
+	// must do.
+	proofSpan = 300 * time.Millisecond
+	// rankInterval is the span between two replicas that stand for election after
+	// a restart of all: a vote's round trip between regions, its sync and some
+	// room, so that seldom two stand at once.
+	rankInterval = 60 * time.Millisecond
 )
 
 func (core *core) isMember(id string) bool {
@@ -109,12 +113,12 @@
 }
 
 // seekProof asks the others whether they know of a later mark of this replica
-// than the present one. It waits for all of them as long as its promise lasts
-// anyhow; then a quorum must do, for the others may be lost.
+// than the present one. It waits for all of them for a while; then a quorum must
+// do, for the others may be lost.
 func (core *core) seekProof(now time.Time) {
 	core.provedBy[core.id] = true
 	answered := func(id string) bool { return core.provedBy[id] }
-	if core.hasQuorum(answered) && (core.allVoters(answered) || !now.Before(core.started.Add(promiseSpan))) {
+	if core.hasQuorum(answered) && (core.allVoters(answered) || !now.Before(core.started.Add(proofSpan))) {
 		core.proved = true
 		return
 	}
@@ -184,7 +188,7 @@
 		return
 	}
 	core.promiseUntil = now
-	core.electionDue = now.Add(core.patience() / restartPatienceShare)
+	core.electionDue = now.Add(time.Duration(slices.Index(core.voters(), core.id)) * rankInterval)
 }
 
 // canChange reports whether a change of members may be added: the last one
