--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -125,6 +125,8 @@
 		// leaderless are the replicas that have said since the start that they
 		// follow nobody.
 		leaderless map[string]bool
+		// released states that the promise of the start was ended early.
+		released bool
 
 		log         entryLog
 		snapshot    snapshot
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -120,6 +120,7 @@
 	answered := func(id string) bool { return core.provedBy[id] }
 	if core.hasQuorum(answered) && (core.allVoters(answered) || !now.Before(core.started.Add(proofSpan))) {
 		core.proved = true
+		core.standInTurn(now)
 		return
 	}
 	if now.Before(core.helloDue) {
@@ -184,11 +185,20 @@
 // for a leader that is gone.
 func (core *core) releasePromise(now time.Time) {
 	leaderless := func(id string) bool { return id == core.id || core.leaderless[id] }
-	if core.leader != "" || core.role != roleFollower || !core.hasQuorum(leaderless) || now.After(core.promiseUntil) {
+	if core.leader != "" || core.role != roleFollower || !core.hasQuorum(leaderless) || core.released || now.After(core.promiseUntil) {
 		return
 	}
-	core.promiseUntil = now
-	core.electionDue = now.Add(time.Duration(slices.Index(core.voters(), core.id)) * rankInterval)
+	core.promiseUntil, core.released = now, true
+	core.standInTurn(now)
+}
+
+// standInTurn lets the replicas stand one after the other where all know that
+// there is no leader. Replicas that wait for the same lost one are proved at the
+// same time.
+func (core *core) standInTurn(now time.Time) {
+	if core.released && core.proved && core.role == roleFollower && core.leader == "" {
+		core.electionDue = now.Add(time.Duration(slices.Index(core.voters(), core.id)) * rankInterval)
+	}
 }
 
 // canChange reports whether a change of members may be added: the last one
