--- /dev/null
+++ b/internal/control/declared_test.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"testing"
+
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+)
+
+func declare(number uint64, source string) changeTables {
+	return changeTables{Change: operator.Change{ID: source, Declared: number, Source: []byte(source), Tables: operator.Tables{
+		Pools: []operator.Pool{{Name: source, Connections: 5, HTTP: &operator.HTTPPool{}}},
+	}}}
+}
+
+// TestHighestDeclaredVersionWins holds that declared versions may come in any
+// order and more than once, and that what is read is the highest, as it was sent.
+func TestHighestDeclaredVersionWins(t *testing.T) {
+	state := &State{}
+	for _, row := range []struct {
+		number   uint64
+		source   string
+		expected string
+	}{
+		{7, "seven", "seven"}, {7, "another seven", "seven"}, {3, "three", "seven"}, {7, "seven", "seven"}, {12, "twelve", "twelve"}, {8, "eight", "twelve"},
+	} {
+		before := state.Newest().Version
+		state.Apply(0, encode(t, []command{declare(row.number, row.source)}))
+		newest := state.Newest()
+		if string(newest.Source) != row.expected || newest.Tables.Pools[0].Name != row.expected {
+			t.Errorf("after version %d %q the newest is %q", row.number, row.source, newest.Source)
+		}
+		if changed := newest.Version != before; changed != (row.expected == row.source && (row.source != "seven" || before == 0)) {
+			t.Errorf("version %d %q changes something: %t", row.number, row.source, changed)
+		}
+	}
+}
+
+// TestDomainOrdersOutlastDeclaredVersions holds that an order lasts until it is
+// taken back, whatever tables come between, and that repeating it changes nothing.
+func TestDomainOrdersOutlastDeclaredVersions(t *testing.T) {
+	state := &State{}
+	apply := func(commands ...command) { state.Apply(0, encode(t, commands)) }
+	out := func(expected bool) {
+		t.Helper()
+		newest := state.Newest()
+		if newest.Tables.Out("nord") != expected {
+			t.Errorf("nord is out: %t, expected %t", !expected, expected)
+		}
+		if string(newest.Source) == "" {
+			t.Error("the source is lost")
+		}
+	}
+	apply(declare(1, "one"), orderDomain{Order: operator.DomainOrder{FailureDomain: "nord", Out: true}})
+	out(true)
+	version := state.Newest().Version
+	apply(orderDomain{Order: operator.DomainOrder{FailureDomain: "nord", Out: true}})
+	if state.Newest().Version != version {
+		t.Error("a repeated order makes a version")
+	}
+	apply(declare(2, "two"))
+	out(true)
+	snapshot, err := state.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	state = &State{}
+	if err := state.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	out(true)
+	apply(orderDomain{Order: operator.DomainOrder{FailureDomain: "nord"}}, declare(3, "three"))
+	out(false)
+}
--- /dev/null
+++ b/internal/httpcaller/suite_test.go
@@ -0,0 +1,141 @@
+package httpcaller_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
+	"gitlab.com/comfreythread/comfreythread/internal/dialect"
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/internal/httpcaller"
+	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
+	"gitlab.com/comfreythread/comfreythread/internal/metrics"
+	"gitlab.com/comfreythread/comfreythread/internal/policy"
+	"gitlab.com/comfreythread/comfreythread/pkg/duration"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+)
+
+const (
+	// roomySpan is longer than any of these specs waits for something.
+	roomySpan = 20 * time.Second
+)
+
+type (
+	// gateway is an entry's server for HTTP routes with stand-ins for targets.
+	gateway struct {
+		board    blackboard.Board
+		registry *httptarget.Registry
+		server   *httpcaller.Server
+		address  string
+		targets  int
+	}
+
+	// standInTarget answers by a function and counts what it ran.
+	standInTarget struct {
+		*httptest.Server
+		runs atomic.Int64
+	}
+)
+
+func TestHTTPCaller(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "httpcaller")
+}
+
+func newGateway() *gateway {
+	gateway := &gateway{registry: httptarget.NewRegistry(1, zap.NewNop())}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	peers := new(frame.Server)
+	gateway.registry.Register(peers)
+	go func() { _ = peers.Serve(listener) }()
+	directory := httptarget.NewDirectory(zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	watcher := httptarget.NewWatcher(directory, func() []string { return []string{listener.Addr().String()} }, nil, zap.NewNop())
+	go watcher.Run(ctx)
+	gateway.server = httpcaller.NewServer(httpcaller.Options{
+		FailureDomain: "nord-a", Region: "nord", Regions: map[string]string{"nord-a": "nord", "sud-a": "sud"}, Headers: dialect.Default(),
+		Budget: policy.BudgetLimits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+	}, &gateway.board, directory, httptarget.NewSender(dialect.Default(), nil), zap.NewNop(), metrics.New())
+	callers := httptest.NewServer(gateway.server)
+	gateway.address = callers.URL
+	ginkgo.DeferCleanup(func() {
+		callers.CloseClientConnections()
+		callers.Close()
+		cancel()
+		peers.Stop()
+	})
+	gomega.Eventually(directory.Heard).WithTimeout(roomySpan).Should(gomega.BeTrue())
+	return gateway
+}
+
+// add runs a stand-in for a target and waits until requests reach it.
+func (gateway *gateway) add(pool, domain string, answer http.HandlerFunc) *standInTarget {
+	gateway.targets++
+	target := new(standInTarget)
+	target.Server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		target.runs.Add(1)
+		writer.Header().Set(dialect.Default().RequestID, request.Header.Get(dialect.Default().RequestID))
+		answer(writer, request)
+	}))
+	ginkgo.DeferCleanup(func() {
+		target.CloseClientConnections()
+		target.Close()
+	})
+	gateway.registry.Announce(httptarget.Record{
+		ID: fmt.Sprint("target-", gateway.targets), Pool: pool, Address: target.Listener.Addr().String(), FailureDomain: domain,
+		Slots: 2, State: httptarget.StateReady, StartedAt: 1, Revision: 1,
+	})
+	return target
+}
+
+// part answers with a body and the proof that it came from a target.
+func part(proof, body string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set(dialect.Default().Proof, proof)
+		_, _ = io.WriteString(writer, body)
+	}
+}
+
+// apply puts tables in force.
+func (gateway *gateway) apply(version uint64, tables *operator.Tables) {
+	gomega.Expect(tables.Check()).To(gomega.Succeed())
+	gateway.board.InForce().Replace(version, tables)
+	gateway.board.InForce().Renew(time.Now().Add(time.Hour))
+}
+
+func pool(name string) operator.Pool {
+	return operator.Pool{Name: name, Connections: 25, HTTP: &operator.HTTPPool{}}
+}
+
+func route(name, prefix, pool string) operator.Route {
+	return operator.Route{Kind: name, Pool: pool, HTTP: &operator.HTTPRoute{
+		Host: "a.example", PathPrefix: prefix, Timeout: duration.Of(roomySpan), TargetLatency: duration.Of(roomySpan), MaxAttempts: 2,
+	}}
+}
+
+// ask sends a request and returns its answer with the body read.
+func (gateway *gateway) ask(method, path string, body io.Reader) (*http.Response, string) {
+	request, err := http.NewRequestWithContext(context.Background(), method, gateway.address+path, body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	request.Host = "a.example"
+	request.Header.Set(dialect.Default().RequestID, "q1")
+	request.Header.Set(dialect.Default().Deadline, "15000")
+	response, err := http.DefaultClient.Do(request)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	read, err := io.ReadAll(response.Body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return response, string(read)
+}
--- /dev/null
+++ b/internal/httptarget/attempt_test.go
@@ -0,0 +1,286 @@
+package httptarget
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/dialect"
+)
+
+const (
+	// roomySpan is longer than any answer of these specs takes.
+	roomySpan = 20 * time.Second
+)
+
+type (
+	// rawTarget answers each request by a function that writes bytes.
+	rawTarget struct {
+		listener net.Listener
+		opened   atomic.Int64
+	}
+)
+
+func newRawTarget(answer func(connection net.Conn, request *http.Request, body []byte) (keep bool)) *rawTarget {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	target := &rawTarget{listener: listener}
+	ginkgo.DeferCleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			target.opened.Add(1)
+			go func() {
+				defer func() { _ = connection.Close() }()
+				reader := bufio.NewReader(connection)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					body, _ := io.ReadAll(request.Body)
+					if !answer(connection, request, body) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return target
+}
+
+func (target *rawTarget) target() *Target {
+	record := Record{ID: "t", Pool: "pool", Address: target.listener.Addr().String(), FailureDomain: "nord", Slots: 2, State: StateReady}
+	return newTarget(&record)
+}
+
+func whole(request *http.Request, id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n%s: proof\r\n\r\n%s", len(body), dialect.Default().RequestID, id, dialect.Default().Proof, body)
+}
+
+func question(id string) *Request {
+	header := http.Header{}
+	header.Set(dialect.Default().RequestID, id)
+	return &Request{ID: id, Method: http.MethodGet, URI: "/a%2Fb/c?d=e%20f", Host: "a.example", Header: header}
+}
+
+var _ = ginkgo.Describe("an attempt", func() {
+	sender := NewSender(dialect.Default(), nil)
+	send := func(target *Target, request *Request) Outcome {
+		return sender.Send(context.Background(), target, request, time.Now().Add(roomySpan), 2)
+	}
+
+	ginkgo.It("passes method, path, query, body and headers on as they are, and names the target and the time left", func() {
+		var seen *http.Request
+		var seenBody []byte
+		raw := newRawTarget(func(connection net.Conn, request *http.Request, body []byte) bool {
+			seen, seenBody = request, body
+			_, _ = io.WriteString(connection, whole(request, "q1", "yes"))
+			return true
+		})
+		request := question("q1")
+		request.Method, request.Body = http.MethodPost, []byte("order")
+		request.Header.Set("X-Own", "1")
+		answered, isAnswered := send(raw.target(), request).(*Answered)
+		gomega.Expect(isAnswered).To(gomega.BeTrue())
+		gomega.Expect(string(answered.Body)).To(gomega.Equal("yes"))
+		gomega.Expect(answered.Proof).To(gomega.Equal("proof"))
+		gomega.Expect(seen.RequestURI).To(gomega.Equal("/a%2Fb/c?d=e%20f"))
+		gomega.Expect(seen.Host).To(gomega.Equal("a.example"))
+		gomega.Expect(string(seenBody)).To(gomega.Equal("order"))
+		gomega.Expect(seen.Header.Get("X-Own")).To(gomega.Equal("1"))
+		gomega.Expect(seen.Header.Get(dialect.Default().Target)).To(gomega.Equal("t"))
+		gomega.Expect(seen.Header.Get(dialect.Default().Deadline)).To(gomega.MatchRegexp(`^1?\d{4}$`))
+	})
+
+	ginkgo.It("uses a connection again", func() {
+		raw := newRawTarget(func(connection net.Conn, request *http.Request, _ []byte) bool {
+			_, _ = io.WriteString(connection, whole(request, request.Header.Get(dialect.Default().RequestID), "yes"))
+			return true
+		})
+		target := raw.target()
+		for number := range 5 {
+			gomega.Expect(send(target, question(fmt.Sprint("q", number)))).To(gomega.BeAssignableToTypeOf(&Answered{}))
+		}
+		gomega.Expect(raw.opened.Load()).To(gomega.Equal(int64(1)))
+	})
+
+	ginkgo.It("skips an answer to another request", func() {
+		raw := newRawTarget(func(connection net.Conn, request *http.Request, _ []byte) bool {
+			_, _ = io.WriteString(connection, whole(request, "earlier", "no")+whole(request, "q1", "yes"))
+			return true
+		})
+		answered, isAnswered := send(raw.target(), question("q1")).(*Answered)
+		gomega.Expect(isAnswered).To(gomega.BeTrue())
+		gomega.Expect(string(answered.Body)).To(gomega.Equal("yes"))
+	})
+
+	ginkgo.It("doesn't use a connection again that holds more than the answer", func() {
+		raw := newRawTarget(func(connection net.Conn, request *http.Request, _ []byte) bool {
+			id := request.Header.Get(dialect.Default().RequestID)
+			_, _ = io.WriteString(connection, whole(request, id, "yes")+whole(request, id, "twice"))
+			return true
+		})
+		target := raw.target()
+		for number := range 2 {
+			answered, isAnswered := send(target, question(fmt.Sprint("q", number))).(*Answered)
+			gomega.Expect(isAnswered).To(gomega.BeTrue())
+			gomega.Expect(string(answered.Body)).To(gomega.Equal("yes"))
+		}
+		gomega.Expect(raw.opened.Load()).To(gomega.Equal(int64(2)))
+	})
+
+	ginkgo.It("doesn't use a connection again on which bytes came while it waited", func() {
+		stray := make(chan struct{})
+		raw := newRawTarget(func(connection net.Conn, request *http.Request, _ []byte) bool {
+			_, _ = io.WriteString(connection, whole(request, request.Header.Get(dialect.Default().RequestID), "yes"))
+			if request.Header.Get(dialect.Default().RequestID) == "q0" {
+				<-stray
+				_, _ = io.WriteString(connection, whole(request, "q0", "again"))
+				stray <- struct{}{}
+			}
+			return true
+		})
+		target := raw.target()
+		gomega.Expect(send(target, question("q0"))).To(gomega.BeAssignableToTypeOf(&Answered{}))
+		stray <- struct{}{}
+		<-stray
+		gomega.Eventually(func() int { return target.connections.expire(time.Now(), 0) }).WithTimeout(roomySpan).Should(gomega.Equal(0))
+		gomega.Expect(send(target, question("q1"))).To(gomega.BeAssignableToTypeOf(&Answered{}))
+	})
+
+	ginkgo.It("takes an answer without length that ends with its connection", func() {
+		raw := newRawTarget(func(connection net.Conn, _ *http.Request, _ []byte) bool {
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\nall of it")
+			return false
+		})
+		answered, isAnswered := send(raw.target(), question("q1")).(*Answered)
+		gomega.Expect(isAnswered).To(gomega.BeTrue())
+		gomega.Expect(string(answered.Body)).To(gomega.Equal("all of it"))
+	})
+
+	ginkgo.DescribeTable("is lost, and may have run",
+		func(answer string, reset bool) {
+			raw := newRawTarget(func(connection net.Conn, _ *http.Request, _ []byte) bool {
+				_, _ = io.WriteString(connection, answer)
+				if reset {
+					_ = connection.(*net.TCPConn).SetLinger(0)
+				}
+				return false
+			})
+			lost, isLost := send(raw.target(), question("q1")).(*Lost)
+			gomega.Expect(isLost).To(gomega.BeTrue())
+			gomega.Expect(lost.Sent).To(gomega.BeTrue())
+		},
+		ginkgo.Entry("when the answer is cut short", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart", false),
+		ginkgo.Entry("when an answer without length is reset", "HTTP/1.1 200 OK\r\n\r\npart", true),
+		ginkgo.Entry("when the bytes are no answer", "what is this\r\n\r\n", false),
+		ginkgo.Entry("when nothing comes", "", false),
+	)
+
+	ginkgo.DescribeTable("is refused, and has not run",
+		func(answer string, reason RefusalReason) {
+			raw := newRawTarget(func(connection net.Conn, _ *http.Request, _ []byte) bool {
+				_, _ = io.WriteString(connection, answer)
+				return true
+			})
+			refused, isRefused := send(raw.target(), question("q1")).(*Refused)
+			gomega.Expect(isRefused).To(gomega.BeTrue())
+			gomega.Expect(refused.Reason).To(gomega.Equal(reason))
+		},
+		ginkgo.Entry("when the target sheds it", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"+dialect.Default().NotRun+": 1\r\n\r\n", Shed),
+		ginkgo.Entry("when another target answers", "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", Disowned),
+	)
+
+	ginkgo.It("is refused where nothing listens", func() {
+		raw := newRawTarget(func(net.Conn, *http.Request, []byte) bool { return true })
+		target := raw.target()
+		gomega.Expect(raw.listener.Close()).To(gomega.Succeed())
+		refused, isRefused := send(target, question("q1")).(*Refused)
+		gomega.Expect(isRefused).To(gomega.BeTrue())
+		gomega.Expect(refused.Reason).To(gomega.Equal(Unreachable))
+		gomega.Expect(target.Condition(time.Now()).Suspect).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("takes an early answer to a long body, and closes the connection", func() {
+		raw := newRawTarget(func(net.Conn, *http.Request, []byte) bool { return true })
+		gomega.Expect(raw.listener.Close()).To(gomega.Succeed())
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = listener.Close() }()
+		closed := make(chan struct{})
+		go func() {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			reader := bufio.NewReader(connection)
+			_, _ = http.ReadRequest(reader)
+			_, _ = io.WriteString(connection, "HTTP/1.1 413 Large\r\nContent-Length: 0\r\n\r\n")
+			// What is left of the body would be read later.
+			_, _ = io.Copy(io.Discard, reader)
+			close(closed)
+		}()
+		record := Record{ID: "t", Address: listener.Addr().String()}
+		target := newTarget(&record)
+		request := question("q1")
+		request.Method, request.Body = http.MethodPost, []byte(strings.Repeat("x", 32<<20))
+		answered, isAnswered := send(target, request).(*Answered)
+		gomega.Expect(isAnswered).To(gomega.BeTrue())
+		gomega.Expect(answered.Status).To(gomega.Equal(http.StatusRequestEntityTooLarge))
+		gomega.Expect(target.connections.waiting()).To(gomega.Equal(0))
+		gomega.Eventually(closed).WithTimeout(roomySpan).Should(gomega.BeClosed())
+	})
+
+	ginkgo.It("closes its connection when it is given up", func() {
+		arrived, ended := make(chan struct{}), make(chan struct{})
+		raw := newRawTarget(func(connection net.Conn, _ *http.Request, _ []byte) bool {
+			close(arrived)
+			_, _ = connection.Read(make([]byte, 1))
+			close(ended)
+			return false
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-arrived
+			cancel()
+		}()
+		outcome := sender.Send(ctx, raw.target(), question("q1"), time.Now().Add(roomySpan), 2)
+		gomega.Expect(outcome).To(gomega.BeAssignableToTypeOf(&Lost{}))
+		gomega.Eventually(ended).WithTimeout(roomySpan).Should(gomega.BeClosed())
+	})
+
+	ginkgo.It("opens no more connections than it may", func() {
+		release := make(chan struct{})
+		raw := newRawTarget(func(connection net.Conn, request *http.Request, _ []byte) bool {
+			<-release
+			_, _ = io.WriteString(connection, whole(request, request.Header.Get(dialect.Default().RequestID), "yes"))
+			return true
+		})
+		target := raw.target()
+		outcomes := make(chan Outcome, 2)
+		for number := range 2 {
+			go func() { outcomes <- send(target, question(fmt.Sprint("q", number))) }()
+		}
+		gomega.Eventually(func() int64 { return raw.opened.Load() }).WithTimeout(roomySpan).Should(gomega.Equal(int64(2)))
+		refused, isRefused := send(target, question("q2")).(*Refused)
+		gomega.Expect(isRefused).To(gomega.BeTrue())
+		gomega.Expect(refused.Reason).To(gomega.Equal(Busy))
+		close(release)
+		for range 2 {
+			gomega.Expect(<-outcomes).To(gomega.BeAssignableToTypeOf(&Answered{}))
+		}
+	})
+})
--- /dev/null
+++ b/internal/httptarget/directory_test.go
@@ -0,0 +1,214 @@
+package httptarget
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+)
+
+func announced(id, address string, startedAt int64, revision uint64, state State) Record {
+	return Record{ID: id, Pool: "pool", Address: address, FailureDomain: "nord", Slots: 2, State: state, StartedAt: startedAt, Revision: revision}
+}
+
+func usable(directory *Directory) []string {
+	var ids []string
+	for _, target := range directory.Pool("pool") {
+		ids = append(ids, target.ID())
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// tell hands a registry's newest changes to a directory.
+func tell(directory *Directory, name string, registry *Registry) {
+	records, revision, _ := registry.since(0)
+	directory.take(name, &WatchReply{Session: registry.session, Revision: revision, Whole: true, Records: records})
+}
+
+var _ = ginkgo.Describe("a registry", func() {
+	ginkgo.It("ignores an announcement that comes late", func() {
+		registry := NewRegistry(1, zap.NewNop())
+		registry.Announce(announced("t", "10.0.0.1:80", 5, 3, StateLeaving))
+		registry.Announce(announced("t", "10.0.0.1:80", 5, 2, StateReady))
+		registry.Announce(announced("t", "10.0.0.1:80", 4, 9, StateReady))
+		records, _, _ := registry.since(0)
+		gomega.Expect(records).To(gomega.HaveLen(1))
+		gomega.Expect(records[0].State).To(gomega.Equal(StateLeaving))
+	})
+
+	ginkgo.It("takes a target back that starts again under its ID, but not by an announcement from before its end", func() {
+		registry := NewRegistry(1, zap.NewNop())
+		registry.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
+		registry.End("t")
+		registry.Announce(announced("t", "10.0.0.1:80", 5, 4, StateReady))
+		records, _, _ := registry.since(0)
+		gomega.Expect(records[0].State).To(gomega.Equal(StateGone))
+		registry.Announce(announced("t", "10.0.0.1:80", 6, 1, StateReady))
+		records, _, _ = registry.since(0)
+		gomega.Expect(records[0].State).To(gomega.Equal(StateReady))
+	})
+
+	ginkgo.It("tells of targets that fall silent, and not after its own process was paused", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			registry := NewRegistry(1, zap.NewNop())
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			registry.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
+			go registry.Run(ctx)
+			time.Sleep(SilenceSpan - time.Second)
+			records, _, _ := registry.since(0)
+			expect.Expect(records[0].Silent).To(gomega.BeFalse())
+			time.Sleep(2 * time.Second)
+			records, _, _ = registry.since(0)
+			expect.Expect(records[0].Silent).To(gomega.BeTrue())
+			registry.forgive(time.Now())
+			registry.Announce(announced("t", "10.0.0.1:80", 5, 4, StateReady))
+			records, _, _ = registry.since(0)
+			expect.Expect(records[0].Silent).To(gomega.BeFalse())
+		})
+	})
+
+	ginkgo.It("answers a watcher at once when something changes, and in time when nothing does", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			registry := NewRegistry(7, zap.NewNop())
+			reply, err := registry.watch(context.Background(), &WatchRequest{})
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			expect.Expect(reply.Whole).To(gomega.BeTrue())
+			begun := time.Now()
+			go func() {
+				time.Sleep(100 * time.Millisecond)
+				registry.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
+			}()
+			reply, err = registry.watch(context.Background(), &WatchRequest{Session: 7, Revision: reply.Revision})
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			expect.Expect(reply.Records).To(gomega.HaveLen(1))
+			expect.Expect(time.Since(begun)).To(gomega.Equal(100 * time.Millisecond))
+			reply, err = registry.watch(context.Background(), &WatchRequest{Session: 7, Revision: reply.Revision})
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			expect.Expect(reply.Records).To(gomega.BeEmpty())
+			expect.Expect(time.Since(begun)).To(gomega.Equal(100*time.Millisecond + watchHold))
+		})
+	})
+
+	ginkgo.It("finds its targets again after a restart, and starts empty where the file is damaged", func() {
+		folder := ginkgo.GinkgoT().TempDir()
+		store := NewStore(folder, nil)
+		gomega.Expect(store.write([]Record{announced("t", "10.0.0.1:80", 5, 3, StateReady)})).To(gomega.Succeed())
+		registry := NewRegistry(1, zap.NewNop())
+		registry.Load(store)
+		records, _, _ := registry.since(0)
+		gomega.Expect(records).To(gomega.HaveLen(1))
+		file, err := store.fileSystem.Open(folder + "/" + storeName)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = file.Write([]byte("x"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(file.Close()).To(gomega.Succeed())
+		empty := NewRegistry(1, zap.NewNop())
+		empty.Load(store)
+		records, _, _ = empty.since(0)
+		gomega.Expect(records).To(gomega.BeEmpty())
+	})
+})
+
+var _ = ginkgo.Describe("a directory", func() {
+	var directory *Directory
+	var first, second *Registry
+
+	ginkgo.BeforeEach(func() {
+		directory = NewDirectory(zap.NewNop())
+		first, second = NewRegistry(1, zap.NewNop()), NewRegistry(2, zap.NewNop())
+	})
+
+	ginkgo.It("uses a target as long as one registry hears from it", func() {
+		first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
+		second.Announce(announced("t", "10.0.0.1:80", 5, 2, StateReady))
+		first.targets["t"].record.Silent = true
+		tell(directory, "first", first)
+		gomega.Expect(usable(directory)).To(gomega.BeEmpty())
+		tell(directory, "second", second)
+		gomega.Expect(usable(directory)).To(gomega.Equal([]string{"t"}))
+	})
+
+	ginkgo.It("stops using a target once any registry hears that it leaves", func() {
+		first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
+		second.Announce(announced("t", "10.0.0.1:80", 5, 4, StateLeaving))
+		tell(directory, "second", second)
+		tell(directory, "first", first)
+		gomega.Expect(usable(directory)).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("takes the end of a target from a registry that didn't know it, until its next start", func() {
+		first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
+		tell(directory, "first", first)
+		second.End("t")
+		tell(directory, "second", second)
+		gomega.Expect(usable(directory)).To(gomega.BeEmpty())
+		second.Announce(announced("t", "10.0.0.1:80", 6, 1, StateReady))
+		tell(directory, "second", second)
+		gomega.Expect(usable(directory)).To(gomega.Equal([]string{"t"}))
+	})
+
+	ginkgo.It("gives an address to the target that started there last", func() {
+		first.Announce(announced("old", "10.0.0.1:80", 5, 30, StateReady))
+		first.Announce(announced("new", "10.0.0.1:80", 9, 1, StateReady))
+		tell(directory, "first", first)
+		gomega.Expect(usable(directory)).To(gomega.Equal([]string{"new"}))
+		first.Announce(announced("old", "10.0.0.1:80", 5, 31, StateReady))
+		tell(directory, "first", first)
+		gomega.Expect(usable(directory)).To(gomega.Equal([]string{"new"}))
+	})
+
+	ginkgo.It("believes on while no registry can be reached, and not one that alone can't be", func() {
+		first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
+		second.Announce(announced("u", "10.0.0.2:80", 5, 3, StateReady))
+		tell(directory, "first", first)
+		tell(directory, "second", second)
+		directory.doubt("first")
+		gomega.Expect(usable(directory)).To(gomega.Equal([]string{"u"}))
+		directory.doubt("second")
+		gomega.Expect(usable(directory)).To(gomega.ContainElement("u"))
+		tell(directory, "first", first)
+		gomega.Expect(usable(directory)).To(gomega.ContainElement("t"))
+	})
+
+	ginkgo.It("disowns a target at whose address another one answers", func() {
+		first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
+		tell(directory, "first", first)
+		directory.Disown(directory.Pool("pool")[0])
+		gomega.Expect(usable(directory)).To(gomega.BeEmpty())
+		first.Announce(announced("t", "10.0.0.1:80", 5, 4, StateReady))
+		tell(directory, "first", first)
+		gomega.Expect(usable(directory)).To(gomega.BeEmpty())
+	})
+})
+
+var _ = ginkgo.Describe("estimates", func() {
+	ginkgo.It("hold through one pause and follow a target that has turned slow", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			record := announced("t", "10.0.0.1:80", 5, 3, StateReady)
+			target := newTarget(&record)
+			answer := func(took time.Duration) {
+				begun := time.Now()
+				target.begin(begun)
+				time.Sleep(took)
+				target.answered(begun, time.Now())
+			}
+			for range 50 {
+				answer(10 * time.Millisecond)
+			}
+			answer(150 * time.Millisecond)
+			answer(10 * time.Millisecond)
+			expect.Expect(target.Condition(time.Now()).Latency).To(gomega.BeNumerically("<", 15*time.Millisecond))
+			for range 6 {
+				answer(80 * time.Millisecond)
+			}
+			expect.Expect(target.Condition(time.Now()).Latency).To(gomega.BeNumerically(">", 60*time.Millisecond))
+		})
+	})
+})
--- /dev/null
+++ b/internal/httptarget/suite_test.go
@@ -0,0 +1,19 @@
+package httptarget
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+var (
+	// suite is what specs in a bubble need.
+	suite *testing.T
+)
+
+func TestHTTPTarget(t *testing.T) {
+	suite = t
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "httptarget")
+}
--- a/internal/policy/budget.go
+++ b/internal/policy/budget.go
@@ -9,10 +9,17 @@
 )
 
 const (
-	// budgetParts is the number of parts that a window is counted in. The bound
-	// holds for every window that begins with a part, and one part less is spent
-	// so that it holds for all.
+	// budgetParts is the number of parts that a window is counted in. Extra
+	// arrivals are counted over one part more than a window, and requests over one
+	// less, so that the bound holds for windows that begin anywhere.
 	budgetParts = 20
+	// ratioShare is the share of the ratio that is spent. A window's bound counts
+	// the requests in it, in the one before or in the one half a window before;
+	// of those before a moment, such a window holds at least 7.25 of 9.5 parts.
+	ratioShare = 0.75
+	// slackShare is the share of the slack that is spent: processes that restart
+	// have forgotten what they spent, and may spend it once more.
+	slackShare = 0.5
 )
 
 type (
@@ -63,13 +70,14 @@
 	budgets.lock.Lock()
 	defer budgets.lock.Unlock()
 	budget := budgets.present(pool, elapsed)
-	requests, extra := 0, 0
+	oldest := (budget.part + 1) % int64(len(budget.requests))
+	requests, extra := -budget.requests[oldest], 0
 	for index := range budget.requests {
 		requests += budget.requests[index]
 		extra += budget.extra[index]
 	}
-	slack := budgets.limits.Slack / float64(max(1, entries))
-	if float64(extra+1) > budgets.limits.Ratio*float64(requests)+slack {
+	slack := slackShare * budgets.limits.Slack / float64(max(1, entries))
+	if float64(extra+1) > ratioShare*budgets.limits.Ratio*float64(requests)+slack {
 		return false
 	}
 	budget.extra[budget.part%int64(len(budget.extra))]++
--- /dev/null
+++ b/internal/policy/choose_test.go
@@ -0,0 +1,105 @@
+package policy_test
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/policy"
+)
+
+const (
+	near = time.Millisecond
+	far  = 25 * time.Millisecond
+)
+
+// measured returns a target that usually answers after a latency.
+func measured(roundTrip, latency time.Duration) policy.Candidate {
+	return policy.Candidate{RoundTrip: roundTrip, Slots: 2, Measured: true, Latency: latency, Usual: latency * 2, Connected: true}
+}
+
+func best(candidates ...policy.Candidate) int {
+	drawn := make([]float64, len(candidates))
+	for index := range drawn {
+		drawn[index] = 0.5
+	}
+	return policy.Rank(candidates, drawn)[0]
+}
+
+var _ = ginkgo.Describe("the choice of a target", func() {
+	ginkgo.It("prefers the nearest while all are sound", func() {
+		gomega.Expect(best(measured(far, 33*time.Millisecond), measured(near, 9*time.Millisecond))).To(gomega.Equal(1))
+	})
+
+	ginkgo.It("leaves a target that pauses to those already there", func() {
+		paused := measured(near, 9*time.Millisecond)
+		paused.Running, paused.Oldest = 1, 60*time.Millisecond
+		gomega.Expect(best(paused, measured(far, 33*time.Millisecond))).To(gomega.Equal(1))
+	})
+
+	ginkgo.It("leaves a target that has turned slow, and tries it again once that is long ago", func() {
+		slow := measured(near, 90*time.Millisecond)
+		gomega.Expect(best(slow, measured(far, 33*time.Millisecond))).To(gomega.Equal(1))
+		slow.Forgotten = 0.95
+		gomega.Expect(best(slow, measured(far, 33*time.Millisecond))).To(gomega.Equal(0))
+	})
+
+	ginkgo.It("uses a target that has just failed only where no other is left", func() {
+		suspect := measured(near, 9*time.Millisecond)
+		suspect.Suspect = true
+		gomega.Expect(best(suspect, measured(far, 200*time.Millisecond))).To(gomega.Equal(1))
+		gomega.Expect(best(suspect)).To(gomega.Equal(0))
+	})
+
+	ginkgo.It("spares a cold target", func() {
+		cold := measured(near, 9*time.Millisecond)
+		cold.Cold = true
+		gomega.Expect(best(cold, measured(far, 33*time.Millisecond))).To(gomega.Equal(1))
+	})
+
+	ginkgo.It("spreads a burst over targets once their slots are taken", func() {
+		full := measured(near, 9*time.Millisecond)
+		full.Running, full.Oldest = 8, 9*time.Millisecond
+		gomega.Expect(best(full, measured(far, 33*time.Millisecond))).To(gomega.Equal(1))
+	})
+
+	ginkgo.It("counts the opening of a connection", func() {
+		closed := measured(far, 33*time.Millisecond)
+		closed.Connected = false
+		gomega.Expect(best(closed, measured(far, 40*time.Millisecond))).To(gomega.Equal(1))
+	})
+
+	ginkgo.It("refuses at once what the best target can't answer in time", func() {
+		crowded := measured(near, 60*time.Millisecond)
+		crowded.Running = 40
+		gomega.Expect(policy.AdmitTarget(&crowded, 300*time.Millisecond)).To(gomega.BeFalse())
+		gomega.Expect(policy.AdmitTarget(&crowded, 5*time.Second)).To(gomega.BeTrue())
+	})
+})
+
+var _ = ginkgo.Describe("a hedge", func() {
+	ginkgo.It("is sent once the answer is overdue", func() {
+		first, second := measured(near, 9*time.Millisecond), measured(far, 33*time.Millisecond)
+		gomega.Expect(policy.HedgeDelay(&first, &second, time.Second)).To(gomega.Equal(18 * time.Millisecond))
+	})
+
+	ginkgo.It("is sent early enough for most second answers to be in time", func() {
+		first, second := measured(near, 50*time.Millisecond), measured(far, 33*time.Millisecond)
+		gomega.Expect(policy.HedgeDelay(&first, &second, 90*time.Millisecond)).To(gomega.Equal(24 * time.Millisecond))
+	})
+})
+
+var _ = ginkgo.Describe("admission", func() {
+	ginkgo.It("keeps room for urgent requests", func() {
+		gomega.Expect(policy.AdmitEntry(policy.MaximumInFlight*95/100, 0)).To(gomega.BeTrue())
+		gomega.Expect(policy.AdmitEntry(policy.MaximumInFlight*95/100, 1)).To(gomega.BeFalse())
+		gomega.Expect(policy.AdmitEntry(policy.MaximumInFlight, 0)).To(gomega.BeFalse())
+	})
+
+	ginkgo.It("spreads the return of those that are refused together", func() {
+		early, late := policy.ReturnAfter(policy.NoTarget, 0), policy.ReturnAfter(policy.NoTarget, 0.999)
+		gomega.Expect(early).To(gomega.BeNumerically(">", 0))
+		gomega.Expect(late).To(gomega.BeNumerically(">=", 2*early-time.Millisecond))
+	})
+})
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -33,6 +33,10 @@
 		disks    map[string]*standin.Disk
 		// gathered bounds the requests that share a sync where it isn't zero.
 		gathered int
+		// selfManaged groups take in and replace replicas by themselves, and
+		// joining holds the numbers of replicas that never found a group.
+		selfManaged bool
+		joining     map[int]bool
 	}
 
 	running struct {
@@ -108,7 +112,7 @@
 	machine := &listMachine{}
 	started := &running{machine: machine, server: new(frame.Server), Replica: replica.New(replica.Options{
 		Name: fmt.Sprintf("control-%d", number), Address: address, Peers: group.peers, Dial: group.network.Dialer(ipOf(number)),
-		Folder: "data", FileSystem: group.disks[address],
+		Folder: "data", FileSystem: group.disks[address], SelfManaged: group.selfManaged, JoinOnly: group.joining[number],
 	}, machine)}
 	if group.gathered > 0 {
 		started.SetGathered(group.gathered)
--- a/internal/replica/promise_test.go
+++ b/internal/replica/promise_test.go
@@ -71,3 +71,29 @@
 		t.Fatalf("the leader sent %d messages", sent)
 	}
 }
+
+// TestLeaderlessQuorumReleasesThePromise has a replica that restarts hear from
+// others that they follow nobody. One of two others isn't enough for a group of
+// five.
+func TestLeaderlessQuorumReleasesThePromise(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var members []member
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		members = append(members, member{ID: id, Voter: true})
+	}
+	restarted := &core{random: rand.New(rand.NewPCG(1, 1))}
+	restarted.load(&durableState{
+		id: "a", hard: hardState{Term: 2},
+		entries: []entry{{Index: 1, Term: 1, Kind: entryMembers, Data: encodeMembers(members)}},
+	})
+	restarted.start(now)
+	for _, row := range []struct {
+		other    string
+		released bool
+	}{{"b", false}, {"c", true}} {
+		restarted.step(now, arrived{parcel: parcel{from: row.other, to: "a", message: registered{Mark: restarted.Mark, Leaderless: true}}})
+		if released := restarted.promiseUntil.Equal(now); released != row.released {
+			t.Errorf("after the word of %s the promise is released: %t, expected %t", row.other, released, row.released)
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/self_managed_test.go
@@ -0,0 +1,167 @@
+package replica_test
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+)
+
+const (
+	// replacementSpan is the time within which a replacement must count: the
+	// platform's shortest, 4 s.
+	replacementSpan = 4 * time.Second
+)
+
+// withSelfManaged runs a spec on five replicas of which the first three are
+// known to all.
+func withSelfManaged(body func(expect gomega.Gomega, group *group)) {
+	withGroup(3, 12*time.Millisecond, func(expect gomega.Gomega, founders *group) {
+		founders.stopAll()
+		group := newGroupOf(3, 12*time.Millisecond)
+		group.selfManaged, group.joining = true, map[int]bool{}
+		for number := range 5 {
+			group.start(number)
+		}
+		defer group.stopAll()
+		group.propose("one")
+		time.Sleep(3 * time.Second)
+		body(expect, group)
+	})
+}
+
+// voters returns the addresses that the leader counts.
+func (group *group) voters() []string {
+	var voters []string
+	for _, member := range group.replicas[group.propose("look")].Status().Replicas {
+		if member.Voter {
+			voters = append(voters, member.Address)
+		}
+	}
+	return voters
+}
+
+func addresses(numbers ...int) []string {
+	var addresses []string
+	for _, number := range numbers {
+		addresses = append(addresses, ipOf(number)+":90")
+	}
+	return addresses
+}
+
+var _ = ginkgo.Describe("a self-managed group", func() {
+	ginkgo.It("is founded by the listed replicas and takes in the others", func() {
+		withSelfManaged(func(expect gomega.Gomega, group *group) {
+			expect.Expect(group.voters()).To(gomega.ConsistOf(addresses(0, 1, 2, 3, 4)))
+		})
+	})
+
+	ginkgo.It("replaces a replica that is gone for good by one at another address, in time for the loss of two more", func() {
+		withSelfManaged(func(expect gomega.Gomega, group *group) {
+			group.crash(ipOf(4) + ":90")
+			time.Sleep(time.Second)
+			group.joining[5] = true
+			group.start(5)
+			time.Sleep(replacementSpan)
+			expect.Expect(group.voters()).To(gomega.ConsistOf(addresses(0, 1, 2, 3, 5)))
+			group.crash(ipOf(0) + ":90")
+			group.crash(ipOf(1) + ":90")
+			group.propose("two")
+		})
+	})
+
+	ginkgo.It("takes in a newcomer that knows only replicas that don't lead", func() {
+		withSelfManaged(func(expect gomega.Gomega, group *group) {
+			for _, address := range group.peers {
+				if group.replicas[address] != nil {
+					group.stop(address)
+					time.Sleep(time.Second)
+					group.start(indexOf(group.peers, address))
+					time.Sleep(time.Second)
+				}
+			}
+			group.joining[5] = true
+			group.start(5)
+			time.Sleep(replacementSpan)
+			expect.Expect(group.voters()).To(gomega.ContainElement(ipOf(5) + ":90"))
+		})
+	})
+
+	ginkgo.It("waits for replicas that are only cut off, and takes them back with what they missed", func() {
+		withSelfManaged(func(expect gomega.Gomega, group *group) {
+			for _, other := range []int{0, 1, 2} {
+				for _, cut := range []int{3, 4} {
+					group.network.Cut(ipOf(other), ipOf(cut))
+					group.network.Cut(ipOf(cut), ipOf(other))
+				}
+			}
+			group.propose("two")
+			time.Sleep(8 * time.Second)
+			expect.Expect(group.voters()).To(gomega.ConsistOf(addresses(0, 1, 2, 3, 4)))
+			for _, other := range []int{0, 1, 2} {
+				for _, cut := range []int{3, 4} {
+					group.network.Heal(ipOf(other), ipOf(cut))
+					group.network.Heal(ipOf(cut), ipOf(other))
+				}
+			}
+			time.Sleep(5 * time.Second)
+			expect.Expect(group.replicas[ipOf(4)+":90"].machine.text()).To(gomega.ContainSubstring("two"))
+		})
+	})
+
+	ginkgo.It("lets a replica that was replaced while it was cut off join anew", func() {
+		withSelfManaged(func(expect gomega.Gomega, group *group) {
+			for _, other := range []int{0, 1, 2, 3, 5} {
+				group.network.Cut(ipOf(other), ipOf(4))
+				group.network.Cut(ipOf(4), ipOf(other))
+			}
+			group.joining[5] = true
+			group.start(5)
+			time.Sleep(6 * time.Second)
+			expect.Expect(group.voters()).To(gomega.ConsistOf(addresses(0, 1, 2, 3, 5)))
+			for _, other := range []int{0, 1, 2, 3, 5} {
+				group.network.Heal(ipOf(other), ipOf(4))
+				group.network.Heal(ipOf(4), ipOf(other))
+			}
+			time.Sleep(10 * time.Second)
+			expect.Expect(group.voters()).To(gomega.ContainElement(ipOf(4) + ":90"))
+		})
+	})
+
+	ginkgo.It("isn't founded a second time by replicas with empty disks", func() {
+		withSelfManaged(func(expect gomega.Gomega, group *group) {
+			for number := range 3 {
+				group.crash(ipOf(number) + ":90")
+				group.disks[ipOf(number)+":90"] = &standin.Disk{}
+				group.joining[number] = true
+			}
+			for number := range 3 {
+				group.start(number)
+			}
+			time.Sleep(20 * time.Second)
+			for number := range 3 {
+				expect.Expect(group.replicas[ipOf(number)+":90"].Status().Replicas).To(gomega.BeEmpty())
+			}
+		})
+	})
+
+	ginkgo.It("serves within a second after all were killed, one of them with its disk lost", func() {
+		withSelfManaged(func(expect gomega.Gomega, group *group) {
+			for number := range 5 {
+				group.crash(ipOf(number) + ":90")
+			}
+			group.disks[ipOf(2)+":90"] = &standin.Disk{}
+			group.joining[2] = true
+			time.Sleep(time.Second)
+			begun := time.Now()
+			for number := range 5 {
+				group.start(number)
+			}
+			address := group.propose("two")
+			expect.Expect(time.Since(begun)).To(gomega.BeNumerically("<", time.Second))
+			expect.Expect(group.replicas[address].machine.text()).To(gomega.HavePrefix("one\n"))
+		})
+	})
+})
