--- a/internal/httptarget/watch.go
+++ b/internal/httptarget/watch.go
@@ -17,12 +17,11 @@
 	// MethodWatch waits for changes of a registry.
 	MethodWatch = "httptarget.watch"
 
-	// watchHold is how long a registry without changes keeps a watcher
-	// waiting. With watchSlack it bounds how long a connection that has gone
-	// silent hides a target that leaves.
-	watchHold = time.Second
+	// watchHold is how long a registry without changes keeps a watcher waiting.
+	// That the connection is alive shows by the frames' own heartbeats.
+	watchHold = 10 * time.Second
 	// watchSlack is how much later than watchHold a reply may come.
-	watchSlack = 700 * time.Millisecond
+	watchSlack = 2 * time.Second
 	// watchRetry spares a process that is down.
 	watchRetry = 250 * time.Millisecond
 	// regroupInterval is the span between two looks for processes that were
--- a/internal/replica/reading.go
+++ b/internal/replica/reading.go
@@ -10,8 +10,9 @@
 
 const (
 	// roundInterval is the least span between two rounds that confirm reads. A
-	// round confirms all that asked before it began.
-	roundInterval = 5 * time.Millisecond
+	// round confirms all that asked before it began, so that many entries that
+	// renew their leases share few.
+	roundInterval = 50 * time.Millisecond
 )
 
 type (
