Bound the log, never wait for its reader, and count what is left out

Lines about requests are sampled by kind above 50 a second. Metrics have an address of their own in the settings.

--- a/internal/httpcaller/ask.go
+++ b/internal/httpcaller/ask.go
@@ -204,10 +204,10 @@
 		if outcome.Reason == httptarget.Disowned {
 			ask.call.server.directory.Disown(attempted.target)
 		}
-		ask.note(attempted.target, outcome.Reason.String(), zap.Error(outcome.Cause))
+		ask.note(attempted.target, outcome.Reason.String(), because(outcome.Cause))
 	case *httptarget.Lost:
 		result.cause = outcome.Cause
-		ask.note(attempted.target, "lost", zap.Error(outcome.Cause))
+		ask.note(attempted.target, "lost", because(outcome.Cause))
 		if !ask.repeatable {
 			result.ran, result.answered = true, nil
 			return true
@@ -283,14 +283,14 @@
 	ask.run++
 	ask.inFlight++
 	ask.call.sent.Add(1)
-	server.metrics.Attempts().WithLabelValues(ask.pool, why).Inc()
+	server.countAttempt(ask.pool, why)
 	limit := server.connectionLimit(ask.call.indexed.routes.Pool(ask.pool))
-	go func() {
+	server.workers.run(func() {
 		ctx, span := tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
 		defer span.End()
 		outcome := server.sender.Send(ctx, target, &ask.call.request, ask.final, limit)
 		ask.outcomes <- attempted{target: target, outcome: outcome}
-	}()
+	})
 	return true
 }
 
--- a/internal/httpcaller/gather.go
+++ b/internal/httpcaller/gather.go
@@ -83,7 +83,7 @@
 	}
 	for _, ask := range asks {
 		query.open[ask.pool] = ask
-		go func() { query.answers <- ask.answer(ctx) }()
+		server.workers.run(func() { query.answers <- ask.answer(ctx) })
 	}
 	return 0
 }
--- a/internal/httpcaller/journal.go
+++ b/internal/httpcaller/journal.go
@@ -6,11 +6,21 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
+	"gitlab.com/comfreythread/comfreythread/internal/metrics"
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
 )
 
+const (
+	// linesPerSecond is how many lines of one kind an entry writes in a second;
+	// of those beyond only each linesShare-th. What an entry believes is never
+	// left out, as it isn't written here.
+	linesPerSecond = 50
+	linesShare     = 50
+)
+
 type (
 	// journal writes one line for each decision on a request that failed or was
 	// answered in part. Whole answers are written at the debug level.
@@ -19,8 +29,23 @@
 	}
 )
 
-func newJournal(logger *zap.Logger) *journal {
-	return &journal{logger: logger}
+func newJournal(logger *zap.Logger, metrics *metrics.Metrics) *journal {
+	sampled := zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(core, time.Second, linesPerSecond, linesShare, zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
+			if decision&zapcore.LogDropped != 0 {
+				metrics.Unlogged().Inc()
+			}
+		}))
+	})
+	return &journal{logger: logger.WithOptions(sampled)}
+}
+
+// because names the cause in one line.
+func because(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("cause", err.Error())
 }
 
 func (journal *journal) fields(call *call, more ...zap.Field) []zap.Field {
@@ -42,7 +67,7 @@
 }
 
 func (journal *journal) lost(call *call, result *answer, status int) {
-	journal.logger.Info("request lost", journal.fields(call, zap.Int("status", status), zap.Bool("ran", result.ran), zap.Error(result.cause))...)
+	journal.logger.Info("request lost", journal.fields(call, zap.Int("status", status), zap.Bool("ran", result.ran), because(result.cause))...)
 }
 
 func (journal *journal) failed(call *call, status int, message string) {
@@ -54,7 +79,7 @@
 }
 
 func (journal *journal) unwritten(call *call, err error) {
-	journal.logger.Info("answer not written", journal.fields(call, zap.Error(err))...)
+	journal.logger.Info("answer not written", journal.fields(call, because(err))...)
 }
 
 func (journal *journal) passed(call *call, result *answer) {
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -9,10 +9,12 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
@@ -63,6 +65,10 @@
 		journal   *journal
 		metrics   *metrics.Metrics
 		startedAt time.Time
+		workers   *workers
+		// attempts holds the counters of attempts by pool and reason, because a
+		// look-up by labels takes a twentieth of an attempt's time.
+		attempts sync.Map
 
 		routes   atomic.Pointer[indexed]
 		inFlight atomic.Int64
@@ -94,7 +100,8 @@
 func NewServer(options Options, board *blackboard.Board, directory *httptarget.Directory, sender *httptarget.Sender, logger *zap.Logger, metrics *metrics.Metrics) *Server {
 	return &Server{
 		options: options, board: board, directory: directory, sender: sender, budgets: policy.NewBudgets(options.Budget),
-		journal: newJournal(logger), metrics: metrics, startedAt: time.Now(),
+		journal: newJournal(logger, metrics), metrics: metrics, startedAt: time.Now(),
+		workers: newWorkers(),
 	}
 }
 
@@ -209,7 +216,11 @@
 		return false
 	}
 	call.request.Method, call.request.URI, call.request.Host = request.Method, request.RequestURI, request.Host
-	call.request.Header, call.request.Body = endToEnd(request.Header), body
+	call.request.Repeatable = !call.route.NeverRepeat
+	if err := call.request.Encode(endToEnd(request.Header), body); err != nil {
+		call.fail(writer, http.StatusBadRequest, "the request can't be forwarded: "+err.Error())
+		return false
+	}
 	return true
 }
 
@@ -230,6 +241,17 @@
 	return body, nil
 }
 
+func (server *Server) countAttempt(pool, why string) {
+	key := [2]string{pool, why}
+	counter, known := server.attempts.Load(key)
+	if !known {
+		counter, _ = server.attempts.LoadOrStore(key, server.metrics.Attempts().WithLabelValues(pool, why))
+	}
+	if counter, isCounter := counter.(prometheus.Counter); isCounter {
+		counter.Inc()
+	}
+}
+
 // entries returns the number of entries among which what all may spend is
 // shared.
 func (server *Server) entries() int {
--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -34,6 +34,10 @@
 	// disownedStatus is the status by which a target says that it isn't the one
 	// the request was for.
 	disownedStatus = http.StatusMisdirectedRequest
+
+	lineEnd = "\r\n"
+	// headerRoom is room for a number and the ends of lines.
+	headerRoom = 40
 )
 
 const (
@@ -59,13 +63,16 @@
 type (
 	// Request is what is sent to targets.
 	Request struct {
-		ID     string
-		Method string
+		ID string
+		// Repeatable requests may meet a connection that has just broken.
+		Repeatable bool
+		Method     string
 		// URI is the path and query as the caller sent them.
-		URI    string
-		Host   string
-		Header http.Header
-		Body   []byte
+		URI  string
+		Host string
+		// head and body are what is written, but for what differs by target.
+		head []byte
+		body []byte
 	}
 
 	// Outcome is Answered, Refused or Lost.
@@ -150,7 +157,7 @@
 func (sender *Sender) Send(ctx context.Context, target *Target, request *Request, deadline time.Time, limit int) Outcome {
 	begun := time.Now()
 	target.begin(begun)
-	connection, err := sender.connect(ctx, target, deadline, limit)
+	connection, err := sender.connect(ctx, target, request, deadline, limit)
 	if err != nil {
 		return unsent(ctx, target, begun, err)
 	}
@@ -211,8 +218,12 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-func (sender *Sender) connect(ctx context.Context, target *Target, deadline time.Time, limit int) (*connection, error) {
-	if waiting := target.connections.take(time.Now()); waiting != nil {
+func (sender *Sender) connect(ctx context.Context, target *Target, request *Request, deadline time.Time, limit int) (*connection, error) {
+	trusted := time.Duration(0)
+	if request.Repeatable {
+		trusted = trustedSpan
+	}
+	if waiting := target.connections.take(time.Now(), trusted); waiting != nil {
 		return waiting, nil
 	}
 	if !target.connections.reserve(limit) {
@@ -260,10 +271,7 @@
 	if err := connection.SetDeadline(exchange.deadline); err != nil {
 		return &Refused{Reason: Unreachable, Cause: err}, false
 	}
-	message, err := exchange.encode()
-	if err != nil {
-		return &Refused{Reason: Unreachable, Cause: err}, false
-	}
+	message := exchange.message()
 	if len(message) > largeBody {
 		go func() {
 			defer close(exchange.written)
@@ -279,29 +287,37 @@
 	return exchange.receive()
 }
 
-// encode returns the bytes of the request.
-func (exchange *exchange) encode() ([]byte, error) {
-	request, headers := exchange.request, &exchange.sender.headers
-	left := max(1, time.Until(exchange.deadline).Milliseconds())
-	header := request.Header.Clone()
-	header.Set(headers.Deadline, strconv.FormatInt(left, 10))
-	header.Set(headers.Target, exchange.target.ID())
+// Encode prepares the request with its headers, those of one connection left out.
+func (request *Request) Encode(header http.Header, body []byte) error {
 	if header.Get("User-Agent") == "" {
 		header["User-Agent"] = []string{""}
 	}
 	message := http.Request{
 		Method: request.Method, URL: &url.URL{Opaque: request.URI}, Host: request.Host, Header: header,
-		ContentLength: int64(len(request.Body)), Body: http.NoBody,
+		ContentLength: int64(len(body)), Body: http.NoBody,
 	}
-	if len(request.Body) > 0 {
-		message.Body = io.NopCloser(bytes.NewReader(request.Body))
+	if len(body) > 0 {
+		message.Body = io.NopCloser(bytes.NewReader(body))
 	}
 	var buffer bytes.Buffer
-	buffer.Grow(512 + len(request.Body))
 	if err := message.Write(&buffer); err != nil {
-		return nil, errors.Wrap(err, "write the request")
+		return errors.Wrap(err, "write the request")
 	}
-	return buffer.Bytes(), nil
+	request.head = bytes.TrimSuffix(buffer.Bytes()[:buffer.Len()-len(body)], []byte(lineEnd))
+	request.body = body
+	return nil
+}
+
+// message returns the bytes for one target: the head with the time left and the
+// target's ID, and the body.
+func (exchange *exchange) message() []byte {
+	request, headers, id := exchange.request, &exchange.sender.headers, exchange.target.ID()
+	message := make([]byte, 0, len(request.head)+len(request.body)+len(headers.Deadline)+len(headers.Target)+len(id)+headerRoom)
+	message = append(message, request.head...)
+	message = append(message, headers.Deadline+": "...)
+	message = strconv.AppendInt(message, max(1, time.Until(exchange.deadline).Milliseconds()), 10)
+	message = append(message, lineEnd+headers.Target+": "+id+lineEnd+lineEnd...)
+	return append(message, request.body...)
 }
 
 // receive reads until the answer to this request. Answers that name another
--- a/internal/httptarget/attempt_test.go
+++ b/internal/httptarget/attempt_test.go
@@ -71,9 +71,15 @@
 }
 
 func question(id string) *Request {
-	header := http.Header{}
+	return encoded(id, http.MethodGet, nil)
+}
+
+func encoded(id, method string, body []byte) *Request {
+	header := http.Header{"X-Own": []string{"1"}}
 	header.Set(dialect.Default().RequestID, id)
-	return &Request{ID: id, Method: http.MethodGet, URI: "/a%2Fb/c?d=e%20f", Host: "a.example", Header: header}
+	request := &Request{ID: id, Method: method, URI: "/a%2Fb/c?d=e%20f", Host: "a.example"}
+	gomega.Expect(request.Encode(header, body)).To(gomega.Succeed())
+	return request
 }
 
 var _ = ginkgo.Describe("an attempt", func() {
@@ -90,9 +96,7 @@
 			_, _ = io.WriteString(connection, whole(request, "q1", "yes"))
 			return true
 		})
-		request := question("q1")
-		request.Method, request.Body = http.MethodPost, []byte("order")
-		request.Header.Set("X-Own", "1")
+		request := encoded("q1", http.MethodPost, []byte("order"))
 		answered, isAnswered := send(raw.target(), request).(*Answered)
 		gomega.Expect(isAnswered).To(gomega.BeTrue())
 		gomega.Expect(string(answered.Body)).To(gomega.Equal("yes"))
@@ -235,8 +239,7 @@
 		}()
 		record := Record{ID: "t", Address: listener.Addr().String()}
 		target := newTarget(&record)
-		request := question("q1")
-		request.Method, request.Body = http.MethodPost, []byte(strings.Repeat("x", 32<<20))
+		request := encoded("q1", http.MethodPost, []byte(strings.Repeat("x", 32<<20)))
 		answered, isAnswered := send(target, request).(*Answered)
 		gomega.Expect(isAnswered).To(gomega.BeTrue())
 		gomega.Expect(answered.Status).To(gomega.Equal(http.StatusRequestEntityTooLarge))
--- a/internal/httptarget/connection.go
+++ b/internal/httptarget/connection.go
@@ -22,7 +22,10 @@
 	defaultIdleSpan = 10 * time.Second
 	// idleMargin is how much earlier than the target this side gives a waiting
 	// connection up, so that no request meets the target's close.
-	idleMargin  = 500 * time.Millisecond
+	idleMargin = 500 * time.Millisecond
+	// trustedSpan is how long after its use a connection is taken to be sound. A
+	// look takes a twentieth of an attempt's time.
+	trustedSpan = 200 * time.Millisecond
 	readerBytes = 4 << 10
 )
 
@@ -49,8 +52,9 @@
 	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readerBytes), idleSpan: defaultIdleSpan}
 }
 
-// take returns the connection that was used last and is still sound, or nil.
-func (connections *idleConnections) take(now time.Time) *connection {
+// take returns the connection that was used last and is still sound, or nil. One
+// that was used within a span is trusted without a look.
+func (connections *idleConnections) take(now time.Time, trusted time.Duration) *connection {
 	for {
 		connections.lock.Lock()
 		last := len(connections.idle) - 1
@@ -61,7 +65,8 @@
 		taken := connections.idle[last]
 		connections.idle = connections.idle[:last]
 		connections.lock.Unlock()
-		if now.Sub(taken.idleFrom) < taken.idleSpan && taken.sound() {
+		waited := now.Sub(taken.idleFrom)
+		if waited < taken.idleSpan && (waited < trusted || taken.sound()) {
 			return taken
 		}
 		connections.end(taken)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -33,6 +33,7 @@
 		changes  *prometheus.CounterVec
 		synced   *prometheus.CounterVec
 		lag      prometheus.Gauge
+		unlogged prometheus.Counter
 	}
 )
 
@@ -55,13 +56,14 @@
 		moved:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "targets_moved_total", Help: "Targets that this entry gave up to another home."}),
 		changes:  counter("directory_changes_total", "Changes of the directory of targets.", "from"),
 		synced:   counter("directory_exchanges_total", "Exchanges of directory digests with peers.", "result"),
+		unlogged: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_left_out_total", Help: "Log lines about requests that were left out because there were many of their kind."}),
 		lag:      prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "directory_unequal_seconds", Help: "Time since the directory was last equal to a peer's."}),
 	}
 	metrics.registry.MustRegister(
 		metrics.attempts, metrics.outcomes, metrics.refusals, metrics.sheds, metrics.dropped,
 		metrics.queue, metrics.slots, metrics.coverage, metrics.latency,
 		metrics.version, metrics.view, metrics.fenced,
-		metrics.moved, metrics.changes, metrics.synced, metrics.lag,
+		metrics.moved, metrics.changes, metrics.synced, metrics.lag, metrics.unlogged,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
@@ -118,6 +120,9 @@
 // Lag is the time since the directory was last equal to a peer's, in seconds.
 func (metrics *Metrics) Lag() prometheus.Gauge { return metrics.lag }
 
+// Unlogged counts log lines about requests that were left out.
+func (metrics *Metrics) Unlogged() prometheus.Counter { return metrics.unlogged }
+
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -34,6 +34,8 @@
 	// StopTimeout bounds a graceful shutdown: the addresses' maximum age, the
 	// longest request and some room.
 	StopTimeout = settings.MaximumAddressMaxAge + time.Minute + 15*time.Second
+
+	metricsPath = "/metrics"
 )
 
 type (
@@ -53,8 +55,9 @@
 	Listeners struct {
 		http net.Listener
 		peer net.Listener
-		// gateway is nil where the settings have none.
+		// gateway and metrics are nil where the settings have none.
 		gateway net.Listener
+		metrics net.Listener
 	}
 )
 
@@ -76,7 +79,7 @@
 		fx.Invoke(startPeerServer),
 		entryModule(settings),
 		gatewayModule(settings),
-		fx.Invoke(startHTTPServer),
+		fx.Invoke(startHTTPServer, startMetricsServer),
 		fx.Options(more...),
 		controlLifecycle(settings),
 		entryStopModule(settings),
@@ -98,29 +101,43 @@
 // settings by the port that was bound.
 func Listen(ctx context.Context, settings *settings.Settings, network Network) (*Listeners, error) {
 	network = network.withDefaults()
-	http, err := network.Listen(ctx, settings.HTTPAddress)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen; choose a free http_address")
-	}
-	peer, err := network.Listen(ctx, settings.PeerAddress)
-	if err != nil {
-		_ = http.Close()
-		return nil, errors.Wrap(err, "listen; choose a free peer_address")
+	listeners := &Listeners{}
+	for _, bound := range []struct {
+		address  *string
+		listener *net.Listener
+		name     string
+	}{
+		{&settings.HTTPAddress, &listeners.http, "http_address"},
+		{&settings.PeerAddress, &listeners.peer, "peer_address"},
+		{gatewayAddressOf(settings), &listeners.gateway, "gateway.address"},
+		{&settings.MetricsAddress, &listeners.metrics, "metrics_address"},
+	} {
+		if *bound.address == "" {
+			continue
+		}
+		listener, err := network.Listen(ctx, *bound.address)
+		if err != nil {
+			listeners.close()
+			return nil, errors.Wrap(err, "listen; choose a free "+bound.name)
+		}
+		*bound.address, *bound.listener = listener.Addr().String(), listener
 	}
-	settings.HTTPAddress = http.Addr().String()
-	settings.PeerAddress = peer.Addr().String()
-	listeners := &Listeners{http: http, peer: peer}
+	return listeners, nil
+}
+
+func gatewayAddressOf(settings *settings.Settings) *string {
 	if settings.Gateway == nil {
-		return listeners, nil
+		return new(string)
 	}
-	listeners.gateway, err = network.Listen(ctx, settings.Gateway.Address)
-	if err != nil {
-		_ = http.Close()
-		_ = peer.Close()
-		return nil, errors.Wrap(err, "listen; choose a free gateway.address")
+	return &settings.Gateway.Address
+}
+
+func (listeners *Listeners) close() {
+	for _, listener := range []net.Listener{listeners.http, listeners.peer, listeners.gateway, listeners.metrics} {
+		if listener != nil {
+			_ = listener.Close()
+		}
 	}
-	settings.Gateway.Address = listeners.gateway.Addr().String()
-	return listeners, nil
 }
 
 // Sockets returns the network of real sockets.
@@ -159,9 +176,10 @@
 }
 
 // registerCommon adds the routes that every process serves.
-func registerCommon(engine *gin.Engine, client *control.Client, metrics *metrics.Metrics) {
+func registerCommon(engine *gin.Engine, client *control.Client, metrics *metrics.Metrics, logger *zap.Logger) {
+	registerDropped(logger, metrics.Registry())
 	operatorserver.NewServer(client).Register(engine)
-	engine.GET("/metrics", gin.WrapH(promhttp.HandlerFor(metrics.Registry(), promhttp.HandlerOpts{})))
+	engine.GET(metricsPath, gin.WrapH(promhttp.HandlerFor(metrics.Registry(), promhttp.HandlerOpts{})))
 	engine.GET("/v1/live", func(ginContext *gin.Context) { ginContext.Status(http.StatusNoContent) })
 }
 
@@ -190,6 +208,22 @@
 	})
 }
 
+func startMetricsServer(listeners *Listeners, metrics *metrics.Metrics, logger *zap.Logger, lifecycle fx.Lifecycle) {
+	if listeners.metrics == nil {
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(metrics.Registry(), promhttp.HandlerOpts{}))
+	server := web.NewServer(mux)
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go report(logger, "metrics server ended", func() error { return web.Serve(server, listeners.metrics) })
+			return nil
+		},
+		OnStop: func(context.Context) error { return server.Close() },
+	})
+}
+
 func report(logger *zap.Logger, message string, serve func() error) {
 	if err := serve(); err != nil {
 		logger.Error(message, zap.Error(err))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -54,6 +54,9 @@
 		// ControlReplicas lists the IP:port peer addresses of all control
 		// replicas.
 		ControlReplicas []string `json:"control_replicas"`
+		// MetricsAddress is an IP:port for metrics alone; they are served at
+		// HTTPAddress in any case.
+		MetricsAddress string `json:"metrics_address,omitempty"`
 		// Gateway lets an entry serve HTTP routes.
 		Gateway  *Gateway `json:"gateway,omitempty"`
 		LogLevel string   `json:"log_level,omitempty"`
@@ -142,6 +145,9 @@
 	if settings.AddressMaxAge < 0 || settings.AddressMaxAge.Std() > MaximumAddressMaxAge {
 		check.add("address_max_age", "the span is out of range", "use a span up to "+MaximumAddressMaxAge.String()+", or leave it out")
 	}
+	if settings.MetricsAddress != "" {
+		check.address("metrics_address", settings.MetricsAddress)
+	}
 	check.gateway(settings)
 	check.oneOf("log_level", settings.LogLevel, "debug", "info", "warn", "error")
 	check.oneOf("tracing.exporter", settings.Tracing.Exporter, ExportNone, ExportStdout, ExportOTLP)
--- a/internal/verb/serve.go
+++ b/internal/verb/serve.go
@@ -45,6 +45,7 @@
 			defer cancelStop()
 			err = app.Stop(stopContext)
 			logger.Info("stopped", zap.Error(err))
+			_ = logger.Sync() // the lines that wait are lost where nobody reads them
 			return err
 		},
 	}
