--- a/internal/verb/operate_test.go
+++ b/internal/verb/operate_test.go
@@ -18,7 +18,7 @@
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
-var _ = ginkgo.Describe("the commands of docs/OPERATING.md", func() {
+var _ = ginkgo.Describe("the commands of docs/OPERATIONS.md", func() {
 	ginkgo.It("end with the codes that the page names", func(ctx ginkgo.SpecContext) {
 		deployment := standin.Banaag
 		deployment.Pools = deployment.Pools[3:]
--- a/internal/verb/table.go
+++ b/internal/verb/table.go
@@ -43,6 +43,7 @@
 		statusCommand,
 		replicaCommand,
 		queryCommand,
+		explainCommand,
 		versionCommand,
 	}
 
