Keep connections to the nearest targets that have room for them

Each entry now keeps those to the nearest targets, as many as three quarters of what the pool's targets accept; among equally far ones each entry prefers others.

--- a/internal/httpcaller/keep_connected.go
+++ b/internal/httpcaller/keep_connected.go
@@ -4,8 +4,15 @@
 package httpcaller
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
 const (
@@ -15,13 +22,13 @@
 	// connectMargin is how long before the target closes a waiting connection
 	// another one is opened.
 	connectMargin = 600 * time.Millisecond
-	// roomForWaiting is how many connections to a target each entry must be able
-	// to open for one of them to wait unused.
-	roomForWaiting = 2
+	// waitingShare is the share of the connections that a pool's targets accept
+	// together which all entries may keep waiting; the rest is for use.
+	waitingShare = 0.75
 )
 
-// KeepConnected keeps one connection open to each target of the pools in use,
-// until ctx ends.
+// KeepConnected keeps a connection open to the targets of the pools in use that
+// are asked first, until ctx ends.
 func (server *Server) KeepConnected(ctx context.Context) {
 	ticker := time.NewTicker(connectInterval)
 	defer ticker.Stop()
@@ -44,13 +51,35 @@
 	}
 	for _, name := range indexed.routes.Used() {
 		pool := indexed.routes.Pool(name)
-		if pool == nil || pool.Connections < roomForWaiting*server.entries() {
+		if pool == nil {
 			continue
 		}
-		for _, target := range server.directory.Pool(name) {
-			if !indexed.tables.Out(target.FailureDomain()) {
-				go server.sender.Connect(ctx, target, server.connectionLimit(pool), connectMargin)
-			}
+		for _, target := range server.preferred(indexed, name, pool) {
+			go server.sender.Connect(ctx, target, server.connectionLimit(pool), connectMargin)
+		}
+	}
+}
+
+// preferred returns the targets of a pool to which a connection waits: the nearest
+// ones, and of equally near ones those that other entries prefer least.
+func (server *Server) preferred(indexed *indexed, name string, pool *operator.Pool) []*httptarget.Target {
+	var targets []*httptarget.Target
+	for _, target := range server.directory.Pool(name) {
+		if !indexed.tables.Out(target.FailureDomain()) {
+			targets = append(targets, target)
 		}
 	}
+	slices.SortFunc(targets, func(left, right *httptarget.Target) int {
+		if order := server.roundTrip(left.FailureDomain()) - server.roundTrip(right.FailureDomain()); order != 0 {
+			return int(order)
+		}
+		return cmp.Compare(server.preference(left), server.preference(right))
+	})
+	room := int(waitingShare * float64(pool.Connections*len(targets)) / float64(server.entries()))
+	return targets[:min(len(targets), room)]
+}
+
+// preference is a number that differs by entry and target.
+func (server *Server) preference(target *httptarget.Target) uint64 {
+	return xxhash.Sum64String(server.options.Name + "/" + target.ID())
 }
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -47,6 +47,8 @@
 type (
 	// Options say where an entry stands and what it may spend.
 	Options struct {
+		// Name names the entry.
+		Name          string
 		FailureDomain string
 		Region        string
 		// Regions holds the region of each failure domain.
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -70,7 +70,7 @@
 func newGateway(settings *settings.Settings, headers dialect.Headers, board *blackboard.Board, directory *httptarget.Directory, sender *httptarget.Sender, logger *zap.Logger, metrics *metrics.Metrics) *httpcaller.Server {
 	gateway := settings.Gateway
 	return httpcaller.NewServer(httpcaller.Options{
-		FailureDomain: settings.FailureDomain, Region: settings.Region, Regions: gateway.Regions, Headers: headers,
+		Name: settings.Name, FailureDomain: settings.FailureDomain, Region: settings.Region, Regions: gateway.Regions, Headers: headers,
 		Budget: policy.BudgetLimits{Ratio: gateway.RetryRatio, Slack: gateway.RetrySlack, Window: gateway.RetryWindow.Std()},
 	}, board, directory, sender, logger, metrics)
 }
