Give the entries of a target's failure domain the connections that the others leave

Cause: each entry might open an equal share (3 of 26), though those near a target send it most of its requests: bursts met 'busy' and went to another region.

--- a/internal/httpcaller/ask.go
+++ b/internal/httpcaller/ask.go
@@ -284,7 +284,7 @@
 	ask.inFlight++
 	ask.call.sent.Add(1)
 	server.countAttempt(ask.pool, why)
-	limit := server.connectionLimit(ask.call.indexed.routes.Pool(ask.pool))
+	limit := server.connectionLimit(ask.call.indexed.routes.Pool(ask.pool), target)
 	server.workers.run(func() {
 		ctx, span := tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
 		defer span.End()
--- a/internal/httpcaller/keep_connected.go
+++ b/internal/httpcaller/keep_connected.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		for _, target := range server.preferred(indexed, name, pool) {
-			go server.sender.Connect(ctx, target, server.connectionLimit(pool), connectMargin)
+			go server.sender.Connect(ctx, target, server.connectionLimit(pool, target), connectMargin)
 		}
 	}
 }
--- a/internal/httpcaller/limits.go
+++ b/internal/httpcaller/limits.go
@@ -3,20 +3,29 @@
 package httpcaller
 
 import (
+	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
 const (
-	// leastConnections is what each entry may open to a target, however many
-	// entries there are: most use the targets of their own region alone.
-	leastConnections = 2
+	// farConnections is what each entry may open to a target of another failure
+	// domain: one that waits and one more. What is left belongs to the entries
+	// of the target's own, which send it most of its requests.
+	farConnections = 2
 )
 
-// connectionLimit returns how many connections this entry may open to one target
+// connectionLimit returns how many connections this entry may open to a target
 // of a pool.
-func (server *Server) connectionLimit(pool *operator.Pool) int {
-	if pool == nil {
-		return leastConnections
+func (server *Server) connectionLimit(pool *operator.Pool, target *httptarget.Target) int {
+	if pool == nil || target.FailureDomain() != server.options.FailureDomain {
+		return farConnections
 	}
-	return max(leastConnections, pool.Connections/server.entries())
+	near := 0
+	members := server.board.Membership().View().Members
+	for index := range members {
+		if members[index].FailureDomain == target.FailureDomain() {
+			near++
+		}
+	}
+	return max(farConnections, (pool.Connections-farConnections*(len(members)-near))/max(1, near))
 }
