--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -18,6 +19,9 @@
 const (
 	// MaximumLineBytes bounds one line.
 	MaximumLineBytes = 1 << 20
+
+	// startMessage is the first that a process writes.
+	startMessage = "listening"
 )
 
 var (
@@ -83,7 +87,9 @@
 		return Line{}, false
 	}
 	fields := map[string]any{}
-	if json.Unmarshal(text[start:], &fields) != nil {
+	decoder := json.NewDecoder(bytes.NewReader(text[start:]))
+	decoder.UseNumber()
+	if decoder.Decode(&fields) != nil {
 		return Line{}, false
 	}
 	name := func(field string) string {
@@ -135,6 +141,9 @@
 			continue
 		}
 		switch {
+		case line.Message == startMessage:
+			// A process that starts believes nothing.
+			maps.DeleteFunc(last, func(_ string, earlier Line) bool { return earlier.Process == line.Process })
 		case line.Target != "" && strings.Contains(decisions, line.Target):
 			last[line.Process+" target "+line.Target] = line
 		case slices.Contains(beliefs, line.Message):
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -9,7 +9,9 @@
 )
 
 const (
-	log = `{"level":"info","time":"2026-03-26T18:49:10.000Z","msg":"tables in force","process":"e1","version":3}
+	log = `{"level":"info","time":"2026-03-26T18:49:09.000Z","msg":"view received","process":"e1","view":17}
+{"level":"info","time":"2026-03-26T18:49:09.500Z","msg":"listening","process":"e1"}
+{"level":"info","time":"2026-03-26T18:49:10.000Z","msg":"tables in force","process":"e1","version":3}
  12.5 e1 {"level":"info","time":"2026-03-26T18:49:11.000Z","msg":"tables in force","process":"e1","version":4}
 {"level":"info","time":"2026-03-26T18:49:11.500Z","msg":"target changed","process":"e1","target":"t1","silent":true}
 {"level":"info","time":"2026-03-26T18:49:11.500Z","msg":"target changed","process":"e1","target":"t2","silent":true}
