Send cold targets no more than the rate that they bear, and apply the limit of heads

Where a pool states a cold rate each entry sends its share, evenly spread; the test replays a load of a request a millisecond against one cold target.

--- a/internal/httpcaller/ask.go
+++ b/internal/httpcaller/ask.go
@@ -22,8 +22,9 @@
 	// maximumSends bounds the targets that are tried for one question, those
 	// that refuse included.
 	maximumSends = 4
-	// regionRoundTrip and farRoundTrip are what a way to another failure domain,
-	// and to another region, is taken to last before it was measured.
+	// domainRoundTrip, regionRoundTrip and farRoundTrip are what a way within a
+	// failure domain, to another one of the region, and to another region is taken
+	// to last before it was measured.
 	domainRoundTrip = time.Millisecond
 	regionRoundTrip = 3 * time.Millisecond
 	farRoundTrip    = 25 * time.Millisecond
@@ -157,7 +158,6 @@
 	defer cancel()
 	result := answer{pool: ask.pool, reason: policy.NoRoom}
 	if !ask.send(ctx, "first") {
-		result.reason = policy.NoTarget
 		return result
 	}
 	hedge := time.NewTimer(ask.hedgeDelay())
@@ -273,6 +273,12 @@
 		ask.rank()
 	}
 	server := ask.call.server
+	pool := ask.call.indexed.routes.Pool(ask.pool)
+	for !ask.targets[ask.order[ask.next]].Admit(time.Now(), server.coldSpan(pool)) {
+		if ask.next++; ask.next >= len(ask.order) {
+			return false
+		}
+	}
 	target := ask.targets[ask.order[ask.next]]
 	ask.lock.Lock()
 	ask.sends = append(ask.sends, send{target: target.ID(), after: time.Since(ask.call.begun), expected: ask.candidates[ask.order[ask.next]].Expect(), why: why})
@@ -284,7 +290,7 @@
 	ask.inFlight++
 	ask.call.sent.Add(1)
 	server.countAttempt(ask.pool, why)
-	limit := server.connectionLimit(ask.call.indexed.routes.Pool(ask.pool), target)
+	limit := server.connectionLimit(pool, target)
 	server.workers.run(func() {
 		ctx, span := tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
 		defer span.End()
--- a/internal/httpcaller/limits.go
+++ b/internal/httpcaller/limits.go
@@ -3,6 +3,8 @@
 package httpcaller
 
 import (
+	"time"
+
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
@@ -29,3 +31,12 @@
 	}
 	return max(farConnections, (pool.Connections-farConnections*(len(members)-near))/max(1, near))
 }
+
+// coldSpan returns the span in which this entry may send one request to a target
+// in cold start: its share of the rate that the target bears. Zero is no bound.
+func (server *Server) coldSpan(pool *operator.Pool) time.Duration {
+	if pool == nil || pool.HTTP == nil || pool.HTTP.ColdRunsPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(server.entries()) / pool.HTTP.ColdRunsPerSecond * float64(time.Second))
+}
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -30,8 +30,12 @@
 const (
 	// DefaultBodyBytes bounds the body of a request where the tables don't.
 	DefaultBodyBytes = 256 << 10
+	// DefaultHeaderBytes bounds the head of a request where the tables don't.
+	DefaultHeaderBytes = 16 << 10
 	// DefaultTimeout bounds a request whose caller names no deadline.
 	DefaultTimeout = 30 * time.Second
+	// headerOverhead is what a header has besides name and value.
+	headerOverhead = 4
 	// MaximumStaleness is how long an entry that control doesn't answer goes on
 	// with the tables that it has: callers are better served by tables of a
 	// minute ago than by none.
@@ -159,6 +163,10 @@
 	case !policy.AdmitEntry(int(inFlight), route.HTTP.Priority):
 		call.refuse(writer, policy.NoRoom)
 		return
+	case headBytes(request) > call.indexed.headerLimit():
+		writer.Header().Set("Connection", "close")
+		call.fail(writer, http.StatusRequestHeaderFieldsTooLarge, "the head is larger than allowed; send less")
+		return
 	}
 	if !call.read(writer, request) {
 		return
@@ -200,6 +208,24 @@
 	return limit
 }
 
+func (indexed *indexed) headerLimit() int {
+	if limits := indexed.tables.HTTPLimits; limits != nil && limits.HeaderBytes > 0 {
+		return limits.HeaderBytes
+	}
+	return DefaultHeaderBytes
+}
+
+// headBytes returns about how many bytes a head had.
+func headBytes(request *http.Request) int {
+	size := len(request.Method) + len(request.RequestURI) + len(request.Host)
+	for name, values := range request.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + headerOverhead
+		}
+	}
+	return size
+}
+
 // read takes in the whole request, and reports whether it may go on.
 func (call *call) read(writer http.ResponseWriter, request *http.Request) bool {
 	limit := DefaultBodyBytes
--- a/internal/httpcaller/server_test.go
+++ b/internal/httpcaller/server_test.go
@@ -147,6 +147,14 @@
 		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusRequestEntityTooLarge))
 	})
 
+	ginkgo.It("with a head above the limit is too large", func() {
+		gateway.apply(&operator.Tables{
+			Routes: []operator.Route{orders()}, Pools: []operator.Pool{pool("p")}, HTTPLimits: &operator.HTTPLimits{HeaderBytes: 200},
+		})
+		response, _ := gateway.ask(http.MethodGet, "/orders/"+strings.Repeat("7", 200), nil)
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusRequestHeaderFieldsTooLarge))
+	})
+
 	ginkgo.It("ends at the target when the caller leaves", func() {
 		var arrived, ended atomic.Bool
 		gateway.add("p", "nord-a", func(_ http.ResponseWriter, request *http.Request) {
--- a/internal/httptarget/directory_test.go
+++ b/internal/httptarget/directory_test.go
@@ -210,6 +210,26 @@
 	})
 })
 
+var _ = ginkgo.Describe("a cold target", func() {
+	ginkgo.It("gets one request in a span until it is warm, whatever the load", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			record := announced("t", "10.0.0.1:80", 5, 3, StateReady)
+			record.ColdFor = 3 * time.Second
+			target := newTarget(&record)
+			target.update(&record, false)
+			admitted := 0
+			for begun := time.Now(); time.Since(begun) < record.ColdFor; time.Sleep(time.Millisecond) {
+				if target.Admit(time.Now(), 400*time.Millisecond) {
+					admitted++
+				}
+			}
+			expect.Expect(admitted).To(gomega.Equal(8))
+			expect.Expect(target.Admit(time.Now(), 400*time.Millisecond)).To(gomega.BeTrue())
+			expect.Expect(target.Admit(time.Now(), 400*time.Millisecond)).To(gomega.BeTrue())
+		})
+	})
+})
+
 var _ = ginkgo.Describe("estimates", func() {
 	ginkgo.It("hold through one pause and follow a target that has turned slow", func() {
 		bubble.Run(suite, func(expect gomega.Gomega) {
--- a/internal/httptarget/target.go
+++ b/internal/httptarget/target.go
@@ -47,6 +47,8 @@
 		record    Record
 		silent    bool
 		coldUntil time.Time
+		// coldRunAt is when the last request was let through in cold start.
+		coldRunAt time.Time
 
 		latency    time.Duration
 		deviation  time.Duration
@@ -132,6 +134,21 @@
 	}
 }
 
+// Admit reports whether a request may be sent now. In cold start only one in a
+// span may; a span of zero states no bound.
+func (target *Target) Admit(now time.Time, coldSpan time.Duration) bool {
+	target.lock.Lock()
+	defer target.lock.Unlock()
+	if coldSpan <= 0 || !now.Before(target.coldUntil) {
+		return true
+	}
+	if now.Sub(target.coldRunAt) < coldSpan {
+		return false
+	}
+	target.coldRunAt = now
+	return true
+}
+
 func (target *Target) begin(now time.Time) {
 	target.lock.Lock()
 	defer target.lock.Unlock()
