Don't say that a query has not run while targets may be running it

A query whose time ran out with all shards pending was refused as not run: nothing had come back, so nothing counted as run. The new spec failed first (503).

--- a/internal/httpcaller/gather.go
+++ b/internal/httpcaller/gather.go
@@ -24,6 +24,8 @@
 		parts   [][]byte
 		proofs  []string
 		failed  int
+		// pending counts the questions whose outcome isn't known yet.
+		pending int
 		ran     bool
 		hedges  int
 		retries int
@@ -51,7 +53,7 @@
 		call.leave(writer)
 	case verdict == policy.Answer:
 		query.respond(writer, state)
-	case query.ran:
+	case query.ran || query.pending > 0:
 		call.lost(writer, &answer{reason: policy.TooLate})
 	default:
 		call.refuse(writer, policy.NoRoom)
@@ -83,6 +85,7 @@
 	}
 	for _, ask := range asks {
 		query.open[ask.pool] = ask
+		query.pending++
 		server.workers.run(func() { query.answers <- ask.answer(ctx) })
 	}
 	return 0
@@ -110,6 +113,7 @@
 }
 
 func (query *query) take(answer *answer) {
+	query.pending--
 	if answer.hedged {
 		query.hedges++
 	}
--- a/internal/httpcaller/server_test.go
+++ b/internal/httpcaller/server_test.go
@@ -266,6 +266,17 @@
 		gomega.Expect(body).To(gomega.ContainSubstring("no_target"))
 	})
 
+	ginkgo.It("that may be running when its time is over is not said not to have run", func() {
+		hang := func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() }
+		gateway.add("p1", "nord-a", hang)
+		gateway.add("p2", "nord-a", hang)
+		tables := gathered(100*time.Millisecond, 1, "p1", "p2")
+		tables.Routes[0].HTTP.Timeout = duration.Of(300 * time.Millisecond)
+		gateway.apply(tables)
+		_, body := query(http.StatusGatewayTimeout)
+		gomega.Expect(body).To(gomega.ContainSubstring(`"not_run":false`))
+	})
+
 	ginkgo.It("that ran and can't reach its coverage is not said not to have run", func() {
 		gateway.add("p1", "nord-a", part("proof-1", "aaaaaaaaaaaaaaaa"))
 		gateway.add("p2", "nord-a", breakOff)
