Make the spec of a pending query strict

As committed it asked again until the right status came, and so passed without the mend too. Now the first answer with known targets counts: it fails without the mend (503) and passes with it.

--- a/internal/httpcaller/gather.go
+++ b/internal/httpcaller/gather.go
@@ -20,10 +20,10 @@
 		shards  []string
 		answers chan answer
 		// open are the questions without an answer yet, by shard.
-		open    map[string]*ask
-		parts   [][]byte
-		proofs  []string
-		failed  int
+		open   map[string]*ask
+		parts  [][]byte
+		proofs []string
+		failed int
 		// pending counts the questions whose outcome isn't known yet.
 		pending int
 		ran     bool
--- a/internal/httpcaller/server_test.go
+++ b/internal/httpcaller/server_test.go
@@ -273,7 +273,13 @@
 		tables := gathered(100*time.Millisecond, 1, "p1", "p2")
 		tables.Routes[0].HTTP.Timeout = duration.Of(300 * time.Millisecond)
 		gateway.apply(tables)
-		_, body := query(http.StatusGatewayTimeout)
+		var response *http.Response
+		var body string
+		gomega.Eventually(func() string {
+			response, body = gateway.ask(http.MethodGet, "/all/7", nil)
+			return body
+		}).WithTimeout(roomySpan).ShouldNot(gomega.ContainSubstring("no_target"))
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusGatewayTimeout))
 		gomega.Expect(body).To(gomega.ContainSubstring(`"not_run":false`))
 	})
 
