--- a/internal/httptarget/store.go
+++ b/internal/httptarget/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"io/fs"
 	"path/filepath"
 	"time"
 
@@ -53,6 +54,10 @@
 // to announce itself again.
 func (registry *Registry) Load(store *Store) {
 	records, err := store.read()
+	if errors.Is(err, fs.ErrNotExist) {
+		registry.logger.Info("no targets loaded: the disk holds none yet", zap.String("folder", store.folder))
+		return
+	}
 	if err != nil {
 		registry.logger.Warn("no targets loaded", zap.String("folder", store.folder), zap.Error(err))
 		return
--- a/internal/tier/process.go
+++ b/internal/tier/process.go
@@ -96,11 +96,11 @@
 		}
 		started.listeners = listeners
 	}
-	logger, err := process.NewLogger(started.settings, tier.options.Logs)
+	logger, err := process.NewLogger(started.settings, tier.logs)
 	if err != nil {
 		return err
 	}
-	started.app = process.New(started.settings, started.listeners, network, logger, tier.options.Logs)
+	started.app = process.New(started.settings, started.listeners, network, logger, tier.logs)
 	if err := started.app.Start(ctx); err != nil {
 		return errors.Wrap(err, "start "+started.settings.Name)
 	}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap/zapcore"
 
 	"gitlab.com/comfreythread/comfreythread/internal/control"
 	"gitlab.com/comfreythread/comfreythread/internal/disk"
@@ -57,7 +58,9 @@
 
 	// Tier is a running system.
 	Tier struct {
-		options  Options
+		options Options
+		// logs is options.Logs, which processes write to side by side.
+		logs     io.Writer
 		folder   string
 		replicas []*Process
 		entries  []*Process
@@ -78,7 +81,7 @@
 		return nil, errors.Wrap(err, "make data folder")
 	}
 	options.EntriesPerFailureDomain = max(1, options.EntriesPerFailureDomain)
-	tier := &Tier{options: options, folder: folder}
+	tier := &Tier{options: options, folder: folder, logs: zapcore.Lock(zapcore.AddSync(options.Logs))}
 	if err := tier.start(ctx); err != nil {
 		_ = tier.Stop(context.WithoutCancel(ctx))
 		return nil, err
