--- a/internal/replica/reading.go
+++ b/internal/replica/reading.go
@@ -10,9 +10,9 @@
 
 const (
 	// roundInterval is the least span between two rounds that confirm reads. A
-	// round confirms all that asked before it began, so that many entries that
-	// renew their leases share few.
-	roundInterval = 50 * time.Millisecond
+	// round confirms all that asked before it began. Entries that change homes wait
+	// for several renewals in turn, so that a longer span delays requests.
+	roundInterval = 5 * time.Millisecond
 )
 
 type (
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -71,7 +71,7 @@
 		return known
 	}
 	added := &peer{
-		client: frame.NewOnDemandClient(address, transport.dial),
+		client: frame.NewClient(address, transport.dial),
 		queue:  make(chan parcel, maximumQueued), calls: make(chan struct{}, maximumCalls), closed: make(chan struct{}),
 	}
 	if transport.peers == nil {
