End a request's span once, and tell a timeout in one place

The span of a forwarded request was ended twice; httptarget had its own copy of tcp's test for a timeout; leave took a writer that it didn't use. No behaviour changes: the specs of httptarget, httpcaller and platform pass.

--- a/internal/httpcaller/gather.go
+++ b/internal/httpcaller/gather.go
@@ -50,7 +50,7 @@
 	cancel()
 	switch {
 	case call.ctx.Err() != nil:
-		call.leave(writer)
+		call.leave()
 	case verdict == policy.Answer:
 		query.respond(writer, state)
 	case query.ran || query.pending > 0:
--- a/internal/httpcaller/one.go
+++ b/internal/httpcaller/one.go
@@ -26,7 +26,7 @@
 	case result.answered != nil:
 		call.pass(writer, &result)
 	case call.ctx.Err() != nil:
-		call.leave(writer)
+		call.leave()
 	case result.ran:
 		call.lost(writer, &result)
 	default:
--- a/internal/httpcaller/respond.go
+++ b/internal/httpcaller/respond.go
@@ -81,7 +81,7 @@
 }
 
 // leave ends a request whose caller is gone.
-func (call *call) leave(http.ResponseWriter) {
+func (call *call) leave() {
 	call.server.metrics.Refusals().WithLabelValues("cancelled").Inc()
 	call.server.journal.left(call)
 	panic(http.ErrAbortHandler)
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -16,7 +16,6 @@
 	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
@@ -171,16 +170,15 @@
 	if !call.read(writer, request) {
 		return
 	}
-	call.forward(writer, span)
+	call.forward(writer)
 }
 
-func (call *call) forward(writer http.ResponseWriter, span trace.Span) {
+func (call *call) forward(writer http.ResponseWriter) {
 	if call.route.HTTP.Gather != nil {
 		call.gather(writer)
 	} else {
 		call.forwardOne(writer)
 	}
-	span.End()
 }
 
 // index returns the routes in force, or nil where there are no tables yet.
--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -205,7 +204,7 @@
 		}
 		target.shed(begun)
 	case *Lost:
-		if ctx.Err() != nil || errors.Is(outcome.Cause, context.DeadlineExceeded) || isTimeout(outcome.Cause) {
+		if ctx.Err() != nil || errors.Is(outcome.Cause, context.DeadlineExceeded) || tcp.IsTimeout(outcome.Cause) {
 			target.abandoned(begun, now)
 			return
 		}
@@ -213,11 +212,6 @@
 	}
 }
 
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 func (sender *Sender) connect(ctx context.Context, target *Target, request *Request, deadline time.Time, limit int) (*connection, error) {
 	trusted := time.Duration(0)
 	if request.Repeatable {
--- a/internal/tcp/dial.go
+++ b/internal/tcp/dial.go
@@ -37,7 +37,7 @@
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	for span := firstDialSpan; ; span *= 2 {
 		connection, err := dialOnce(ctx, network, address, span)
-		if err == nil || !isTimeout(err) || hasEnded(ctx) {
+		if err == nil || !IsTimeout(err) || hasEnded(ctx) {
 			return connection, err
 		}
 	}
@@ -56,7 +56,8 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
-func isTimeout(err error) bool {
+// IsTimeout reports whether a call ended because its time was over.
+func IsTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
