Let HTTP targets announce themselves by the product's own interface

Only the platform's adapter reached the registry. Control processes serve PUT and DELETE /v1/http-targets/:id now; the check that a process belongs to the group moved from the adapter into the product, and a full registry is told to the target rather than logged alone.

--- a/internal/httpcaller/benchmark_test.go
+++ b/internal/httpcaller/benchmark_test.go
@@ -82,10 +82,13 @@
 		tables.Pools = append(tables.Pools, pool(name))
 		for replica := range 3 {
 			id := fmt.Sprint(name, "-", replica)
-			registry.Announce(httptarget.Record{
+			err := registry.Announce(httptarget.Record{
 				ID: id, Pool: name, Address: cannedTarget(b, id).Addr().String(), FailureDomain: []string{"nord-a", "sud-a", "ouest-a"}[replica],
 				Slots: 2, State: httptarget.StateReady, StartedAt: 1, Revision: 1,
 			})
+			if err != nil {
+				b.Fatal(err)
+			}
 		}
 	}
 	peers := new(frame.Server)
--- a/internal/httpcaller/suite_test.go
+++ b/internal/httpcaller/suite_test.go
@@ -93,10 +93,10 @@
 		target.CloseClientConnections()
 		target.Close()
 	})
-	gateway.registry.Announce(httptarget.Record{
+	gomega.Expect(gateway.registry.Announce(httptarget.Record{
 		ID: fmt.Sprint("target-", gateway.targets), Pool: pool, Address: target.Listener.Addr().String(), FailureDomain: domain,
 		Slots: 2, State: httptarget.StateReady, StartedAt: 1, Revision: 1,
-	})
+	})).To(gomega.Succeed())
 	return target
 }
 
--- a/internal/httptarget/directory_test.go
+++ b/internal/httptarget/directory_test.go
@@ -34,9 +34,9 @@
 var _ = ginkgo.Describe("a registry", func() {
 	ginkgo.It("ignores an announcement that comes late", func() {
 		registry := NewRegistry(1, zap.NewNop())
-		registry.Announce(announced("t", "10.0.0.1:80", 5, 3, StateLeaving))
-		registry.Announce(announced("t", "10.0.0.1:80", 5, 2, StateReady))
-		registry.Announce(announced("t", "10.0.0.1:80", 4, 9, StateReady))
+		gomega.Expect(registry.Announce(announced("t", "10.0.0.1:80", 5, 3, StateLeaving))).To(gomega.Succeed())
+		gomega.Expect(registry.Announce(announced("t", "10.0.0.1:80", 5, 2, StateReady))).To(gomega.Succeed())
+		gomega.Expect(registry.Announce(announced("t", "10.0.0.1:80", 4, 9, StateReady))).To(gomega.Succeed())
 		records, _, _ := registry.since(0)
 		gomega.Expect(records).To(gomega.HaveLen(1))
 		gomega.Expect(records[0].State).To(gomega.Equal(StateLeaving))
@@ -44,12 +44,12 @@
 
 	ginkgo.It("takes a target back that starts again under its ID, but not by an announcement from before its end", func() {
 		registry := NewRegistry(1, zap.NewNop())
-		registry.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
-		registry.End("t")
-		registry.Announce(announced("t", "10.0.0.1:80", 5, 4, StateReady))
+		gomega.Expect(registry.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))).To(gomega.Succeed())
+		gomega.Expect(registry.End("t")).To(gomega.Succeed())
+		gomega.Expect(registry.Announce(announced("t", "10.0.0.1:80", 5, 4, StateReady))).To(gomega.Succeed())
 		records, _, _ := registry.since(0)
 		gomega.Expect(records[0].State).To(gomega.Equal(StateGone))
-		registry.Announce(announced("t", "10.0.0.1:80", 6, 1, StateReady))
+		gomega.Expect(registry.Announce(announced("t", "10.0.0.1:80", 6, 1, StateReady))).To(gomega.Succeed())
 		records, _, _ = registry.since(0)
 		gomega.Expect(records[0].State).To(gomega.Equal(StateReady))
 	})
@@ -59,7 +59,7 @@
 			registry := NewRegistry(1, zap.NewNop())
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			registry.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
+			gomega.Expect(registry.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))).To(gomega.Succeed())
 			go registry.Run(ctx)
 			time.Sleep(SilenceSpan - time.Second)
 			records, _, _ := registry.since(0)
@@ -68,7 +68,7 @@
 			records, _, _ = registry.since(0)
 			expect.Expect(records[0].Silent).To(gomega.BeTrue())
 			registry.forgive(time.Now())
-			registry.Announce(announced("t", "10.0.0.1:80", 5, 4, StateReady))
+			gomega.Expect(registry.Announce(announced("t", "10.0.0.1:80", 5, 4, StateReady))).To(gomega.Succeed())
 			records, _, _ = registry.since(0)
 			expect.Expect(records[0].Silent).To(gomega.BeFalse())
 		})
@@ -83,7 +83,7 @@
 			begun := time.Now()
 			go func() {
 				time.Sleep(100 * time.Millisecond)
-				registry.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
+				gomega.Expect(registry.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))).To(gomega.Succeed())
 			}()
 			reply, err = registry.watch(context.Background(), &WatchRequest{Session: 7, Revision: reply.Revision})
 			expect.Expect(err).NotTo(gomega.HaveOccurred())
@@ -126,8 +126,8 @@
 	})
 
 	ginkgo.It("uses a target as long as one registry hears from it", func() {
-		first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
-		second.Announce(announced("t", "10.0.0.1:80", 5, 2, StateReady))
+		gomega.Expect(first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))).To(gomega.Succeed())
+		gomega.Expect(second.Announce(announced("t", "10.0.0.1:80", 5, 2, StateReady))).To(gomega.Succeed())
 		first.targets["t"].record.Silent = true
 		tell(directory, "first", first)
 		gomega.Expect(usable(directory)).To(gomega.BeEmpty())
@@ -136,37 +136,37 @@
 	})
 
 	ginkgo.It("stops using a target once any registry hears that it leaves", func() {
-		first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
-		second.Announce(announced("t", "10.0.0.1:80", 5, 4, StateLeaving))
+		gomega.Expect(first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))).To(gomega.Succeed())
+		gomega.Expect(second.Announce(announced("t", "10.0.0.1:80", 5, 4, StateLeaving))).To(gomega.Succeed())
 		tell(directory, "second", second)
 		tell(directory, "first", first)
 		gomega.Expect(usable(directory)).To(gomega.BeEmpty())
 	})
 
 	ginkgo.It("takes the end of a target from a registry that didn't know it, until its next start", func() {
-		first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
+		gomega.Expect(first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))).To(gomega.Succeed())
 		tell(directory, "first", first)
-		second.End("t")
+		gomega.Expect(second.End("t")).To(gomega.Succeed())
 		tell(directory, "second", second)
 		gomega.Expect(usable(directory)).To(gomega.BeEmpty())
-		second.Announce(announced("t", "10.0.0.1:80", 6, 1, StateReady))
+		gomega.Expect(second.Announce(announced("t", "10.0.0.1:80", 6, 1, StateReady))).To(gomega.Succeed())
 		tell(directory, "second", second)
 		gomega.Expect(usable(directory)).To(gomega.Equal([]string{"t"}))
 	})
 
 	ginkgo.It("gives an address to the target that started there last", func() {
-		first.Announce(announced("old", "10.0.0.1:80", 5, 30, StateReady))
-		first.Announce(announced("new", "10.0.0.1:80", 9, 1, StateReady))
+		gomega.Expect(first.Announce(announced("old", "10.0.0.1:80", 5, 30, StateReady))).To(gomega.Succeed())
+		gomega.Expect(first.Announce(announced("new", "10.0.0.1:80", 9, 1, StateReady))).To(gomega.Succeed())
 		tell(directory, "first", first)
 		gomega.Expect(usable(directory)).To(gomega.Equal([]string{"new"}))
-		first.Announce(announced("old", "10.0.0.1:80", 5, 31, StateReady))
+		gomega.Expect(first.Announce(announced("old", "10.0.0.1:80", 5, 31, StateReady))).To(gomega.Succeed())
 		tell(directory, "first", first)
 		gomega.Expect(usable(directory)).To(gomega.Equal([]string{"new"}))
 	})
 
 	ginkgo.It("believes on while no registry can be reached, and not one that alone can't be", func() {
-		first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
-		second.Announce(announced("u", "10.0.0.2:80", 5, 3, StateReady))
+		gomega.Expect(first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))).To(gomega.Succeed())
+		gomega.Expect(second.Announce(announced("u", "10.0.0.2:80", 5, 3, StateReady))).To(gomega.Succeed())
 		tell(directory, "first", first)
 		tell(directory, "second", second)
 		directory.doubt("first")
@@ -178,7 +178,7 @@
 	})
 
 	ginkgo.It("lets nothing change that names a target while requests read it", func() {
-		first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
+		gomega.Expect(first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))).To(gomega.Succeed())
 		tell(directory, "first", first)
 		before := directory.Pool("pool")[0]
 		done := make(chan struct{})
@@ -191,7 +191,7 @@
 		for revision := range uint64(50) {
 			moved := announced("t", "10.0.0.1:80", 5, 4+revision, StateReady)
 			moved.FailureDomain = []string{"nord", "sud"}[revision%2]
-			first.Announce(moved)
+			gomega.Expect(first.Announce(moved)).To(gomega.Succeed())
 			tell(directory, "first", first)
 		}
 		<-done
@@ -200,11 +200,11 @@
 	})
 
 	ginkgo.It("disowns a target at whose address another one answers", func() {
-		first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))
+		gomega.Expect(first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))).To(gomega.Succeed())
 		tell(directory, "first", first)
 		directory.Disown(directory.Pool("pool")[0])
 		gomega.Expect(usable(directory)).To(gomega.BeEmpty())
-		first.Announce(announced("t", "10.0.0.1:80", 5, 4, StateReady))
+		gomega.Expect(first.Announce(announced("t", "10.0.0.1:80", 5, 4, StateReady))).To(gomega.Succeed())
 		tell(directory, "first", first)
 		gomega.Expect(usable(directory)).To(gomega.BeEmpty())
 	})
--- a/internal/httptarget/record.go
+++ b/internal/httptarget/record.go
@@ -78,9 +78,10 @@
 }
 
 func (record *Record) checkNames() error {
+	if err := checkID(record.ID); err != nil {
+		return err
+	}
 	switch {
-	case record.ID == "" || len(record.ID) > MaximumIDBytes:
-		return badRecord("the target's ID is missing or too long")
 	case record.Pool == "" || len(record.Pool) > MaximumIDBytes:
 		return badRecord("the target's pool is missing or too long")
 	case len(record.FailureDomain) > MaximumIDBytes || len(record.Release) > MaximumIDBytes:
@@ -89,6 +90,13 @@
 	return nil
 }
 
+func checkID(id string) error {
+	if id == "" || len(id) > MaximumIDBytes {
+		return badRecord("the target's ID is missing or too long")
+	}
+	return nil
+}
+
 func badRecord(message string) error {
 	return fault.New(fault.BadRequest, message, "correct the announcement and send it again")
 }
--- a/internal/httptarget/registry.go
+++ b/internal/httptarget/registry.go
@@ -5,10 +5,13 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
+
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 )
 
 const (
@@ -57,19 +60,19 @@
 }
 
 // Announce takes a checked announcement. One that is older than what is known
-// changes nothing.
-func (registry *Registry) Announce(record Record) {
+// changes nothing; a full registry is a fault.Error.
+func (registry *Registry) Announce(record Record) error {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
 	now := time.Now()
 	known, found := registry.targets[record.ID]
 	if found && !record.supersedes(&known.record) {
-		return
+		return nil
 	}
 	if !found {
 		if len(registry.targets) >= MaximumTargets {
 			registry.logger.Warn("announcement dropped: the registry is full", zap.String("target", record.ID), zap.Int("targets", len(registry.targets)))
-			return
+			return errFull()
 		}
 		known = &registered{}
 		registry.targets[record.ID] = known
@@ -79,6 +82,11 @@
 	if told {
 		registry.tell(known)
 	}
+	return nil
+}
+
+func errFull() error {
+	return fault.New(fault.Unavailable, fmt.Sprintf("this process knows %d targets and takes no more", MaximumTargets), "announce to another control process")
 }
 
 // differs reports whether entries need to be told of a newer record.
@@ -93,23 +101,24 @@
 // End takes the word that a target has ended, or is about to. A target that
 // isn't known here is remembered, because entries may know it from another
 // registry.
-func (registry *Registry) End(id string) {
+func (registry *Registry) End(id string) error {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
 	known, found := registry.targets[id]
 	if found && known.record.State == StateGone {
-		return
+		return nil
 	}
 	if !found {
 		if len(registry.targets) >= MaximumTargets {
 			registry.logger.Warn("end of a target dropped: the registry is full", zap.String("target", id))
-			return
+			return errFull()
 		}
 		known = &registered{record: Record{ID: id}}
 		registry.targets[id] = known
 	}
 	known.record.State, known.heardAt = StateGone, time.Now()
 	registry.tell(known)
+	return nil
 }
 
 // tell makes a change visible to those who watch. The lock is held.
--- a/internal/httptarget/store.go
+++ b/internal/httptarget/store.go
@@ -63,7 +63,10 @@
 		return
 	}
 	for _, record := range records {
-		registry.Announce(record)
+		if err := registry.Announce(record); err != nil {
+			registry.logger.Warn("targets left out", zap.Error(err))
+			break
+		}
 	}
 	registry.logger.Info("targets loaded", zap.Int("targets", len(records)))
 }
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"path/filepath"
 
+	"github.com/gin-gonic/gin"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
@@ -27,8 +28,8 @@
 		return fx.Options()
 	}
 	return fx.Module("control",
-		fx.Provide(newState, newReplica, newControlService, newRegistry),
-		fx.Invoke(registerControl, runRegistry),
+		fx.Provide(newState, newReplica, newControlService, newRegistry, newAnnouncements),
+		fx.Invoke(registerControl, registerAnnouncements, runRegistry),
 	)
 }
 
@@ -61,6 +62,14 @@
 	return httptarget.NewRegistry(rand.Uint64(), logger)
 }
 
+func newAnnouncements(registry *httptarget.Registry, replica *replica.Replica) *httptarget.Announcements {
+	return httptarget.NewAnnouncements(registry, func() bool { return len(replica.Status().Replicas) > 0 })
+}
+
+func registerAnnouncements(announcements *httptarget.Announcements, engine *gin.Engine) {
+	announcements.Register(engine)
+}
+
 func runRegistry(settings *settings.Settings, network Network, registry *httptarget.Registry, server *frame.Server, lifecycle fx.Lifecycle) {
 	registry.Register(server)
 	store := httptarget.NewStore(filepath.Join(settings.Control.DataFolder, registryFolder), network.FileSystem)
