--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -151,8 +151,8 @@
 // domain takes a failure domain out or in, whether or not an entry of it was
 // ever seen: targets may run where no entry does.
 func (service *Service) domain(ctx context.Context, order *operator.DomainOrder) (*operator.Accepted, error) {
-	if order.FailureDomain == "" || len(order.FailureDomain) > operator.MaximumNameBytes {
-		return nil, fault.New(fault.BadRequest, "the failure domain is missing or too long", fmt.Sprintf("use 1 to %d bytes", operator.MaximumNameBytes))
+	if err := order.Check(); err != nil {
+		return nil, err
 	}
 	result, err := service.changes.submit(ctx, orderDomain{Order: *order})
 	if err != nil {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -22,6 +22,7 @@
 		Status(ctx context.Context) (*operator.Status, error)
 		AddReplica(ctx context.Context, added *operator.Replica) (*operator.Done, error)
 		RemoveReplica(ctx context.Context, id string) (*operator.Done, error)
+		OrderDomain(ctx context.Context, order *operator.DomainOrder) (*operator.Accepted, error)
 	}
 
 	// Server answers operators.
@@ -42,6 +43,8 @@
 	engine.GET("/v1/status", server.status)
 	engine.POST("/v1/replicas", server.addReplica)
 	engine.DELETE("/v1/replicas/:id", server.removeReplica)
+	engine.PUT("/v1/failure-domains/:name/out", server.orderDomain(true))
+	engine.DELETE("/v1/failure-domains/:name/out", server.orderDomain(false))
 }
 
 func (server *Server) change(ginContext *gin.Context) {
@@ -92,6 +95,18 @@
 	respond(ginContext, done, err)
 }
 
+func (server *Server) orderDomain(out bool) gin.HandlerFunc {
+	return func(ginContext *gin.Context) {
+		order := &operator.DomainOrder{FailureDomain: ginContext.Param("name"), Out: out}
+		if err := order.Check(); err != nil {
+			web.Fail(ginContext, err)
+			return
+		}
+		accepted, err := server.control.OrderDomain(ginContext.Request.Context(), order)
+		respond(ginContext, accepted, err)
+	}
+}
+
 func respond[Body any](ginContext *gin.Context, body *Body, err error) {
 	if err != nil {
 		web.Fail(ginContext, err)
--- a/internal/verb/apply.go
+++ b/internal/verb/apply.go
@@ -8,6 +8,7 @@
 	"io"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
@@ -29,6 +30,7 @@
 		Flags: []cli.Flag{
 			tablesFlag(),
 			&cli.Uint64Flag{Name: "base", Usage: "version that the change starts from; 0 for the first"},
+			&cli.Uint64Flag{Name: "declared", Usage: "the operator's own version number, in place of --base: the highest wins, whatever was sent before"},
 			&cli.StringFlag{Name: "change-id", Required: true, Usage: "name of the change, the same when it is sent again"},
 			&cli.BoolFlag{Name: "wait", Usage: "return once the change is in force everywhere"},
 			&cli.DurationFlag{Name: "timeout", Value: defaultWaitTimeout, Usage: "how long --wait waits"},
@@ -45,8 +47,11 @@
 	if err != nil {
 		return err
 	}
+	if command.IsSet("base") && command.IsSet("declared") {
+		return errors.Wrap(errUsage, "--base and --declared exclude each other; leave one of them out")
+	}
 	change := &operator.Change{
-		ID: command.String("change-id"), Base: command.Uint64("base"), Tables: *tables,
+		ID: command.String("change-id"), Base: command.Uint64("base"), Declared: command.Uint64("declared"), Tables: *tables,
 		AllowAllOut: command.Bool("allow-all-out"), DryRun: command.Bool("dry-run"),
 	}
 	accepted, err := newOperator(command).Change(ctx, change)
--- /dev/null
+++ b/internal/verb/domain.go
@@ -0,0 +1,48 @@
+// Operators take a failure domain out and in without sending tables.
+
+package verb
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+)
+
+func domainCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "domain",
+		Usage: "take a failure domain out, or in again",
+		Commands: []*cli.Command{
+			newDomainOrder("out", "give targets and entries of a failure domain no new work", true),
+			newDomainOrder("in", "let a failure domain take work again", false),
+		},
+	}
+}
+
+func newDomainOrder(name, usage string, out bool) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usage, OnUsageError: usageError,
+		Description: "Example: comfreythread domain " + name + " --name nord-a",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "name", Required: true, Usage: "failure domain as the settings name it"},
+			addressFlag(), outputFlag(),
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			order := &operator.DomainOrder{FailureDomain: command.String("name"), Out: out}
+			if err := order.Check(); err != nil {
+				return err
+			}
+			accepted, err := newOperator(command).OrderDomain(ctx, order)
+			if err != nil {
+				return err
+			}
+			return print(command, accepted, func(writer io.Writer) {
+				_, _ = fmt.Fprintf(writer, "failure domain %s is %s as of version %d\n", order.FailureDomain, name, accepted.Version)
+			})
+		},
+	}
+}
--- a/internal/verb/operate_test.go
+++ b/internal/verb/operate_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -69,6 +70,14 @@
 			{verb.ExitOK, "doesn't belong to the group", []string{"replica", "remove", "--id", "control-mistyped"}},
 			{verb.ExitFailed, "has said hello", []string{"replica", "add", "--name", "control-mistyped", "--peer-address", "127.0.0.1:1"}},
 			{verb.ExitOK, "is version 3, in force everywhere", []string{"apply", "--tables", paths["first"], "--base", "2", "--change-id", "roll-back-to-1", "--wait"}},
+			{verb.ExitUsage, "exclude each other", []string{"apply", "--tables", paths["first"], "--base", "3", "--declared", "7", "--change-id", "d"}},
+			{verb.ExitOK, "would be version 4", []string{"apply", "--tables", paths["first"], "--declared", "7", "--change-id", "declared-7", "--dry-run"}},
+			{verb.ExitOK, "is version 4, in force everywhere", []string{"apply", "--tables", paths["first"], "--declared", "7", "--change-id", "declared-7", "--wait"}},
+			{verb.ExitOK, "is version 4", []string{"apply", "--tables", paths["first"], "--declared", "6", "--change-id", "declared-6"}},
+			{verb.ExitOK, "luzon is out as of version 5", []string{"domain", "out", "--name", "luzon"}},
+			{verb.ExitOK, "luzon           out", []string{"status"}},
+			{verb.ExitOK, "luzon is in as of version 6", []string{"domain", "in", "--name", "luzon"}},
+			{verb.ExitFailed, "the name is missing or too long", []string{"domain", "out", "--name", strings.Repeat("x", 1000)}},
 			{verb.ExitFailed, "is not IP:port", []string{"replica", "add", "--name", "x", "--peer-address", "here"}},
 		} {
 			code, output := run(append(step.arguments, "--address", address)...)
--- a/internal/verb/table.go
+++ b/internal/verb/table.go
@@ -41,6 +41,7 @@
 		diffCommand,
 		getCommand,
 		statusCommand,
+		domainCommand,
 		replicaCommand,
 		queryCommand,
 		explainCommand,
--- a/pkg/operator/check.go
+++ b/pkg/operator/check.go
@@ -67,6 +67,14 @@
 	return fault.Document("replica", check.problems)
 }
 
+// Check returns a fault.Error where the order names no failure domain. Any name
+// is taken: targets may be in a failure domain that has no entry.
+func (domainOrder *DomainOrder) Check() error {
+	var check tableCheck
+	check.name("failure_domain", domainOrder.FailureDomain, map[string]bool{})
+	return fault.Document("order", check.problems)
+}
+
 func (tableCheck *tableCheck) add(path, message, remedy string) {
 	tableCheck.problems = append(tableCheck.problems, fault.Problem{Path: path, Message: message, Remedy: remedy})
 }
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -60,6 +60,15 @@
 	return do[Done](ctx, client, http.MethodDelete, "/v1/replicas/"+url.PathEscape(id), nil)
 }
 
+// OrderDomain takes a failure domain out, or in again.
+func (client *Client) OrderDomain(ctx context.Context, order *DomainOrder) (*Accepted, error) {
+	method := http.MethodDelete
+	if order.Out {
+		method = http.MethodPut
+	}
+	return do[Accepted](ctx, client, method, "/v1/failure-domains/"+url.PathEscape(order.FailureDomain)+"/out", nil)
+}
+
 func do[Out any](ctx context.Context, client *Client, method, path string, body any) (*Out, error) {
 	out := new(Out)
 	err := exchange.JSON(ctx, &client.client, method, "http://"+client.address+path, body, out, new(fault.Error))
