Apply the time limits of the tables to callers' connections

Fixed limits held before: 5 s for a head, 2 min idle. The HTTP library fixes both for a server's life, so each pair of limits has a server of its own, and a connection keeps those it was opened under.

--- a/internal/httpcaller/limits.go
+++ b/internal/httpcaller/limits.go
@@ -1,4 +1,4 @@
-// What one entry may use of what all share.
+// What callers may do, and what one entry may use of what all share.
 
 package httpcaller
 
@@ -6,6 +6,7 @@
 	"time"
 
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
+	"gitlab.com/comfreythread/comfreythread/internal/web"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
@@ -14,8 +15,30 @@
 	// domain: one that waits and one more. What is left belongs to the entries
 	// of the target's own, which send it most of its requests.
 	farConnections = 2
+	// defaultHeaderTimeout bounds the reading of a head where the tables don't.
+	defaultHeaderTimeout = 5 * time.Second
+	// defaultIdleTimeout is how long a caller's connection may wait for its next
+	// request where the tables say nothing: longer than callers usually keep
+	// one, so that few requests meet the close.
+	defaultIdleTimeout = 2 * time.Minute
 )
 
+// Limits returns how long callers may take by the tables in force.
+func (server *Server) Limits() web.Limits {
+	limits := web.Limits{HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	indexed := server.index()
+	if indexed == nil || indexed.tables.HTTPLimits == nil {
+		return limits
+	}
+	if span := indexed.tables.HTTPLimits.HeaderTimeout.Std(); span > 0 {
+		limits.HeaderTimeout = span
+	}
+	if span := indexed.tables.HTTPLimits.IdleTimeout.Std(); span > 0 {
+		limits.IdleTimeout = span
+	}
+	return limits
+}
+
 // connectionLimit returns how many connections this entry may open to a target
 // of a pool.
 func (server *Server) connectionLimit(pool *operator.Pool, target *httptarget.Target) int {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -4,10 +4,8 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
-	"github.com/go-faster/errors"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 	"golang.org/x/net/netutil"
@@ -21,17 +19,13 @@
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
 	"gitlab.com/comfreythread/comfreythread/internal/settings"
+	"gitlab.com/comfreythread/comfreythread/internal/web"
 )
 
 const (
 	// gatewayConnections bounds the callers' connections, so that descriptors
 	// are left for connections to targets.
 	gatewayConnections = 2048
-	// gatewayIdle is how long a caller's connection may wait for use: longer
-	// than callers keep one, so that no request crosses the close.
-	gatewayIdle = 2 * time.Minute
-	// gatewayHeaderTimeout bounds the reading of a head.
-	gatewayHeaderTimeout = 5 * time.Second
 	// lastRequests is the end of a planned stop, in which no request is taken
 	// any more and those in progress end.
 	lastRequests = 1500 * time.Millisecond
@@ -39,13 +33,6 @@
 	leaveSpan = 400 * time.Millisecond
 )
 
-type (
-	// gatewayServer is the HTTP server for callers of HTTP routes.
-	gatewayServer struct {
-		*http.Server
-	}
-)
-
 func gatewayAddress(settings *settings.Settings) string {
 	if settings.Gateway == nil {
 		return ""
@@ -75,10 +62,8 @@
 	}, board, directory, sender, logger, metrics)
 }
 
-func newGatewayServer(server *httpcaller.Server, logger *zap.Logger) *gatewayServer {
-	return &gatewayServer{Server: &http.Server{
-		Handler: server, ReadHeaderTimeout: gatewayHeaderTimeout, IdleTimeout: gatewayIdle, ErrorLog: zap.NewStdLog(logger),
-	}}
+func newGatewayServer(server *httpcaller.Server, logger *zap.Logger) *web.LimitedServer {
+	return web.NewLimitedServer(server, server.Limits, logger)
 }
 
 func runWatcher(directory *httptarget.Directory, client *control.Client, network Network, logger *zap.Logger, lifecycle fx.Lifecycle) {
@@ -92,15 +77,11 @@
 	lifecycle.Append(fx.StartStopHook(func() { go gateway.KeepConnected(ctx) }, cancel))
 }
 
-func startGateway(listeners *Listeners, server *gatewayServer, logger *zap.Logger, lifecycle fx.Lifecycle) {
+func startGateway(listeners *Listeners, server *web.LimitedServer, logger *zap.Logger, lifecycle fx.Lifecycle) {
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go report(logger, "gateway ended", func() error {
-				err := server.Serve(netutil.LimitListener(listeners.gateway, gatewayConnections))
-				if errors.Is(err, http.ErrServerClosed) {
-					return nil
-				}
-				return err
+				return server.Serve(netutil.LimitListener(listeners.gateway, gatewayConnections))
 			})
 			return nil
 		},
@@ -111,7 +92,7 @@
 // withdrawGateway makes the first part of a planned stop: the entry serves on
 // while callers learn that it stops, then ends its listener and what is in
 // progress. The whole stop takes StopSpan, whatever control answers.
-func withdrawGateway(settings *settings.Settings, board *blackboard.Board, leaseholder *entry.Leaseholder, gateway *httpcaller.Server, server *gatewayServer, lifecycle fx.Lifecycle, logger *zap.Logger) {
+func withdrawGateway(settings *settings.Settings, board *blackboard.Board, leaseholder *entry.Leaseholder, gateway *httpcaller.Server, server *web.LimitedServer, lifecycle fx.Lifecycle, logger *zap.Logger) {
 	lifecycle.Append(fx.StopHook(func(ctx context.Context) error {
 		span := settings.Gateway.StopSpan.Std()
 		serving, cancel := context.WithTimeout(ctx, max(0, span-lastRequests))
