Measure requests, attempts, budgets, leases, replicas and disks

Counters told refusals and attempts only. Requests of HTTP routes are observed by route, outcome and reason, attempts by the target's place and outcome; the budget left, the lease, the group's lag and syncs of the disk are offered too. A deadline that is no number is said in the log. Labels come from the tables or from fixed sets; series of attempts are kept, as their look-up by labels costs a twentieth of an attempt.

--- a/internal/httpcaller/ask.go
+++ b/internal/httpcaller/ask.go
@@ -289,12 +289,14 @@
 	ask.run++
 	ask.inFlight++
 	ask.call.sent.Add(1)
-	server.countAttempt(ask.pool, why)
+	server.measures.attempt(ask.pool, why)
 	limit := server.connectionLimit(pool, target)
 	server.workers.run(func() {
 		ctx, span := tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
 		defer span.End()
+		begun := time.Now()
 		outcome := server.sender.Send(ctx, target, &ask.call.request, ask.final, limit)
+		server.measures.outcome(server.place(target.FailureDomain()), outcome, time.Since(begun))
 		ask.outcomes <- attempted{target: target, outcome: outcome}
 	})
 	return true
--- a/internal/httpcaller/gather.go
+++ b/internal/httpcaller/gather.go
@@ -144,5 +144,10 @@
 	header.Set("Content-Type", "application/octet-stream")
 	call.write(writer, http.StatusOK, body)
 	call.server.metrics.Coverage().WithLabelValues(call.route.Kind).Observe(float64(state.In) / float64(state.Shards))
+	outcome := outcomeAnswered
+	if len(query.parts) < len(query.shards) {
+		outcome = outcomePartial
+	}
+	call.server.measures.request(call, outcome, noReason)
 	call.server.journal.gathered(call, query)
 }
--- a/internal/httpcaller/journal.go
+++ b/internal/httpcaller/journal.go
@@ -19,6 +19,8 @@
 	// left out, as it isn't written here.
 	linesPerSecond = 50
 	linesShare     = 50
+	// maximumQuoted bounds what a line quotes of a caller's bytes.
+	maximumQuoted = 64
 )
 
 type (
@@ -49,12 +51,8 @@
 }
 
 func (journal *journal) fields(call *call, more ...zap.Field) []zap.Field {
-	route := ""
-	if call.route != nil {
-		route = call.route.Kind
-	}
 	_, version := call.server.board.InForce().Tables()
-	return append(more, zap.String("request", call.request.ID), zap.String("route", route), zap.Duration("elapsed", time.Since(call.begun)),
+	return append(more, zap.String("request", call.request.ID), zap.String("route", call.kind()), zap.Duration("elapsed", time.Since(call.begun)),
 		zap.Duration("limit", call.limit), zap.Int64("attempts", call.sent.Load()), zap.Uint64("tables", version))
 }
 
@@ -74,6 +72,11 @@
 	journal.logger.Info("request wrong", journal.fields(call, zap.Int("status", status), zap.String("message", message))...)
 }
 
+// unread tells of a deadline that is no number. The route's own limit holds.
+func (journal *journal) unread(call *call, text string) {
+	journal.logger.Info("deadline not understood", journal.fields(call, zap.String("deadline", text[:min(len(text), maximumQuoted)]))...)
+}
+
 func (journal *journal) left(call *call) {
 	journal.logger.Info("caller left", journal.fields(call)...)
 }
--- a/internal/httpcaller/respond.go
+++ b/internal/httpcaller/respond.go
@@ -38,6 +38,7 @@
 		}
 	}
 	call.write(writer, answered.Status, answered.Body)
+	call.server.measures.request(call, outcomeAnswered, noReason)
 	call.server.journal.passed(call, result)
 }
 
@@ -59,6 +60,7 @@
 		Reason: reason.String(), Message: "the request has not run; send it again after retry_after", NotRun: true, RetryAfter: after.Round(time.Millisecond).String(),
 	})
 	call.server.metrics.Refusals().WithLabelValues(reason.String()).Inc()
+	call.server.measures.request(call, outcomeRefused, reason.String())
 	call.server.journal.refused(call, reason, after)
 }
 
@@ -70,6 +72,7 @@
 	}
 	call.end(writer, status, refusal{Reason: "lost", Message: "the request may have run, and no whole answer came; send it again if it may run twice"})
 	call.server.metrics.Refusals().WithLabelValues("lost").Inc()
+	call.server.measures.request(call, outcomeLost, strconv.Itoa(status))
 	call.server.journal.lost(call, result, status)
 }
 
@@ -77,12 +80,14 @@
 func (call *call) fail(writer http.ResponseWriter, status int, message string) {
 	call.end(writer, status, refusal{Reason: "bad_request", Message: message, NotRun: true})
 	call.server.metrics.Refusals().WithLabelValues("bad_request").Inc()
+	call.server.measures.request(call, outcomeWrong, strconv.Itoa(status))
 	call.server.journal.failed(call, status, message)
 }
 
 // leave ends a request whose caller is gone.
 func (call *call) leave() {
 	call.server.metrics.Refusals().WithLabelValues("cancelled").Inc()
+	call.server.measures.request(call, outcomeCancelled, noReason)
 	call.server.journal.left(call)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -9,12 +9,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/prometheus/client_golang/prometheus"
 	"go.opentelemetry.io/otel"
 	"go.uber.org/zap"
 
@@ -69,11 +67,9 @@
 		budgets   *policy.Budgets
 		journal   *journal
 		metrics   *metrics.Metrics
+		measures  measures
 		startedAt time.Time
 		workers   *workers
-		// attempts holds the counters of attempts by pool and reason, because a
-		// look-up by labels takes a twentieth of an attempt's time.
-		attempts sync.Map
 
 		routes   atomic.Pointer[indexed]
 		inFlight atomic.Int64
@@ -105,7 +101,7 @@
 func NewServer(options Options, board *blackboard.Board, directory *httptarget.Directory, sender *httptarget.Sender, logger *zap.Logger, metrics *metrics.Metrics) *Server {
 	return &Server{
 		options: options, board: board, directory: directory, sender: sender, budgets: policy.NewBudgets(options.Budget),
-		journal: newJournal(logger, metrics), metrics: metrics, startedAt: time.Now(),
+		journal: newJournal(logger, metrics), metrics: metrics, measures: measures{metrics: metrics}, startedAt: time.Now(),
 		workers: newWorkers(),
 	}
 }
@@ -154,7 +150,7 @@
 	ctx, span := tracer.Start(request.Context(), "forward "+route.Kind)
 	defer span.End()
 	call.ctx = ctx
-	call.limit = server.limitOf(request, route)
+	call.limit = call.limitOf(request)
 	switch {
 	case server.stale():
 		call.refuse(writer, policy.Stale)
@@ -197,13 +193,18 @@
 
 // limitOf returns how long the request may take: what its caller waits, and what
 // the route allows.
-func (server *Server) limitOf(request *http.Request, route *operator.Route) time.Duration {
-	limit := min(DefaultTimeout, route.HTTP.Timeout.Std())
-	milliseconds, err := strconv.ParseFloat(request.Header.Get(server.options.Headers.Deadline), 64)
-	if err == nil && milliseconds >= 0 {
-		limit = min(limit, time.Duration(milliseconds*float64(time.Millisecond)))
+func (call *call) limitOf(request *http.Request) time.Duration {
+	limit := min(DefaultTimeout, call.route.HTTP.Timeout.Std())
+	text := request.Header.Get(call.server.options.Headers.Deadline)
+	if text == "" {
+		return limit
 	}
-	return limit
+	milliseconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(milliseconds >= 0) {
+		call.server.journal.unread(call, text)
+		return limit
+	}
+	return min(limit, time.Duration(min(milliseconds, float64(DefaultTimeout/time.Millisecond))*float64(time.Millisecond)))
 }
 
 func (indexed *indexed) headerLimit() int {
@@ -267,17 +268,6 @@
 	return body, nil
 }
 
-func (server *Server) countAttempt(pool, why string) {
-	key := [2]string{pool, why}
-	counter, known := server.attempts.Load(key)
-	if !known {
-		counter, _ = server.attempts.LoadOrStore(key, server.metrics.Attempts().WithLabelValues(pool, why))
-	}
-	if counter, isCounter := counter.(prometheus.Counter); isCounter {
-		counter.Inc()
-	}
-}
-
 // entries returns the number of entries among which what all may spend is
 // shared.
 func (server *Server) entries() int {
--- a/internal/httpcaller/server_test.go
+++ b/internal/httpcaller/server_test.go
@@ -90,6 +90,18 @@
 		gomega.Expect(body).To(gomega.Equal("short and stout"))
 	})
 
+	ginkgo.It("is observed by route, outcome and reason, and its attempts by place and outcome", func() {
+		gateway.add("p", "nord-a", part("proof", "yes"))
+		gateway.apply(&operator.Tables{Routes: []operator.Route{orders()}, Pools: []operator.Pool{pool("p")}})
+		reach("/orders/7")
+		reach("/nothing/7")
+		requests := gateway.observed("comfreythread_http_request_seconds")
+		gomega.Expect(requests).To(gomega.HaveKeyWithValue("answered none orders", uint64(1)))
+		gomega.Expect(requests).To(gomega.HaveKeyWithValue("wrong 404 ", uint64(1)))
+		gomega.Expect(gateway.observed("comfreythread_http_attempt_seconds")).To(gomega.HaveKeyWithValue("answered domain", uint64(1)))
+		gomega.Expect(gateway.server.BudgetsLeft()).To(gomega.HaveKey("p"))
+	})
+
 	ginkgo.It("that may be repeated goes to another target where the first breaks off, fails or sheds", func() {
 		for _, bad := range []http.HandlerFunc{breakOff, fail(http.StatusInternalServerError), shed} {
 			gateway = newGateway()
--- a/internal/httpcaller/suite_test.go
+++ b/internal/httpcaller/suite_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -36,6 +37,7 @@
 	gateway struct {
 		board    blackboard.Board
 		registry *httptarget.Registry
+		metrics  *metrics.Metrics
 		server   *httpcaller.Server
 		address  string
 		targets  int
@@ -54,7 +56,7 @@
 }
 
 func newGateway() *gateway {
-	gateway := &gateway{registry: httptarget.NewRegistry(1, zap.NewNop())}
+	gateway := &gateway{registry: httptarget.NewRegistry(1, zap.NewNop()), metrics: metrics.New()}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	peers := new(frame.Server)
@@ -67,7 +69,7 @@
 	gateway.server = httpcaller.NewServer(httpcaller.Options{
 		FailureDomain: "nord-a", Region: "nord", Regions: map[string]string{"nord-a": "nord", "sud-a": "sud"}, Headers: dialect.Default(),
 		Budget: policy.BudgetLimits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
-	}, &gateway.board, directory, httptarget.NewSender(dialect.Default(), nil), zap.NewNop(), metrics.New())
+	}, &gateway.board, directory, httptarget.NewSender(dialect.Default(), nil), zap.NewNop(), gateway.metrics)
 	callers := httptest.NewServer(gateway.server)
 	gateway.address = callers.URL
 	ginkgo.DeferCleanup(func() {
@@ -140,3 +142,23 @@
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	return response, string(read)
 }
+
+// observed returns by its labels' values how often something was observed.
+func (gateway *gateway) observed(name string) map[string]uint64 {
+	families, err := gateway.metrics.Registry().Gather()
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	counts := map[string]uint64{}
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			var values []string
+			for _, label := range metric.GetLabel() {
+				values = append(values, label.GetValue())
+			}
+			counts[strings.Join(values, " ")] = metric.GetHistogram().GetSampleCount()
+		}
+	}
+	return counts
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -34,6 +34,9 @@
 		synced   *prometheus.CounterVec
 		lag      prometheus.Gauge
 		unlogged prometheus.Counter
+		requests *prometheus.HistogramVec
+		sent     *prometheus.HistogramVec
+		disk     prometheus.Histogram
 	}
 )
 
@@ -57,6 +60,9 @@
 		changes:  counter("directory_changes_total", "Changes of the directory of targets.", "from"),
 		synced:   counter("directory_exchanges_total", "Exchanges of directory digests with peers.", "result"),
 		unlogged: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_left_out_total", Help: "Log lines about requests that were left out because there were many of their kind."}),
+		requests: histogram("http_request_seconds", "Time from a request of an HTTP route to its end, by what became of it and why.", prometheus.ExponentialBuckets(0.001, 2, 14), "route", "outcome", "reason"),
+		sent:     histogram("http_attempt_seconds", "Time of attempts at targets of HTTP routes, by where the target stands and what came of it.", prometheus.ExponentialBuckets(0.001, 2, 12), "place", "outcome"),
+		disk:     prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "disk_sync_seconds", Help: "Time of syncs of the log file.", Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16)}),
 		lag:      prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "directory_unequal_seconds", Help: "Time since the directory was last equal to a peer's."}),
 	}
 	metrics.registry.MustRegister(
@@ -64,6 +70,7 @@
 		metrics.queue, metrics.slots, metrics.coverage, metrics.latency,
 		metrics.version, metrics.view, metrics.fenced,
 		metrics.moved, metrics.changes, metrics.synced, metrics.lag, metrics.unlogged,
+		metrics.requests, metrics.sent, metrics.disk,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
@@ -123,6 +130,27 @@
 // Unlogged counts log lines about requests that were left out.
 func (metrics *Metrics) Unlogged() prometheus.Counter { return metrics.unlogged }
 
+// Requests observes requests of HTTP routes, by route, outcome and reason, in
+// seconds.
+func (metrics *Metrics) Requests() *prometheus.HistogramVec { return metrics.requests }
+
+// Sent observes attempts of HTTP routes, by the place of the target and outcome,
+// in seconds.
+func (metrics *Metrics) Sent() *prometheus.HistogramVec { return metrics.sent }
+
+// Disk observes syncs of the log file, in seconds.
+func (metrics *Metrics) Disk() prometheus.Histogram { return metrics.disk }
+
+// Func offers a number that is read when metrics are scraped.
+func (metrics *Metrics) Func(name, help string, read func() float64) {
+	metrics.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// FuncVec offers numbers by one label that are read when metrics are scraped.
+func (metrics *Metrics) FuncVec(name, help, label string, read func() map[string]float64) {
+	metrics.registry.MustRegister(&scraped{description: prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{label}, nil), read: read})
+}
+
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
--- a/internal/policy/budget.go
+++ b/internal/policy/budget.go
@@ -4,6 +4,7 @@
 package policy
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -70,6 +71,26 @@
 	budgets.lock.Lock()
 	defer budgets.lock.Unlock()
 	budget := budgets.present(pool, elapsed)
+	if budgets.left(budget, entries) < 1 {
+		return false
+	}
+	budget.extra[budget.part%int64(len(budget.extra))]++
+	return true
+}
+
+// Left returns by pool how many extra arrivals Spend would allow now.
+func (budgets *Budgets) Left(entries int, elapsed time.Duration) map[string]float64 {
+	budgets.lock.Lock()
+	defer budgets.lock.Unlock()
+	left := make(map[string]float64, len(budgets.pools))
+	for pool := range budgets.pools {
+		left[pool] = math.Floor(budgets.left(budgets.present(pool, elapsed), entries))
+	}
+	return left
+}
+
+// left returns what a pool may still spend. The lock is held.
+func (budgets *Budgets) left(budget *budget, entries int) float64 {
 	oldest := (budget.part + 1) % int64(len(budget.requests))
 	requests, extra := -budget.requests[oldest], 0
 	for index := range budget.requests {
@@ -77,11 +98,7 @@
 		extra += budget.extra[index]
 	}
 	slack := slackShare * budgets.limits.Slack / float64(max(1, entries))
-	if float64(extra+1) > ratioShare*budgets.limits.Ratio*float64(requests)+slack {
-		return false
-	}
-	budget.extra[budget.part%int64(len(budget.extra))]++
-	return true
+	return max(0, ratioShare*budgets.limits.Ratio*float64(requests)+slack-float64(extra))
 }
 
 // present returns a pool's budget with the parts that have passed emptied. The
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -6,14 +6,17 @@
 	"context"
 	"math/rand/v2"
 	"path/filepath"
+	"time"
 
 	"github.com/gin-gonic/gin"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
 	"gitlab.com/comfreythread/comfreythread/internal/control"
+	"gitlab.com/comfreythread/comfreythread/internal/disk"
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
+	"gitlab.com/comfreythread/comfreythread/internal/metrics"
 	"gitlab.com/comfreythread/comfreythread/internal/replica"
 	"gitlab.com/comfreythread/comfreythread/internal/settings"
 )
@@ -46,10 +49,11 @@
 	return new(control.State)
 }
 
-func newReplica(settings *settings.Settings, state *control.State, network Network, logger *zap.Logger) *replica.Replica {
+func newReplica(settings *settings.Settings, state *control.State, network Network, logger *zap.Logger, metrics *metrics.Metrics) *replica.Replica {
+	fileSystem := disk.NewTimed(network.FileSystem, func(span time.Duration) { metrics.Disk().Observe(span.Seconds()) })
 	return replica.New(replica.Options{
 		Name: settings.Name, Address: settings.PeerAddress, Peers: settings.ControlReplicas,
-		Dial: network.Dial, Logger: logger, Folder: settings.Control.DataFolder, FileSystem: network.FileSystem,
+		Dial: network.Dial, Logger: logger, Folder: settings.Control.DataFolder, FileSystem: fileSystem,
 		JoinOnly: settings.Control.JoinOnly, SelfManaged: settings.Control.SelfManaged,
 	}, state)
 }
@@ -81,9 +85,25 @@
 	}, cancel))
 }
 
-func registerControl(service *control.Service, replica *replica.Replica, server *frame.Server) {
+func registerControl(service *control.Service, replica *replica.Replica, server *frame.Server, metrics *metrics.Metrics) {
 	service.Register(server)
 	replica.Register(server)
+	metrics.Func("replica_leading", "1 while this replica leads.", func() float64 {
+		if replica.Status().Leading {
+			return 1
+		}
+		return 0
+	})
+	metrics.Func("replica_applied_index", "Last log entry that this replica has applied.", func() float64 { return float64(replica.Status().Applied) })
+	metrics.FuncVec("replica_lag_entries", "Log entries that a replica of the group still lacks, as the leader knows it.", "replica", func() map[string]float64 {
+		lags := map[string]float64{}
+		if status := replica.Status(); status.Leading {
+			for _, member := range status.Replicas {
+				lags[member.ID] = float64(member.Lag)
+			}
+		}
+		return lags
+	})
 }
 
 func runReplica(replica *replica.Replica, service *control.Service, lifecycle fx.Lifecycle) {
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -80,6 +80,9 @@
 }
 
 func newLeaseholder(settings *settings.Settings, board *blackboard.Board, client *control.Client, home *targetserver.Home, handover *entry.Handover, logger *zap.Logger, metrics *metrics.Metrics) *entry.Leaseholder {
+	metrics.Func("lease_left_seconds", "Time until the entry's lease from control runs out; negative once it has.", func() float64 {
+		return time.Until(board.InForce().LeaseUntil()).Seconds()
+	})
 	member := membership.Member{
 		ID:             settings.Name,
 		PeerAddress:    settings.PeerAddress,
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -56,10 +56,13 @@
 
 func newGateway(settings *settings.Settings, headers dialect.Headers, board *blackboard.Board, directory *httptarget.Directory, sender *httptarget.Sender, logger *zap.Logger, metrics *metrics.Metrics) *httpcaller.Server {
 	gateway := settings.Gateway
-	return httpcaller.NewServer(httpcaller.Options{
+	server := httpcaller.NewServer(httpcaller.Options{
 		Name: settings.Name, FailureDomain: settings.FailureDomain, Region: settings.Region, Regions: gateway.Regions, Headers: headers,
 		Budget: policy.BudgetLimits{Ratio: gateway.RetryRatio, Slack: gateway.RetrySlack, Window: gateway.RetryWindow.Std()},
 	}, board, directory, sender, logger, metrics)
+	metrics.Func("http_requests_in_flight", "Requests of HTTP routes in progress.", func() float64 { return float64(server.InFlight()) })
+	metrics.FuncVec("retry_budget_left", "Hedges and retries that this entry may still send to a pool at this moment.", "pool", server.BudgetsLeft)
+	return server
 }
 
 func newGatewayServer(server *httpcaller.Server, logger *zap.Logger) *web.LimitedServer {
