--- a/internal/frame/link.go
+++ b/internal/frame/link.go
@@ -36,7 +36,9 @@
 		writer  *bufio.Writer
 		wroteAt time.Time
 		// demand is nil where the link beats all the time.
-		demand  *demand
+		demand *demand
+		// packs states that the peer reads packed bodies.
+		packs   bool
 		closed  chan struct{}
 		closing sync.Once
 	}
@@ -61,6 +63,9 @@
 // write sends a message, or leaves it to the writer that comes next. The
 // connection is closed where that fails.
 func (link *link) write(message *message) error {
+	if link.packs {
+		message = pack(message)
+	}
 	link.waiting.Add(1)
 	link.writing.Lock()
 	defer link.writing.Unlock()
@@ -94,7 +99,7 @@
 	_ = link.connection.SetDeadline(time.Now().Add(helloTimeout))
 	failure := make(chan error, 1)
 	go func() {
-		failure <- link.write(&message{Type: typeHello, Version: Version, OnDemand: onDemand})
+		failure <- link.write(&message{Type: typeHello, Version: Version, OnDemand: onDemand, Packs: true})
 	}()
 	hello, err := readMessage(link.reader)
 	if err != nil {
@@ -108,6 +113,7 @@
 			fmt.Sprintf("the peer speaks protocol version %d, this process %d", hello.Version, Version),
 			"run releases that share a protocol version")
 	}
+	link.packs = hello.Packs
 	if onDemand || hello.OnDemand {
 		link.demand = newDemand(link.connection)
 	}
--- a/internal/frame/message.go
+++ b/internal/frame/message.go
@@ -56,6 +56,10 @@
 		// OnDemand states in a client's hello that heartbeats are sent only
 		// while a reply is awaited.
 		OnDemand bool `msgpack:"o,omitempty"`
+		// Packs states in a hello that packed bodies can be read. Packed is the
+		// packed form of a body that is left out.
+		Packs  bool   `msgpack:"k,omitempty"`
+		Packed []byte `msgpack:"z,omitempty"`
 	}
 )
 
@@ -94,6 +98,9 @@
 	if err := Unmarshal(body, &read); err != nil {
 		return nil, fault.New(fault.BadRequest, "the peer's frame can't be decoded", "check that both processes run the same release")
 	}
+	if err := read.unpack(); err != nil {
+		return nil, err
+	}
 	return &read, nil
 }
 
