Choose targets by the share of answers that they lost

An entry there sends a target one request in two seconds, and its suspicion after a loss lasts 250 ms, so that no entry learned anything between two queries; the budget for retries was used up by the first ones. Ruled out: a longer suspicion, which would treat one loss in a hundred alike.

Each target's lost answers are counted against the others, forgotten by half in 8 s, and cost 200 ms by their share in the choice.

--- a/internal/httpcaller/ask.go
+++ b/internal/httpcaller/ask.go
@@ -125,7 +125,7 @@
 func (server *Server) candidate(target *httptarget.Target, now time.Time) policy.Candidate {
 	condition := target.Condition(now)
 	return policy.Candidate{
-		RoundTrip: server.roundTrip(target.FailureDomain()), Slots: condition.Slots, Cold: condition.Cold, Suspect: condition.Suspect,
+		RoundTrip: server.roundTrip(target.FailureDomain()), Slots: condition.Slots, Cold: condition.Cold, Suspect: condition.Suspect, Lost: condition.Lost,
 		Measured: condition.Known, Latency: condition.Latency, Usual: condition.Usual, Forgotten: httptarget.Forgotten(condition.Age),
 		Running: condition.Running, Oldest: condition.Oldest, Connected: condition.Connected,
 	}
--- a/internal/httptarget/target.go
+++ b/internal/httptarget/target.go
@@ -33,6 +33,13 @@
 	// with each further one up to maximumSuspicion.
 	firstSuspicion   = 250 * time.Millisecond
 	maximumSuspicion = 4 * time.Second
+	// lossForgetSpan is the time after which half of what was counted of lost
+	// answers is forgotten: several requests of an entry that sends a target one
+	// in two seconds, as at the size to come.
+	lossForgetSpan = 8 * time.Second
+	// lossPrior is the number of answers that a target is taken to have given
+	// before any was counted.
+	lossPrior = 1
 )
 
 type (
@@ -60,6 +67,10 @@
 		running      []time.Time
 		failures     int
 		suspectUntil time.Time
+		// answers and losses count attempts by whether an answer came; what is
+		// older counts less, as of countedAt.
+		answers, losses float64
+		countedAt       time.Time
 
 		connections idleConnections
 	}
@@ -70,6 +81,8 @@
 		Cold  bool
 		// Suspect states that the target has just failed.
 		Suspect bool
+		// Lost is the share of attempts, 0 to 1, that got no answer lately.
+		Lost float64
 		// Known states that Latency and Usual are measured.
 		Known bool
 		// Latency is the smoothed time to an answer, and Usual the time within
@@ -103,7 +116,9 @@
 func (target *Target) Condition(now time.Time) Condition {
 	target.lock.Lock()
 	defer target.lock.Unlock()
+	target.forget(now)
 	condition := Condition{
+		Lost:  target.losses / (target.answers + target.losses + lossPrior),
 		Slots: target.record.Slots, Cold: now.Before(target.coldUntil), Suspect: now.Before(target.suspectUntil),
 		Known: !target.measuredAt.IsZero(), Latency: target.latency, Usual: target.latency + deviationRoom*target.deviation,
 		Running: len(target.running), Connected: target.connections.waiting() > 0,
@@ -161,9 +176,17 @@
 	defer target.lock.Unlock()
 	target.finish(begun)
 	target.failures, target.suspectUntil = 0, time.Time{}
+	target.forget(now)
+	target.answers++
 	target.measure(begun, now)
 }
 
+// forget lessens what was counted by its age. The lock is held.
+func (target *Target) forget(now time.Time) {
+	kept := math.Exp2(-float64(now.Sub(target.countedAt)) / float64(lossForgetSpan))
+	target.answers, target.losses, target.countedAt = target.answers*kept, target.losses*kept, now
+}
+
 // measure takes the time of an attempt into the estimates.
 func (target *Target) measure(begun, now time.Time) {
 	sample, usual := now.Sub(begun), outlierFactor*target.latency+outlierRoom
@@ -194,6 +217,8 @@
 	span := min(maximumSuspicion, firstSuspicion<<min(target.failures, 8))
 	target.failures++
 	target.suspectUntil = now.Add(span)
+	target.forget(now)
+	target.losses++
 }
 
 // unreachable takes a connection that couldn't be opened for later use.
--- a/internal/policy/choose.go
+++ b/internal/policy/choose.go
@@ -22,6 +22,11 @@
 	// target is slower.
 	suspectPenalty = 5 * time.Second
 	coldPenalty    = 60 * time.Millisecond
+	// lossPenalty is what a lost answer costs: another attempt, part of the budget
+	// for such, and now and then the shard. Load: half of the targets lose four
+	// answers in ten, and an entry asks each of them once in two seconds, so that
+	// no suspicion lasts until the next request.
+	lossPenalty = 200 * time.Millisecond
 	// connectRoom is what a target takes to accept a connection, besides the round
 	// trip.
 	connectRoom = 6 * time.Millisecond
@@ -38,6 +43,8 @@
 		Slots     int
 		Cold      bool
 		Suspect   bool
+		// Lost is the share of attempts, 0 to 1, that got no answer lately.
+		Lost float64
 		// Measured states that Latency and Usual, the smoothed time to an answer
 		// and the time within which most come, are known; Forgotten is the
 		// share, 0 to 1, of them that is too old to count.
@@ -69,6 +76,7 @@
 	if !candidate.Connected {
 		expected += candidate.RoundTrip + connectRoom
 	}
+	expected += time.Duration(candidate.Lost * float64(lossPenalty))
 	if candidate.Cold {
 		expected += coldPenalty
 	}
--- a/internal/policy/choose_test.go
+++ b/internal/policy/choose_test.go
@@ -52,6 +52,14 @@
 		gomega.Expect(best(suspect)).To(gomega.Equal(0))
 	})
 
+	ginkgo.It("leaves a target that loses answers, and not for one loss in a hundred", func() {
+		lossy := measured(near, 9*time.Millisecond)
+		lossy.Lost = 0.2
+		gomega.Expect(best(lossy, measured(far, 33*time.Millisecond))).To(gomega.Equal(1))
+		lossy.Lost = 0.01
+		gomega.Expect(best(lossy, measured(far, 33*time.Millisecond))).To(gomega.Equal(0))
+	})
+
 	ginkgo.It("spares a cold target", func() {
 		cold := measured(near, 9*time.Millisecond)
 		cold.Cold = true
