Open connections for later use after growing pauses, and fewer after a start

Targets count the connections of the processes before until their idle timeout; each entry opened one anew every 500 ms, in vain, and took the place of requests'.

A connection that the target closed unused is opened again after 1 s, then doubling to 16 s. In the first 12 s half as many wait (policy.WaitingTargets).

--- a/internal/httpcaller/keep_connected.go
+++ b/internal/httpcaller/keep_connected.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
+	"gitlab.com/comfreythread/comfreythread/internal/policy"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
@@ -22,9 +23,6 @@
 	// connectMargin is how long before the target closes a waiting connection
 	// another one is opened.
 	connectMargin = 600 * time.Millisecond
-	// waitingShare is the share of the connections that a pool's targets accept
-	// together which all entries may keep waiting; the rest is for use.
-	waitingShare = 0.75
 )
 
 // KeepConnected keeps a connection open to the targets of the pools in use that
@@ -75,7 +73,7 @@
 		}
 		return cmp.Compare(server.preference(left), server.preference(right))
 	})
-	room := int(waitingShare * float64(pool.Connections*len(targets)) / float64(server.entries()))
+	room := policy.WaitingTargets(pool.Connections, len(targets), server.entries(), server.elapsed())
 	return targets[:min(len(targets), room)]
 }
 
--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -164,6 +164,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	outcome, reusable := exchange.run()
 	now := time.Now()
+	connection.used = true
 	if stop() && reusable {
 		target.connections.keep(connection, now)
 	} else {
@@ -237,7 +238,7 @@
 // for a margin.
 func (sender *Sender) Connect(ctx context.Context, target *Target, limit int, margin time.Duration) {
 	now := time.Now()
-	if target.connections.expire(now, margin) > 0 || target.connections.busy() || !target.connections.reserve(limit) {
+	if target.connections.expire(now, margin) > 0 || target.connections.busy() || !target.connections.mayRenew(now) || !target.connections.reserve(limit) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
--- a/internal/httptarget/attempt_test.go
+++ b/internal/httptarget/attempt_test.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
 	"gitlab.com/comfreythread/comfreythread/internal/dialect"
 )
 
@@ -28,8 +30,16 @@
 		listener net.Listener
 		opened   atomic.Int64
 	}
+
+	// brokenConnection is one that the target has closed.
+	brokenConnection struct {
+		net.Conn
+	}
 )
 
+// SyscallConn implements syscall.Conn.
+func (brokenConnection) SyscallConn() (syscall.RawConn, error) { return nil, net.ErrClosed }
+
 func newRawTarget(answer func(connection net.Conn, request *http.Request, body []byte) (keep bool)) *rawTarget {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -287,3 +297,23 @@
 		}
 	})
 })
+
+var _ = ginkgo.Describe("a connection for later use", func() {
+	ginkgo.It("is tried again after growing pauses where the target closes each one unused", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			opened := 0
+			sender := NewSender(dialect.Default(), func(context.Context, string, string) (net.Conn, error) {
+				opened++
+				near, _ := net.Pipe()
+				return brokenConnection{near}, nil
+			})
+			target := newTarget(&Record{ID: "t", Address: "10.0.0.1:80"})
+			for range 120 {
+				sender.Connect(context.Background(), target, 2, 0)
+				time.Sleep(500 * time.Millisecond)
+			}
+			expect.Expect(opened).To(gomega.BeNumerically("<=", 9), "a minute holds pauses of 1, 2, 4, 8, 16, 16 s")
+			expect.Expect(opened).To(gomega.BeNumerically(">=", 5))
+		})
+	})
+})
--- a/internal/httptarget/connection.go
+++ b/internal/httptarget/connection.go
@@ -27,6 +27,12 @@
 	// look takes a twentieth of an attempt's time.
 	trustedSpan = 200 * time.Millisecond
 	readerBytes = 4 << 10
+	// firstRenewal is the span after which a connection for later use is opened
+	// again where the target has closed one unused; it doubles each time up to
+	// maximumRenewal. Load: after a restart of all entries a target still counts
+	// the connections of before, and resets what is beyond its limit.
+	firstRenewal   = time.Second
+	maximumRenewal = 16 * time.Second
 )
 
 type (
@@ -36,6 +42,8 @@
 		reader   *bufio.Reader
 		idleSpan time.Duration
 		idleFrom time.Time
+		// used states that a request went over it.
+		used bool
 	}
 
 	// idleConnections holds the connections that wait for use, the one used
@@ -45,6 +53,10 @@
 		idle   []*connection
 		open   int
 		closed bool
+		// renewAfter is when the next connection may be opened for later use, and
+		// renewal the span that was waited for it.
+		renewAfter time.Time
+		renewal    time.Duration
 	}
 )
 
@@ -73,6 +85,19 @@
 	}
 }
 
+// mayRenew reports whether a connection may be opened for later use.
+func (connections *idleConnections) mayRenew(now time.Time) bool {
+	connections.lock.Lock()
+	defer connections.lock.Unlock()
+	return !now.Before(connections.renewAfter)
+}
+
+// refused notes that the target closed a connection unused. The lock is held.
+func (connections *idleConnections) refused(now time.Time) {
+	connections.renewal = min(maximumRenewal, max(firstRenewal, 2*connections.renewal))
+	connections.renewAfter = now.Add(connections.renewal)
+}
+
 // waiting returns the number of connections that wait for use.
 func (connections *idleConnections) waiting() int {
 	connections.lock.Lock()
@@ -93,11 +118,15 @@
 	connections.lock.Lock()
 	var kept, expired []*connection
 	for _, waiting := range connections.idle {
-		if now.Sub(waiting.idleFrom)+margin < waiting.idleSpan && waiting.sound() {
+		sound := waiting.sound()
+		if sound && now.Sub(waiting.idleFrom)+margin < waiting.idleSpan {
 			kept = append(kept, waiting)
-		} else {
-			expired = append(expired, waiting)
+			continue
 		}
+		if !sound && !waiting.used {
+			connections.refused(now)
+		}
+		expired = append(expired, waiting)
 	}
 	connections.idle = kept
 	connections.lock.Unlock()
@@ -130,6 +159,9 @@
 func (connections *idleConnections) keep(kept *connection, now time.Time) {
 	kept.idleFrom = now
 	connections.lock.Lock()
+	if kept.used {
+		connections.renewal = 0
+	}
 	if connections.closed {
 		connections.lock.Unlock()
 		connections.end(kept)
--- /dev/null
+++ b/internal/policy/connections_test.go
@@ -0,0 +1,29 @@
+package policy_test
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"gitlab.com/comfreythread/comfreythread/internal/policy"
+)
+
+var _ = ginkgo.Describe("connections that wait for use", func() {
+	const connections, targets, entries = 70, 3, 76
+
+	ginkgo.It("leave room for use on targets that all entries share", func() {
+		waiting := policy.WaitingTargets(connections, targets, entries, time.Minute)
+		gomega.Expect(waiting).To(gomega.Equal(2))
+		gomega.Expect(waiting * entries).To(gomega.BeNumerically("<", connections*targets))
+		gomega.Expect(policy.WaitingTargets(25, 3, 6, time.Minute)).To(gomega.Equal(3))
+		gomega.Expect(policy.WaitingTargets(2, 3, 600, time.Minute)).To(gomega.BeZero())
+	})
+
+	ginkgo.It("fit beside those of the processes before when all entries come back at once", func() {
+		before := policy.WaitingTargets(connections, targets, entries, time.Minute)
+		back := policy.WaitingTargets(connections, targets, entries, time.Second)
+		gomega.Expect(back).To(gomega.BeNumerically(">", 0))
+		gomega.Expect((before+back)*entries-connections*targets).To(gomega.BeNumerically("<", entries/4), "few have to wait")
+	})
+})
