--- a/internal/httptarget/target.go
+++ b/internal/httptarget/target.go
@@ -33,10 +33,12 @@
 	// with each further one up to maximumSuspicion.
 	firstSuspicion   = 250 * time.Millisecond
 	maximumSuspicion = 4 * time.Second
-	// lossForgetSpan is the time after which half of what was counted of lost
-	// answers is forgotten: several requests of an entry that sends a target one
-	// in two seconds, as at the size to come.
-	lossForgetSpan = 8 * time.Second
+	// lossForgetSpan and answerForgetSpan are the times after which half of what
+	// was counted of lost answers and of answers is forgotten. Load: an entry that
+	// asks a target once in two seconds must heed one loss until its next
+	// requests, and one that asks ten times a second may not.
+	lossForgetSpan   = 2 * time.Second
+	answerForgetSpan = 8 * time.Second
 	// lossPrior is the number of answers that a target is taken to have given
 	// before any was counted.
 	lossPrior = 1
@@ -135,7 +137,11 @@
 // Forgotten returns the share, 0 to 1, of a measurement that no longer counts
 // after an age.
 func Forgotten(age time.Duration) float64 {
-	return 1 - math.Exp2(-float64(age)/float64(forgetSpan))
+	return forgotten(age, forgetSpan)
+}
+
+func forgotten(age, half time.Duration) float64 {
+	return 1 - math.Exp2(-float64(age)/float64(half))
 }
 
 func (target *Target) update(record *Record, silent bool) {
@@ -183,8 +189,10 @@
 
 // forget lessens what was counted by its age. The lock is held.
 func (target *Target) forget(now time.Time) {
-	kept := math.Exp2(-float64(now.Sub(target.countedAt)) / float64(lossForgetSpan))
-	target.answers, target.losses, target.countedAt = target.answers*kept, target.losses*kept, now
+	age := now.Sub(target.countedAt)
+	target.answers *= 1 - forgotten(age, answerForgetSpan)
+	target.losses *= 1 - forgotten(age, lossForgetSpan)
+	target.countedAt = now
 }
 
 // measure takes the time of an attempt into the estimates.
--- a/internal/policy/choose.go
+++ b/internal/policy/choose.go
@@ -26,7 +26,7 @@
 	// for such, and now and then the shard. Load: half of the targets lose four
 	// answers in ten, and an entry asks each of them once in two seconds, so that
 	// no suspicion lasts until the next request.
-	lossPenalty = 200 * time.Millisecond
+	lossPenalty = 400 * time.Millisecond
 	// connectRoom is what a target takes to accept a connection, besides the round
 	// trip.
 	connectRoom = 6 * time.Millisecond
