Keep a part of the retry budget from hedges, and log it used up

Hedges against slow targets had spent the budget of the ten seconds before.

Hedges may use seven tenths of a budget.

--- a/internal/httpcaller/ask.go
+++ b/internal/httpcaller/ask.go
@@ -53,8 +53,10 @@
 		outcomes           chan attempted
 
 		lock sync.Mutex
-		// sends lists the attempts for the log.
-		sends []send
+		// sends lists the attempts for the log, and denied states that the budget
+		// allowed no further one.
+		sends  []send
+		denied bool
 	}
 
 	// send is one attempt: to whom, when after the request came, and what was
@@ -168,7 +170,7 @@
 			result.ran, result.cause = true, ctx.Err()
 			return result
 		case <-hedge.C:
-			if ask.maySend() && ask.spend() && ask.send(ctx, "hedge") {
+			if ask.maySend() && ask.spend(true) && ask.send(ctx, "hedge") {
 				result.hedged = true
 			}
 		case attempted := <-ask.outcomes:
@@ -176,7 +178,7 @@
 			if ask.take(attempted, &result) {
 				return result
 			}
-			if ask.inFlight == 0 && ask.maySend() && ask.spend() && ask.send(ctx, "retry") {
+			if ask.inFlight == 0 && ask.maySend() && ask.spend(false) && ask.send(ctx, "retry") {
 				result.retried = true
 			}
 		}
@@ -256,12 +258,18 @@
 }
 
 // spend takes an attempt beyond the first arrival from the pool's budget.
-func (ask *ask) spend() bool {
+func (ask *ask) spend(hedge bool) bool {
 	if ask.arrived == 0 {
 		return true
 	}
 	server := ask.call.server
-	return server.budgets.Spend(ask.pool, server.entries(), server.elapsed())
+	if server.budgets.Spend(ask.pool, hedge, server.entries(), server.elapsed()) {
+		return true
+	}
+	ask.lock.Lock()
+	ask.denied = true
+	ask.lock.Unlock()
+	return false
 }
 
 // send sends the request to the next target in order.
@@ -311,5 +319,8 @@
 	for _, send := range ask.sends {
 		fmt.Fprintf(&text, " %s:%s@%s~%s", send.why, send.target, send.after.Round(time.Millisecond), send.expected.Round(time.Millisecond))
 	}
+	if ask.denied {
+		text.WriteString(" budget-used-up")
+	}
 	return text.String()
 }
--- a/internal/httpcaller/gather.go
+++ b/internal/httpcaller/gather.go
@@ -54,7 +54,7 @@
 	case verdict == policy.Answer:
 		query.respond(writer, state)
 	case query.ran || query.pending > 0:
-		call.lost(writer, &answer{reason: policy.TooLate})
+		call.lost(writer, &answer{reason: policy.TooLate, ran: query.ran}, query.fields()...)
 	default:
 		call.refuse(writer, policy.NoRoom)
 	}
--- a/internal/httpcaller/journal.go
+++ b/internal/httpcaller/journal.go
@@ -64,8 +64,8 @@
 	journal.logger.Info("request refused", journal.fields(call, zap.Stringer("reason", reason), zap.Duration("retry_after", after), zap.Int("in_flight", call.server.InFlight()))...)
 }
 
-func (journal *journal) lost(call *call, result *answer, status int) {
-	journal.logger.Info("request lost", journal.fields(call, zap.Int("status", status), zap.Bool("ran", result.ran), because(result.cause))...)
+func (journal *journal) lost(call *call, result *answer, status int, fields ...zap.Field) {
+	journal.logger.Info("request lost", journal.fields(call, append(fields, zap.Int("status", status), zap.Bool("ran", result.ran), because(result.cause))...)...)
 }
 
 func (journal *journal) failed(call *call, status int, message string) {
@@ -97,11 +97,19 @@
 		level = zap.InfoLevel
 	}
 	if entry := journal.logger.Check(level, "query answered"); entry != nil {
-		missing := make([]string, 0, len(query.open))
-		for _, ask := range query.open {
-			missing = append(missing, ask.String())
-		}
-		entry.Write(journal.fields(call, zap.Strings("missing", missing), zap.Int("shards", len(query.shards)), zap.Int("parts", len(query.parts)), zap.Int("failed", query.failed),
-			zap.Int("hedges", query.hedges), zap.Int("retries", query.retries))...)
+		entry.Write(journal.fields(call, query.fields()...)...)
+	}
+}
+
+// fields tells how far a query has come: of each shard without a part, its
+// attempts.
+func (query *query) fields() []zap.Field {
+	missing := make([]string, 0, len(query.open))
+	for _, ask := range query.open {
+		missing = append(missing, ask.String())
+	}
+	return []zap.Field{
+		zap.Strings("missing", missing), zap.Int("shards", len(query.shards)), zap.Int("parts", len(query.parts)), zap.Int("failed", query.failed),
+		zap.Int("hedges", query.hedges), zap.Int("retries", query.retries),
 	}
 }
--- a/internal/httpcaller/respond.go
+++ b/internal/httpcaller/respond.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
 )
 
@@ -65,7 +67,7 @@
 }
 
 // lost tells the caller that the request may have run and has no answer.
-func (call *call) lost(writer http.ResponseWriter, result *answer) {
+func (call *call) lost(writer http.ResponseWriter, result *answer, fields ...zap.Field) {
 	status := http.StatusBadGateway
 	if call.left() <= 0 || time.Since(call.begun) >= policy.FinalMoment(call.limit) {
 		status = http.StatusGatewayTimeout
@@ -73,7 +75,7 @@
 	call.end(writer, status, refusal{Reason: "lost", Message: "the request may have run, and no whole answer came; send it again if it may run twice"})
 	call.server.metrics.Refusals().WithLabelValues("lost").Inc()
 	call.server.measures.request(call, outcomeLost, strconv.Itoa(status))
-	call.server.journal.lost(call, result, status)
+	call.server.journal.lost(call, result, status, fields...)
 }
 
 // fail refuses a request that is wrong in itself.
--- a/internal/policy/budget.go
+++ b/internal/policy/budget.go
@@ -21,6 +21,10 @@
 	// slackShare is the share of the slack that is spent: processes that restart
 	// have forgotten what they spent, and may spend it once more.
 	slackShare = 0.5
+	// hedgeShare is the share of a budget that hedges may use; the rest is left for
+	// retries, without which a request fails. Load: some targets are slow for
+	// seconds, and then others lose answers.
+	hedgeShare = 0.7
 )
 
 type (
@@ -66,12 +70,18 @@
 }
 
 // Spend allows one extra arrival at a pool, or returns false. Entries is the
-// number of entries among which the slack is shared.
-func (budgets *Budgets) Spend(pool string, entries int, elapsed time.Duration) bool {
+// number of entries among which the slack is shared. A hedge leaves a part of the
+// budget for retries.
+func (budgets *Budgets) Spend(pool string, hedge bool, entries int, elapsed time.Duration) bool {
 	budgets.lock.Lock()
 	defer budgets.lock.Unlock()
 	budget := budgets.present(pool, elapsed)
-	if budgets.left(budget, entries) < 1 {
+	share := 1.0
+	if hedge {
+		share = hedgeShare
+	}
+	allowed, spent := budgets.sums(budget, entries)
+	if float64(spent+1) > share*allowed {
 		return false
 	}
 	budget.extra[budget.part%int64(len(budget.extra))]++
@@ -84,21 +94,23 @@
 	defer budgets.lock.Unlock()
 	left := make(map[string]float64, len(budgets.pools))
 	for pool := range budgets.pools {
-		left[pool] = math.Floor(budgets.left(budgets.present(pool, elapsed), entries))
+		allowed, spent := budgets.sums(budgets.present(pool, elapsed), entries)
+		left[pool] = max(0, math.Floor(allowed-float64(spent)))
 	}
 	return left
 }
 
-// left returns what a pool may still spend. The lock is held.
-func (budgets *Budgets) left(budget *budget, entries int) float64 {
+// sums returns how many extra arrivals a pool is allowed in the window, and how
+// many there were. The lock is held.
+func (budgets *Budgets) sums(budget *budget, entries int) (allowed float64, spent int) {
 	oldest := (budget.part + 1) % int64(len(budget.requests))
-	requests, extra := -budget.requests[oldest], 0
+	requests := -budget.requests[oldest]
 	for index := range budget.requests {
 		requests += budget.requests[index]
-		extra += budget.extra[index]
+		spent += budget.extra[index]
 	}
 	slack := slackShare * budgets.limits.Slack / float64(max(1, entries))
-	return max(0, ratioShare*budgets.limits.Ratio*float64(requests)+slack-float64(extra))
+	return ratioShare*budgets.limits.Ratio*float64(requests) + slack, spent
 }
 
 // present returns a pool's budget with the parts that have passed emptied. The
--- a/internal/policy/budget_test.go
+++ b/internal/policy/budget_test.go
@@ -31,7 +31,7 @@
 				budgets.Count("pool", elapsed)
 				requests = append(requests, elapsed)
 				for range 3 {
-					if budgets.Spend("pool", entries, elapsed) {
+					if budgets.Spend("pool", false, entries, elapsed) {
 						extra = append(extra, elapsed)
 					}
 				}
@@ -56,3 +56,26 @@
 	}
 	return within
 }
+
+// TestRetriesOutlastHedges replays ten seconds of a target that is slow, after
+// which others lose answers: hedges alone would have used the budget up.
+func TestRetriesOutlastHedges(t *testing.T) {
+	budgets := policy.NewBudgets(policy.BudgetLimits{Ratio: 0.2, Slack: 192, Window: 10 * time.Second})
+	const entries = 76
+	hedges, elapsed := 0, time.Duration(0)
+	for ; elapsed < 10*time.Second; elapsed += 660 * time.Millisecond {
+		budgets.Count("pool", elapsed)
+		if budgets.Spend("pool", true, entries, elapsed) {
+			hedges++
+		}
+	}
+	if hedges == 0 {
+		t.Error("no hedge was allowed")
+	}
+	if !budgets.Spend("pool", false, entries, elapsed) {
+		t.Errorf("%d hedges left nothing for a retry", hedges)
+	}
+	if left := budgets.Left(entries, elapsed)["pool"]; left < 0 || left > 3 {
+		t.Errorf("%v left", left)
+	}
+}
