--- a/Makefile
+++ b/Makefile
@@ -65,3 +65,13 @@
 # docs/design/directory.md. It takes about 6 GB of memory.
 directory:
 	$(GO) test ./internal/entry -count=1 -run 'TestMeasure(Directory|Mesh)' -measure-directory -measure-mesh -v -timeout 20m
+
+MINUTES ?= 1
+SEEDS ?= 1
+JOBS ?= 1
+
+.PHONY: soak
+# Runs the real programs under faults. Each run has a new seed where none is given.
+soak: SEED := $(if $(filter file,$(origin SEED)),$(shell date +%s),$(SEED))
+soak: build
+	$(GO) run ./internal/soak --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS) --span $(MINUTES)m
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,144 @@
+// A loopback proxy before each target, which brings about faults of the way
+// between entries and targets.
+
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"gitlab.com/comfreythread/comfreythread/internal/tcp"
+)
+
+const (
+	// pass forwards as it is.
+	pass wayFault = iota
+	// delay holds each piece back for slowSpan.
+	delay
+	// reset ends each connection as soon as something comes over it.
+	reset
+	// oneWay drops what the target answers.
+	oneWay
+	// silent drops both ways and keeps connections open.
+	silent
+	wayFaults
+)
+
+const (
+	slowSpan   = 120 * time.Millisecond
+	pieceBytes = 16 << 10
+)
+
+type (
+	wayFault int
+
+	// proxy forwards connections at its address to another one.
+	proxy struct {
+		listener net.Listener
+		to       string
+
+		lock        sync.Mutex
+		fault       wayFault
+		connections map[net.Conn]bool
+	}
+)
+
+// newProxy listens at an address and forwards to another one.
+func newProxy(address, to string) (*proxy, error) {
+	listener, err := tcp.Listen(context.Background(), address)
+	if err != nil {
+		return nil, err
+	}
+	proxy := &proxy{listener: listener, to: to, connections: map[net.Conn]bool{}}
+	go proxy.accept()
+	return proxy, nil
+}
+
+func (proxy *proxy) set(fault wayFault) {
+	proxy.lock.Lock()
+	defer proxy.lock.Unlock()
+	proxy.fault = fault
+}
+
+func (proxy *proxy) now() wayFault {
+	proxy.lock.Lock()
+	defer proxy.lock.Unlock()
+	return proxy.fault
+}
+
+func (proxy *proxy) close() {
+	_ = proxy.listener.Close()
+	proxy.lock.Lock()
+	defer proxy.lock.Unlock()
+	for connection := range proxy.connections {
+		_ = connection.Close()
+	}
+}
+
+func (proxy *proxy) accept() {
+	for {
+		near, err := proxy.listener.Accept()
+		if err != nil {
+			return // closed at the end of the soak
+		}
+		go proxy.join(near)
+	}
+}
+
+func (proxy *proxy) join(near net.Conn) {
+	far, err := tcp.Dial(context.Background(), "tcp", proxy.to)
+	if err != nil {
+		abort(near) // a target that is down refuses
+		return
+	}
+	proxy.lock.Lock()
+	proxy.connections[near], proxy.connections[far] = true, true
+	proxy.lock.Unlock()
+	end := func() {
+		_, _ = near.Close(), far.Close()
+		proxy.lock.Lock()
+		delete(proxy.connections, near)
+		delete(proxy.connections, far)
+		proxy.lock.Unlock()
+	}
+	go func() {
+		defer end()
+		proxy.copy(far, near, false)
+	}()
+	defer end()
+	proxy.copy(near, far, true)
+}
+
+// copy forwards one way under the fault that is in force at each piece.
+func (proxy *proxy) copy(to io.Writer, from net.Conn, answers bool) {
+	piece := make([]byte, pieceBytes)
+	for {
+		count, err := from.Read(piece)
+		if err != nil {
+			return
+		}
+		switch fault := proxy.now(); {
+		case fault == reset:
+			abort(from)
+			return
+		case fault == silent, fault == oneWay && answers:
+			continue
+		case fault == delay:
+			time.Sleep(slowSpan)
+		}
+		if _, err := to.Write(piece[:count]); err != nil {
+			return
+		}
+	}
+}
+
+// abort closes a connection by a reset.
+func abort(connection net.Conn) {
+	if socket, isSocket := connection.(*net.TCPConn); isSocket {
+		_ = socket.SetLinger(0)
+	}
+	_ = connection.Close()
+}
