Lose a disk in the soak only once the group no longer counts the last one

That is more than the group bears. The soak waits until the lost replica's ID is gone now, and calls that no process answers in time are violations, not loops.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -168,23 +169,29 @@
 	}
 }
 
-// loseDisk takes one replica's disk away, once the group is whole. The disks of
-// the others keep what was acknowledged.
+// loseDisk takes one replica's disk away. The group bears one at a time, so that
+// the next is lost only once the group is whole and no longer counts the replica
+// that was lost.
 func (soak *soak) loseDisk(ctx context.Context, random *rand.Rand, lose func(*process) error) {
 	soak.diskLock.Lock()
 	defer soak.diskLock.Unlock()
-	if !soak.awaitWhole(ctx, wholeLimit) {
+	number := random.IntN(members)
+	former := soak.awaitWhole(ctx, wholeLimit, soak.lost)
+	if former == nil {
 		soak.note("no disk lost: the group isn't whole")
 		return
 	}
-	soak.killControl(random.IntN(members), draw(random, time.Second), func(killed *process) {
+	soak.killControl(number, draw(random, time.Second), func(killed *process) {
 		if err := lose(killed); err != nil {
 			soak.note("disk not lost: %v", err)
+			return
+		}
+		for id := range former {
+			if name, _, _ := strings.Cut(id, "#"); name == killed.settings.Name {
+				soak.lost = id
+			}
 		}
 	})
-	if !soak.awaitWhole(ctx, wholeLimit) && ctx.Err() == nil {
-		soak.note("the group isn't whole %s after a lost disk", wholeLimit)
-	}
 }
 
 // wipe empties a replica's folder. It joins the group anew.
@@ -246,16 +253,13 @@
 	domain := domains[random.IntN(len(domains))]
 	for _, out := range []bool{true, false} {
 		// It is taken in again also at the end, where ctx is over.
-		for !soak.order(random, &operator.DomainOrder{FailureDomain: domain, Out: out}) {
-			time.Sleep(readPause)
+		order := &operator.DomainOrder{FailureDomain: domain, Out: out}
+		if !soak.persist(context.WithoutCancel(ctx), func(ctx context.Context) error {
+			_, err := soak.operator(random).OrderDomain(ctx, order)
+			return err
+		}) {
+			soak.record.restore(fmt.Sprintf("no process took the order %+v within %s", *order, recoverLimit))
 		}
 		sleep(ctx, draw(random, longestPause))
 	}
 }
-
-func (soak *soak) order(random *rand.Rand, order *operator.DomainOrder) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), operatorLimit)
-	defer cancel()
-	_, err := soak.operator(random).OrderDomain(ctx, order)
-	return err == nil
-}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -136,16 +136,27 @@
 func (soak *soak) change(ctx context.Context, random *rand.Rand) {
 	declared := soak.declared.Add(1)
 	change := &operator.Change{ID: versionRoute(declared), Declared: declared, Tables: tables(declared)}
-	for ctx.Err() == nil {
+	if soak.persist(ctx, func(ctx context.Context) error {
+		_, err := soak.operator(random).Change(ctx, change)
+		return err
+	}) {
+		soak.record.acknowledge(declared)
+	} else if ctx.Err() == nil {
+		soak.record.restore(fmt.Sprintf("no process acknowledged version %d within %s", declared, recoverLimit))
+	}
+}
+
+// persist tries until one try succeeds, and reports whether one did in time.
+func (soak *soak) persist(ctx context.Context, try func(ctx context.Context) error) bool {
+	for until := time.Now().Add(recoverLimit); time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, readPause) {
 		limited, cancel := context.WithTimeout(ctx, operatorLimit)
-		_, err := soak.operator(random).Change(limited, change)
+		err := try(limited)
 		cancel()
 		if err == nil {
-			soak.record.acknowledge(declared)
-			return
+			return true
 		}
-		sleep(ctx, readPause)
 	}
+	return false
 }
 
 // readVersions reads the newest version through one process after the other.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -45,6 +45,8 @@
 		controlLocks [members]sync.Mutex
 		targetLocks  []sync.Mutex
 		noteLock     sync.Mutex
+		// lost is the ID of the replica whose disk was lost last; under diskLock.
+		lost string
 	}
 )
 
@@ -193,25 +195,28 @@
 	soak.record.restore(fmt.Sprintf("entry %d didn't answer after its start", entry))
 }
 
-// awaitWhole waits until all replicas count and lack nothing.
-func (soak *soak) awaitWhole(ctx context.Context, limit time.Duration) bool {
+// awaitWhole waits until all replicas count, lack nothing, and the one that was
+// lost isn't among them, and returns their IDs, or nil where that takes too long.
+func (soak *soak) awaitWhole(ctx context.Context, limit time.Duration, lost string) map[string]bool {
 	random := rand.New(rand.NewPCG(soak.seed, 2))
 	for until := time.Now().Add(limit); time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, lookPause) {
 		limited, cancel := context.WithTimeout(ctx, operatorLimit)
 		status, err := soak.operator(random).Status(limited)
 		cancel()
-		if err != nil || len(status.Replicas) != members {
+		if err != nil {
 			continue
 		}
-		whole := true
+		whole := map[string]bool{}
 		for _, replica := range status.Replicas {
-			whole = whole && replica.Voter && replica.Lag == 0
+			if replica.Voter && replica.Lag == 0 && replica.ID != lost {
+				whole[replica.ID] = true
+			}
 		}
-		if whole {
-			return true
+		if len(whole) == members && len(status.Replicas) == members {
+			return whole
 		}
 	}
-	return false
+	return nil
 }
 
 func (soak *soak) note(format string, values ...any) {
