--- a/internal/httpcaller/ask.go
+++ b/internal/httpcaller/ask.go
@@ -30,7 +30,17 @@
 	farRoundTrip    = 25 * time.Millisecond
 )
 
+const (
+	placeDomain place = "domain"
+	placeRegion place = "region"
+	placeFar    place = "far"
+)
+
 type (
+	// place is where a target stands: in the entry's failure domain, elsewhere in
+	// its region, or in another one.
+	place string
+
 	// ask is one question to one pool.
 	ask struct {
 		call *call
@@ -133,12 +143,24 @@
 	}
 }
 
-func (server *Server) roundTrip(domain string) time.Duration {
+// place returns where a target of a failure domain stands as seen from this entry.
+func (server *Server) place(domain string) place {
 	switch {
 	case domain == server.options.FailureDomain:
-		return domainRoundTrip
+		return placeDomain
 	case server.options.Regions[domain] == server.options.Region:
+		return placeRegion
+	}
+	return placeFar
+}
+
+func (server *Server) roundTrip(domain string) time.Duration {
+	switch server.place(domain) {
+	case placeDomain:
+		return domainRoundTrip
+	case placeRegion:
 		return regionRoundTrip
+	case placeFar:
 	}
 	return farRoundTrip
 }
--- a/internal/httpcaller/measure.go
+++ b/internal/httpcaller/measure.go
@@ -53,8 +53,8 @@
 }
 
 // outcome observes what an attempt came to.
-func (measures *measures) outcome(place string, outcome httptarget.Outcome, span time.Duration) {
-	measures.sent.of([2]string{place, nameOf(outcome)}, measures.metrics.Sent().WithLabelValues).Observe(span.Seconds())
+func (measures *measures) outcome(place place, outcome httptarget.Outcome, span time.Duration) {
+	measures.sent.of([2]string{string(place), nameOf(outcome)}, measures.metrics.Sent().WithLabelValues).Observe(span.Seconds())
 }
 
 // request observes the end of a request.
@@ -78,17 +78,6 @@
 	return server.budgets.Left(server.entries(), server.elapsed())
 }
 
-// place names where a target stands as seen from this entry.
-func (server *Server) place(domain string) string {
-	switch {
-	case domain == server.options.FailureDomain:
-		return "domain"
-	case server.options.Regions[domain] == server.options.Region:
-		return "region"
-	}
-	return "far"
-}
-
 // kind names the route, "" where none was found.
 func (call *call) kind() string {
 	if call.route == nil {
--- a/internal/httptarget/target.go
+++ b/internal/httptarget/target.go
@@ -83,7 +83,7 @@
 		Cold  bool
 		// Suspect states that the target has just failed.
 		Suspect bool
-		// Lost is the share of attempts, 0 to 1, that got no answer lately.
+		// Lost is the share of attempts, 0 to 1, that were lost or shed lately.
 		Lost float64
 		// Known states that Latency and Usual are measured.
 		Known bool
--- a/internal/policy/choose.go
+++ b/internal/policy/choose.go
@@ -43,7 +43,7 @@
 		Slots     int
 		Cold      bool
 		Suspect   bool
-		// Lost is the share of attempts, 0 to 1, that got no answer lately.
+		// Lost is the share of attempts, 0 to 1, that were lost or shed lately.
 		Lost float64
 		// Measured states that Latency and Usual, the smoothed time to an answer
 		// and the time within which most come, are known; Forgotten is the
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -164,6 +164,9 @@
 			logger.Warn("ending with no other entry to serve", zap.Uint64("view", view.Number))
 			return
 		case !view.OthersServe(settings.Name):
+			if named.Equal(begun) {
+				logger.Info("serving on: no other entry serves", zap.Uint64("view", view.Number), zap.Duration("reserve_span", reserve))
+			}
 			named = now
 		case now.Sub(named) >= maxAge:
 			return
