--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -30,8 +30,9 @@
 
 	// beliefs are the messages by which a process says what it believes.
 	beliefs = []string{"tables in force", "view received", "registry reached", "registry lost", "registry not believed any more", "group", "lease not renewed"}
-	// envelope are the fields that every line has.
-	envelope = []string{"level", "time", "msg", "process", "failure_domain", "request", "target"}
+	// envelope are the fields that every line has, and errorVerbose, which says
+	// again what error says and where in the source it arose.
+	envelope = []string{"level", "time", "msg", "process", "failure_domain", "request", "target", "errorVerbose"}
 )
 
 type (
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -16,7 +16,7 @@
 {"level":"info","time":"2026-03-26T18:49:11.500Z","msg":"target changed","process":"e1","target":"t1","silent":true}
 {"level":"info","time":"2026-03-26T18:49:11.500Z","msg":"target changed","process":"e1","target":"t2","silent":true}
 {"level":"info","time":"2026-03-26T18:49:12.100Z","msg":"request refused","process":"e1","request":"q1","reason":"no_target"}
-{"level":"info","time":"2026-03-26T18:49:12.000Z","msg":"attempt failed","process":"e1","request":"q1","target":"t1","outcome":"lost"}
+{"level":"info","time":"2026-03-26T18:49:12.000Z","msg":"attempt failed","process":"e1","request":"q1","target":"t1","outcome":"lost","errorVerbose":"reset:\n    attempt.go:7"}
 {"level":"info","time":"2026-03-26T18:49:12.200Z","msg":"tables in force","process":"e1","version":5}
 {"level":"info","time":"2026-03-26T18:49:11.900Z","msg":"tables in force","process":"e2","version":5}
 not a line
