--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -36,7 +36,7 @@
 	for _, began := range record.runs {
 		index.runs[began.id] = append(index.runs[began.id], began)
 	}
-	found := slices.Clone(record.unrestored)
+	found := slices.Clone(record.failures)
 	for position := range record.sendings {
 		found = append(found, index.checkSending(&record.sendings[position])...)
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -87,7 +87,7 @@
 			record.acks = nil
 			record.readings[1].declared = 0
 		}, "and a later one 0"},
-		"a system that isn't well at the end": {func(record *record) { record.restore("entry 1 isn't well") }, "isn't well"},
+		"a system that isn't well at the end": {func(record *record) { record.fail("entry 1 isn't well") }, "isn't well"},
 	} {
 		record := sound()
 		broken.change(record)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -103,7 +103,7 @@
 			soak.record.during(entry, false, func() { stopped.pause(paused) })
 		}
 		if !stopped.await(stopLimit) {
-			soak.record.restore(fmt.Sprintf("entry %d didn't stop within %s", entry, stopLimit))
+			soak.record.fail(fmt.Sprintf("entry %d didn't stop within %s", entry, stopLimit))
 			stopped.kill()
 		}
 	})
@@ -130,7 +130,7 @@
 
 func (soak *soak) restart(ended *process) {
 	if err := ended.start(); err != nil {
-		soak.record.restore("start " + ended.settings.Name + ": " + err.Error())
+		soak.record.fail("start " + ended.settings.Name + ": " + err.Error())
 	}
 }
 
@@ -148,7 +148,7 @@
 	defer soak.controlLocks[number].Unlock()
 	soak.controls[number].signal(syscall.SIGTERM)
 	if !soak.controls[number].await(stopLimit) {
-		soak.record.restore(fmt.Sprintf("control %d didn't stop within %s", number, stopLimit))
+		soak.record.fail(fmt.Sprintf("control %d didn't stop within %s", number, stopLimit))
 		soak.controls[number].kill()
 	}
 	soak.restart(soak.controls[number])
@@ -243,7 +243,7 @@
 	standIn.crash()
 	sleep(ctx, draw(random, longestPause))
 	if err := standIn.start(); err != nil {
-		soak.record.restore("start target " + standIn.id + ": " + err.Error())
+		soak.record.fail("start target " + standIn.id + ": " + err.Error())
 	}
 }
 
@@ -258,7 +258,7 @@
 			_, err := soak.operator(random).OrderDomain(ctx, order)
 			return err
 		}) {
-			soak.record.restore(fmt.Sprintf("no process took the order %+v within %s", *order, recoverLimit))
+			soak.record.fail(fmt.Sprintf("no process took the order %+v within %s", *order, recoverLimit))
 		}
 		sleep(ctx, draw(random, longestPause))
 	}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -142,7 +142,7 @@
 	}) {
 		soak.record.acknowledge(declared)
 	} else if ctx.Err() == nil {
-		soak.record.restore(fmt.Sprintf("no process acknowledged version %d within %s", declared, recoverLimit))
+		soak.record.fail(fmt.Sprintf("no process acknowledged version %d within %s", declared, recoverLimit))
 	}
 }
 
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -50,13 +50,13 @@
 
 	// record is the history of one soak.
 	record struct {
-		lock       sync.Mutex
-		sendings   []sending
-		runs       []run
-		spans      []span
-		acks       []acknowledged
-		readings   []reading
-		unrestored []string
+		lock     sync.Mutex
+		sendings []sending
+		runs     []run
+		spans    []span
+		acks     []acknowledged
+		readings []reading
+		failures []string
 	}
 )
 
@@ -72,6 +72,7 @@
 	record.runs = append(record.runs, began)
 }
 
+// during notes that an entry was stopped as planned, or had a fault, while act ran.
 func (record *record) during(entry int, planned bool, act func()) {
 	from := time.Now()
 	act()
@@ -92,10 +93,11 @@
 	record.readings = append(record.readings, reading{declared: declared, begun: begun, ended: time.Now()})
 }
 
-func (record *record) restore(problem string) {
+// fail notes that the system didn't do what it should in time.
+func (record *record) fail(problem string) {
 	record.lock.Lock()
 	defer record.lock.Unlock()
-	record.unrestored = append(record.unrestored, problem)
+	record.failures = append(record.failures, problem)
 }
 
 // newest returns the highest version that was acknowledged.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -115,7 +115,7 @@
 	soak.note("faults are over")
 	soak.change(ctx, random)
 	if problem := soak.awaitWell(ctx); problem != "" {
-		soak.record.restore("after the faults: " + problem)
+		soak.record.fail("after the faults: " + problem)
 	}
 	sleep(ctx, quietSpan)
 	stopLoad()
@@ -192,7 +192,7 @@
 			return
 		}
 	}
-	soak.record.restore(fmt.Sprintf("entry %d didn't answer after its start", entry))
+	soak.record.fail(fmt.Sprintf("entry %d didn't answer after its start", entry))
 }
 
 // awaitWhole waits until all replicas count, lack nothing, and the one that was
