Keep a request that crashes targets from the others, over calls and entries

A call of an HTTP route asks two targets at most, but the same request comes again, at any entry, and each time crashed two more. Requests by kind have verdicts on contents that entries tell each other (blackboard.Verdicts); HTTP routes use them now, by method, host, path and body.

Targets also break connections off and are well, and half of a query's answers may be lost that way: a target counts as crashed where no waiting connection to it is sound and it refuses another one 20 ms later, and no target has answered the request meanwhile. Ruled out: counting each lost answer, which would keep innocent requests away for a minute where answers are lost.

--- a/internal/httpcaller/ask.go
+++ b/internal/httpcaller/ask.go
@@ -215,6 +215,7 @@
 	switch outcome := attempted.outcome.(type) {
 	case *httptarget.Answered:
 		result.answered = outcome
+		ask.call.cleared()
 		if outcome.Status < http.StatusInternalServerError || !ask.repeatable {
 			return true
 		}
@@ -232,6 +233,7 @@
 	case *httptarget.Lost:
 		result.cause = outcome.Cause
 		ask.note(attempted.target, "lost", because(outcome.Cause))
+		ask.call.suspect(attempted.target, outcome)
 		if !ask.repeatable {
 			result.ran, result.answered = true, nil
 			return true
@@ -276,7 +278,7 @@
 	if !ask.repeatable {
 		allowed = 1
 	}
-	return ask.run < allowed && ask.sent < maximumSends && ask.next < len(ask.order) && time.Now().Before(ask.final)
+	return ask.run < allowed && ask.sent < maximumSends && ask.next < len(ask.order) && time.Now().Before(ask.final) && !ask.call.harmful()
 }
 
 // spend takes an attempt beyond the first arrival from the pool's budget.
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -94,6 +94,10 @@
 		limit time.Duration
 		// sent counts the attempts, for the log.
 		sent atomic.Int64
+		// content identifies what is asked, whatever the request's ID.
+		content blackboard.Fingerprint
+		// answered states that a target has answered it.
+		answered atomic.Bool
 	}
 )
 
@@ -166,6 +170,10 @@
 	if !call.read(writer, request) {
 		return
 	}
+	if call.harmful() {
+		call.refuse(writer, policy.Harmful)
+		return
+	}
 	call.forward(writer)
 }
 
@@ -242,6 +250,7 @@
 		call.fail(writer, http.StatusBadRequest, "the body broke off; send as many bytes as the head says")
 		return false
 	}
+	call.content = blackboard.NewFingerprint(request.Method+" "+request.Host+request.RequestURI, body)
 	call.request.Method, call.request.URI, call.request.Host = request.Method, request.RequestURI, request.Host
 	call.request.Repeatable = !call.route.NeverRepeat
 	if err := call.request.Encode(endToEnd(request.Header), body); err != nil {
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -14,6 +14,9 @@
 	// longReturn is the same where something has to come back first, such as the
 	// targets of a pool.
 	longReturn = 600 * time.Millisecond
+	// harmfulReturn is the same for a request that is kept from targets: about
+	// the shortest time for which it is.
+	harmfulReturn = time.Minute
 	// inFlightShare is the part of an entry's requests in progress that are kept
 	// for each higher priority.
 	inFlightShare = 0.1
@@ -34,6 +37,8 @@
 	TooLate
 	// Stale is an entry that has been without word from control for too long.
 	Stale
+	// Harmful is a request under which targets crashed.
+	Harmful
 )
 
 type (
@@ -54,6 +59,8 @@
 		return "too_late"
 	case Stale:
 		return "stale"
+	case Harmful:
+		return "harmful"
 	}
 	return "unknown"
 }
@@ -83,6 +90,8 @@
 		return Spread(shortReturn, drawn)
 	case NoTables, NoTarget, Stale:
 		return Spread(longReturn, drawn)
+	case Harmful:
+		return Spread(harmfulReturn, drawn)
 	}
 	return Spread(longReturn, drawn)
 }
