Forget a silent target in place of calling it gone

A target that announced itself to another control process, because its own was down for a moment, counted as gone at the first one after a minute without word, and of one start gone is the last word at every entry.

A registry that has heard nothing for a minute says that it knows the target no more (StateUnheard), and entries go by the others. An entry that was away while a target was forgotten gets the whole registry.

--- a/internal/httptarget/directory.go
+++ b/internal/httptarget/directory.go
@@ -98,8 +98,12 @@
 	}
 	present.doubted = false
 	for _, record := range reply.Records {
-		present.records[record.ID] = record
 		changed[record.ID] = true
+		if record.State == StateUnheard {
+			delete(present.records, record.ID)
+		} else {
+			present.records[record.ID] = record
+		}
 	}
 	for id := range changed {
 		directory.join(id)
--- a/internal/httptarget/directory_test.go
+++ b/internal/httptarget/directory_test.go
@@ -25,6 +25,13 @@
 	return ids
 }
 
+// follow hands what changed in a registry after a revision to a directory.
+func follow(directory *Directory, name string, registry *Registry, known *uint64) {
+	records, revision, _ := registry.since(*known)
+	directory.take(name, &WatchReply{Session: registry.session, Revision: revision, Whole: *known == 0, Records: records})
+	*known = revision
+}
+
 // tell hands a registry's newest changes to a directory.
 func tell(directory *Directory, name string, registry *Registry) {
 	records, revision, _ := registry.since(0)
@@ -135,6 +142,38 @@
 		gomega.Expect(usable(directory)).To(gomega.Equal([]string{"t"}))
 	})
 
+	ginkgo.It("goes on using a target that announces itself to another registry than before, however long", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go first.Run(ctx)
+			go second.Run(ctx)
+			chosen := first
+			var known [2]uint64
+			for revision := range uint64(150) {
+				if revision == 5 {
+					chosen = second
+				}
+				expect.Expect(chosen.Announce(announced("t", "10.0.0.1:80", 5, 3+revision, StateReady))).To(gomega.Succeed())
+				time.Sleep(time.Second)
+				follow(directory, "first", first, &known[0])
+				follow(directory, "second", second, &known[1])
+				expect.Expect(usable(directory)).To(gomega.Equal([]string{"t"}), "after %d s", revision)
+			}
+			expect.Expect(first.targets).To(gomega.BeEmpty(), "the first one forgets it")
+			time.Sleep(goneSpan + SilenceSpan)
+			before := known[1]
+			follow(directory, "second", second, &known[1])
+			expect.Expect(usable(directory)).To(gomega.BeEmpty(), "it announces itself nowhere")
+			expect.Expect(directory.targets).To(gomega.BeEmpty())
+			time.Sleep(goneSpan)
+			reply, err := second.watch(ctx, &WatchRequest{Session: second.session, Revision: before})
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			expect.Expect(reply.Whole).To(gomega.BeTrue(), "an entry that missed the end gets all there is")
+			expect.Expect(reply.Records).To(gomega.BeEmpty())
+		})
+	})
+
 	ginkgo.It("stops using a target once any registry hears that it leaves", func() {
 		gomega.Expect(first.Announce(announced("t", "10.0.0.1:80", 5, 3, StateReady))).To(gomega.Succeed())
 		gomega.Expect(second.Announce(announced("t", "10.0.0.1:80", 5, 4, StateLeaving))).To(gomega.Succeed())
--- a/internal/httptarget/record.go
+++ b/internal/httptarget/record.go
@@ -18,6 +18,10 @@
 	StateLeaving
 	// StateGone has ended.
 	StateGone
+	// StateUnheard is no word of the target's own: a registry that has heard
+	// nothing from it for goneSpan knows it no more. The target may announce
+	// itself to another one.
+	StateUnheard
 )
 
 const (
@@ -110,6 +114,8 @@
 		return "leaving"
 	case StateGone:
 		return "gone"
+	case StateUnheard:
+		return "unheard"
 	}
 	return "unknown"
 }
--- a/internal/httptarget/registry.go
+++ b/internal/httptarget/registry.go
@@ -20,8 +20,8 @@
 	// and a second for one that is late.
 	SilenceSpan = 4500 * time.Millisecond
 	// goneSpan is how long an ended target is remembered, so that a late
-	// announcement doesn't bring it back. It is longer than any announcement
-	// is held up on its way.
+	// announcement doesn't bring it back, and how long a silent one is known. It is
+	// longer than any announcement is held up on its way.
 	goneSpan = time.Minute
 	// sweepInterval is the span between two looks for silent targets.
 	sweepInterval = 500 * time.Millisecond
@@ -40,8 +40,11 @@
 		lock sync.Mutex
 		// revision numbers the changes.
 		revision uint64
-		targets  map[string]*registered
-		changed  chan struct{}
+		// forgotten is the revision of the newest change of a target that the
+		// registry knows no more.
+		forgotten uint64
+		targets   map[string]*registered
+		changed   chan struct{}
 	}
 
 	registered struct {
@@ -160,13 +163,15 @@
 	defer registry.lock.Unlock()
 	for id, known := range registry.targets {
 		quiet := now.Sub(known.heardAt)
+		ended := known.record.State == StateGone || known.record.State == StateUnheard
 		switch {
-		case known.record.State == StateGone && quiet >= goneSpan:
+		case ended && quiet >= goneSpan:
 			delete(registry.targets, id)
-		case known.record.State != StateGone && quiet >= goneSpan:
-			known.record.State, known.heardAt = StateGone, now
+			registry.forgotten = max(registry.forgotten, known.revision)
+		case !ended && quiet >= goneSpan:
+			known.record.State, known.heardAt = StateUnheard, now
 			registry.tell(known)
-		case !known.record.Silent && known.record.State != StateGone && quiet >= SilenceSpan:
+		case !ended && !known.record.Silent && quiet >= SilenceSpan:
 			known.record.Silent = true
 			registry.tell(known)
 		}
@@ -181,6 +186,14 @@
 	}
 }
 
+// misses reports whether who knows the registry as of a revision has missed the
+// end of a target.
+func (registry *Registry) misses(revision uint64) bool {
+	registry.lock.Lock()
+	defer registry.lock.Unlock()
+	return revision < registry.forgotten
+}
+
 // since returns the records that changed after a revision, the present revision
 // and what to wait on for the next change. The lock is taken here.
 func (registry *Registry) since(revision uint64) ([]Record, uint64, <-chan struct{}) {
--- a/internal/httptarget/watch.go
+++ b/internal/httptarget/watch.go
@@ -68,7 +68,7 @@
 }
 
 func (registry *Registry) watch(ctx context.Context, request *WatchRequest) (*WatchReply, error) {
-	whole := request.Session != registry.session
+	whole := request.Session != registry.session || registry.misses(request.Revision)
 	known := request.Revision
 	if whole {
 		known = 0
