Know contents that targets answer to be harmless

The soak's callers send the same path again and again; two targets that crashed by themselves under it would have kept it from all for a minute, though it was answered all the time. Each request that is answered clears its content for a minute, also before anything is held against it.

--- a/internal/httpcaller/harm.go
+++ b/internal/httpcaller/harm.go
@@ -18,12 +18,12 @@
 	return call.server.board.Verdicts().Quarantined(call.content) > 0
 }
 
-// cleared notes that a target has answered the request: one that crashes targets crashes each that runs
-// it.
+// cleared notes that a target has answered the request: one that crashes targets
+// crashes each that runs it. Contents that many callers send are known to be
+// harmless by that for the next minute, also where targets crash under them.
 func (call *call) cleared() {
-	call.answered.Store(true)
-	if verdicts := call.server.board.Verdicts(); verdicts.Suspected(call.content) {
-		verdicts.Answered(call.content)
+	if !call.answered.Swap(true) {
+		call.server.board.Verdicts().Answered(call.content)
 	}
 }
 
--- a/internal/httpcaller/harm_test.go
+++ b/internal/httpcaller/harm_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -63,6 +64,31 @@
 		}).WithTimeout(roomySpan).Should(gomega.Equal("yes"))
 	})
 
+	ginkgo.It("isn't taken for one that many send, where targets crash by themselves", func() {
+		var crash atomic.Bool
+		for range crashing {
+			var target *standInTarget
+			target = gateway.add("p", "nord-a", func(writer http.ResponseWriter, request *http.Request) {
+				if crash.CompareAndSwap(true, false) {
+					_ = target.Listener.Close()
+					target.CloseClientConnections()
+					return
+				}
+				part("proof", "yes")(writer, request)
+			})
+		}
+		answered := func() string {
+			_, body := gateway.ask(http.MethodPost, "/orders/popular", strings.NewReader("x"))
+			return body
+		}
+		gomega.Eventually(answered).WithTimeout(roomySpan).Should(gomega.Equal("yes"))
+		for range crashing - 2 {
+			crash.Store(true)
+			gomega.Expect(answered()).NotTo(gomega.ContainSubstring("harmful"))
+			gomega.Eventually(answered).WithTimeout(roomySpan).Should(gomega.Equal("yes"))
+		}
+	})
+
 	ginkgo.It("isn't taken for one where targets break off and are well", func() {
 		gateway.add("p", "nord-a", breakOff)
 		gateway.add("p", "sud-a", breakOff)
