--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -18,6 +18,10 @@
 	// faultTail is the time after a fault of an entry in which requests may still
 	// suffer from it: those that waited in its sockets.
 	faultTail = time.Second
+	// harmfulRuns is how many targets a request may crash that crashes each: two
+	// before it is kept from them, and two each at two entries that have started
+	// and not been told yet.
+	harmfulRuns = 6
 )
 
 type (
@@ -41,6 +45,7 @@
 		found = append(found, index.checkSending(&record.sendings[position])...)
 	}
 	found = append(found, index.checkAttempts()...)
+	found = append(found, record.checkHarm()...)
 	found = append(found, record.checkBudgets()...)
 	return append(found, record.checkVersions()...)
 }
@@ -134,6 +139,20 @@
 	return found
 }
 
+// checkHarm counts the targets that the harmful request has crashed.
+func (record *record) checkHarm() []string {
+	count := 0
+	for _, began := range record.runs {
+		if strings.HasPrefix(began.id, routeHarmful) {
+			count++
+		}
+	}
+	if count > harmfulRuns {
+		return []string{fmt.Sprintf("the harmful request crashed %d targets, %d allowed", count, harmfulRuns)}
+	}
+	return nil
+}
+
 // checkBudgets looks for windows with more extra arrivals at a pool than the
 // budget of all entries allows.
 func (record *record) checkBudgets() []string {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -82,6 +82,11 @@
 				record.runs = append(record.runs, run{id: fmt.Sprint("read-", 2+number), pool: "p", at: start.Add(time.Second)})
 			}
 		}, "extra arrivals"},
+		"a harmful request that comes through": {func(record *record) {
+			for number := range 7 {
+				record.runs = append(record.runs, run{id: fmt.Sprint("harmful-", number), pool: orderPool, at: start})
+			}
+		}, "crashed 7 targets"},
 		"an acknowledged version lost": {func(record *record) { record.readings[1].declared = 1 }, "a later read showed 1"},
 		"versions that go back": {func(record *record) {
 			record.acks = nil
@@ -134,8 +139,8 @@
 			}()
 		}
 	}()
-	proxy, err := newProxy("127.0.0.1:0", echo.Addr().String())
-	if err != nil {
+	proxy := &proxy{address: "127.0.0.1:0", to: echo.Addr().String()}
+	if err := proxy.open(); err != nil {
 		t.Fatal(err)
 	}
 	defer proxy.close()
@@ -170,10 +175,7 @@
 	for _, seed := range append([]uint64{firstSeed}, failedSeeds(t)...) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			var notes strings.Builder
-			soak, err := newSoak(seed, binary, t.TempDir(), &notes)
-			if err != nil {
-				t.Fatal(err)
-			}
+			soak := newSoak(seed, binary, t.TempDir(), &notes)
 			for _, violation := range soak.run(context.Background(), shortSpan) {
 				t.Error(violation)
 			}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -23,6 +24,11 @@
 	// wholeLimit is how long the control group may take to be whole again before
 	// another disk is lost.
 	wholeLimit = 30 * time.Second
+	// harmfulSendings bounds how often the harmful request comes, so that all come
+	// within the minute for which it is kept from targets at first.
+	harmfulSendings = 12
+	// tellSpan is longer than entries need to tell each other of it.
+	tellSpan = 1500 * time.Millisecond
 )
 
 var (
@@ -51,6 +57,7 @@
 		{"way to targets disturbed", func(ctx context.Context, soak *soak, random *rand.Rand) { soak.disturb(ctx, random) }},
 		{"target leaves", func(ctx context.Context, soak *soak, random *rand.Rand) { soak.replaceTarget(ctx, random, true) }},
 		{"target crashes", func(ctx context.Context, soak *soak, random *rand.Rand) { soak.replaceTarget(ctx, random, false) }},
+		{"harmful request", func(ctx context.Context, soak *soak, _ *rand.Rand) { soak.harm(ctx) }},
 		{"target fails", func(ctx context.Context, soak *soak, random *rand.Rand) {
 			standIn := soak.targets[random.IntN(len(soak.targets))]
 			standIn.set(func() { standIn.failing = true })
@@ -232,18 +239,27 @@
 
 // replaceTarget ends a target and starts it again. One that leaves says so first.
 func (soak *soak) replaceTarget(ctx context.Context, random *rand.Rand, leaves bool) {
-	number := random.IntN(len(soak.targets))
-	soak.targetLocks[number].Lock()
-	defer soak.targetLocks[number].Unlock()
-	standIn := soak.targets[number]
+	standIn := soak.targets[random.IntN(len(soak.targets))]
 	if leaves {
 		standIn.set(func() { standIn.state = target.HTTPLeaving })
 		sleep(ctx, longestPause)
 	}
-	standIn.crash()
-	sleep(ctx, draw(random, longestPause))
-	if err := standIn.start(); err != nil {
-		soak.record.fail("start target " + standIn.id + ": " + err.Error())
+	standIn.replace(draw(random, longestPause))
+}
+
+// harm sends a request that crashes each target that runs it to one entry after
+// the other, later than entries need to tell each other.
+func (soak *soak) harm(ctx context.Context) {
+	soak.harmLock.Lock()
+	defer soak.harmLock.Unlock()
+	for range 2 * members {
+		if soak.harms == harmfulSendings || ctx.Err() != nil {
+			return
+		}
+		soak.harms++
+		client := &http.Client{Timeout: callerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+		soak.record.send(soak.send(client, soak.harms%members, routeHarmful, fmt.Sprintf("%s-%d", routeHarmful, soak.harms)))
+		sleep(ctx, tellSpan)
 	}
 }
 
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -28,6 +28,8 @@
 	routeSearch = "search"
 	routeOrder  = "order"
 	routeRead   = "read"
+	// routeHarmful crashes each target that runs a request of it.
+	routeHarmful = "harmful"
 
 	routeTimeout  = 2 * time.Second
 	targetLatency = 500 * time.Millisecond
@@ -49,7 +51,7 @@
 	}
 	search := single(routeSearch, false)
 	search.Pool, search.HTTP.Gather = "", &operator.Gather{Top: topRecords, MinimumCoverage: 0.5}
-	made := operator.Tables{Routes: []operator.Route{search, single(routeOrder, true), single(routeRead, false), single(versionRoute(declared), false)}}
+	made := operator.Tables{Routes: []operator.Route{search, single(routeOrder, true), single(routeRead, false), single(routeHarmful, false), single(versionRoute(declared), false)}}
 	for shard := range shards {
 		made.Routes[0].HTTP.Gather.Pools = append(made.Routes[0].HTTP.Gather.Pools, shardPool(shard))
 	}
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -89,11 +89,7 @@
 		return false
 	}
 	defer func() { _ = notes.Close() }()
-	soak, err := newSoak(seed, binary, folder, notes)
-	if err != nil {
-		_, _ = fmt.Fprintln(output, err)
-		return false
-	}
+	soak := newSoak(seed, binary, folder, notes)
 	violations := soak.run(ctx, length)
 	for _, violation := range violations {
 		soak.note("VIOLATION %s", violation)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -35,26 +35,28 @@
 type (
 	wayFault int
 
-	// proxy forwards connections at its address to another one.
+	// proxy forwards connections at its address to another one, while it is open.
 	proxy struct {
-		listener net.Listener
-		to       string
+		address, to string
 
 		lock        sync.Mutex
+		listener    net.Listener
 		fault       wayFault
 		connections map[net.Conn]bool
 	}
 )
 
-// newProxy listens at an address and forwards to another one.
-func newProxy(address, to string) (*proxy, error) {
-	listener, err := tcp.Listen(context.Background(), address)
+// open listens, so that the target can be reached.
+func (proxy *proxy) open() error {
+	listener, err := tcp.Listen(context.Background(), proxy.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	proxy := &proxy{listener: listener, to: to, connections: map[net.Conn]bool{}}
-	go proxy.accept()
-	return proxy, nil
+	proxy.lock.Lock()
+	defer proxy.lock.Unlock()
+	proxy.listener, proxy.connections = listener, map[net.Conn]bool{}
+	go proxy.accept(listener)
+	return nil
 }
 
 func (proxy *proxy) set(fault wayFault) {
@@ -69,20 +71,24 @@
 	return proxy.fault
 }
 
+// close refuses connections and resets those that are open.
 func (proxy *proxy) close() {
-	_ = proxy.listener.Close()
 	proxy.lock.Lock()
 	defer proxy.lock.Unlock()
+	if proxy.listener == nil {
+		return
+	}
+	_ = proxy.listener.Close()
 	for connection := range proxy.connections {
-		_ = connection.Close()
+		abort(connection)
 	}
 }
 
-func (proxy *proxy) accept() {
+func (proxy *proxy) accept(listener net.Listener) {
 	for {
-		near, err := proxy.listener.Accept()
+		near, err := listener.Accept()
 		if err != nil {
-			return // closed at the end of the soak
+			return // closed
 		}
 		go proxy.join(near)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -43,16 +43,18 @@
 		outLock      sync.Mutex
 		entryLocks   [members]sync.Mutex
 		controlLocks [members]sync.Mutex
-		targetLocks  []sync.Mutex
+		harmLock     sync.Mutex
 		noteLock     sync.Mutex
 		// lost is the ID of the replica whose disk was lost last; under diskLock.
 		lost string
+		// harms counts the sendings of the harmful request; under harmLock.
+		harms int
 	}
 )
 
 // newSoak describes a system in a folder, at loopback addresses that no other
 // soak of this machine uses.
-func newSoak(seed uint64, binary, folder string, notes io.Writer) (*soak, error) {
+func newSoak(seed uint64, binary, folder string, notes io.Writer) *soak {
 	number := os.Getpid()*16 + int(seed%16)
 	soak := &soak{seed: seed, network: fmt.Sprintf("127.%d.%d.", 1+number%250, number/250%250), notes: notes, begun: time.Now()}
 	ip := func(last int) string { return fmt.Sprint(soak.network, last) }
@@ -72,15 +74,11 @@
 	for _, pool := range tables(0).Pools {
 		for _, domain := range domains {
 			last := 21 + len(soak.targets)
-			proxy, err := newProxy(fmt.Sprintf("%s:%d", ip(last), httpPort), fmt.Sprintf("%s:%d", ip(last), gatewayPort))
-			if err != nil {
-				return nil, err
-			}
+			proxy := &proxy{address: fmt.Sprintf("%s:%d", ip(last), httpPort), to: fmt.Sprintf("%s:%d", ip(last), gatewayPort)}
 			soak.targets = append(soak.targets, &standIn{id: pool.Name + "." + domain, pool: pool.Name, domain: domain, proxy: proxy, record: &soak.record, controls: https})
 		}
 	}
-	soak.targetLocks = make([]sync.Mutex, len(soak.targets))
-	return soak, nil
+	return soak
 }
 
 // run soaks the system for a span and returns the promises that were broken.
@@ -147,7 +145,6 @@
 		if standIn.server != nil {
 			standIn.crash()
 		}
-		standIn.proxy.close()
 	}
 }
 
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -20,7 +20,9 @@
 const (
 	workSpan         = 4 * time.Millisecond
 	announceInterval = time.Second
-	statusOK         = http.StatusOK
+	// crashSpan is how long a target is gone after a request that crashes it.
+	crashSpan = 1500 * time.Millisecond
+	statusOK  = http.StatusOK
 	// recordFormat makes a record of 16 bytes.
 	recordFormat    = "%-14s%02d"
 	recordsPerShard = 2
@@ -35,6 +37,9 @@
 		// controls are the HTTP addresses of the control processes.
 		controls []string
 
+		// cycle is held from an end to the next start, and taken before lock.
+		cycle sync.Mutex
+
 		lock     sync.Mutex
 		server   *http.Server
 		started  int64
@@ -50,6 +55,9 @@
 	if err != nil {
 		return err
 	}
+	if err := standIn.proxy.open(); err != nil {
+		return err
+	}
 	standIn.lock.Lock()
 	defer standIn.lock.Unlock()
 	standIn.started, standIn.revision, standIn.state = time.Now().UnixMilli(), 0, target.HTTPReady
@@ -58,8 +66,20 @@
 	return nil
 }
 
+// replace ends the target, and starts it again after a span.
+func (standIn *standIn) replace(down time.Duration) {
+	standIn.cycle.Lock()
+	defer standIn.cycle.Unlock()
+	standIn.crash()
+	time.Sleep(down)
+	if err := standIn.start(); err != nil {
+		standIn.record.fail("start target " + standIn.id + ": " + err.Error())
+	}
+}
+
 // crash ends the target at once.
 func (standIn *standIn) crash() {
+	standIn.proxy.close()
 	standIn.lock.Lock()
 	defer standIn.lock.Unlock()
 	_ = standIn.server.Close()
@@ -80,7 +100,7 @@
 		standIn.lock.Lock()
 		standIn.revision++
 		announcement := &target.HTTPAnnouncement{
-			Address: standIn.proxy.listener.Addr().String(), Pool: standIn.pool, FailureDomain: standIn.domain, Slots: 4,
+			Address: standIn.proxy.address, Pool: standIn.pool, FailureDomain: standIn.domain, Slots: 4,
 			State: standIn.state, StartedAt: standIn.started, Revision: standIn.revision,
 		}
 		standIn.lock.Unlock()
@@ -109,6 +129,10 @@
 	failing := standIn.failing
 	standIn.lock.Unlock()
 	standIn.record.ran(run{id: id, pool: standIn.pool, target: standIn.id, proof: proof, at: time.Now()})
+	if strings.HasPrefix(id, routeHarmful) {
+		go standIn.replace(crashSpan)
+		return
+	}
 	time.Sleep(workSpan)
 	if failing {
 		writer.WriteHeader(http.StatusInternalServerError)
