--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -131,7 +131,7 @@
 	standIn.record.ran(run{id: id, pool: standIn.pool, target: standIn.id, proof: proof, at: time.Now()})
 	if strings.HasPrefix(id, routeHarmful) {
 		go standIn.replace(crashSpan)
-		return
+		panic(http.ErrAbortHandler) // no answer comes of a crash
 	}
 	time.Sleep(workSpan)
 	if failing {
