--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -109,13 +109,6 @@
 func (state *State) CheckChange(change *operator.Change) (version uint64, refused error) {
 	state.lock.RLock()
 	defer state.lock.RUnlock()
-	if change.Declared != 0 {
-		newest := state.data.Tables.newest()
-		if change.Declared <= newest.Declared {
-			return newest.Version, nil
-		}
-		return newest.Version + 1, nil
-	}
 	remembered, known, fault := state.data.Tables.judge(change, &state.data.View)
 	if fault != nil {
 		return 0, fault
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -72,9 +72,6 @@
 // change makes a new version, or answers a resend with the version that its
 // first sending made.
 func (tablesData *tablesData) change(change *operator.Change, view *viewData) result {
-	if change.Declared != 0 {
-		return tablesData.declare(change)
-	}
 	version, known, refused := tablesData.judge(change, view)
 	if refused != nil {
 		return result{Fault: refused}
@@ -83,19 +80,11 @@
 		return result{Version: version}
 	}
 	newest := tablesData.newest()
-	return tablesData.add(change, operator.Versioned{ChangeID: change.ID, Tables: change.Tables, Declared: newest.Declared, Source: newest.Source})
-}
-
-// declare makes a new version of tables that have a higher number of the
-// operator's own. A number that isn't higher changes nothing: it is a resend, or
-// was overtaken.
-func (tablesData *tablesData) declare(change *operator.Change) result {
-	newest := tablesData.newest()
-	if change.Declared <= newest.Declared {
-		return result{Version: newest.Version}
+	if change.Declared != 0 {
+		change.Tables.FailureDomainsOut = newest.Tables.FailureDomainsOut
+		newest.Declared, newest.Source = change.Declared, change.Source
 	}
-	change.Tables.FailureDomainsOut = newest.Tables.FailureDomainsOut
-	return tablesData.add(change, operator.Versioned{ChangeID: change.ID, Tables: change.Tables, Declared: change.Declared, Source: change.Source})
+	return tablesData.add(change, operator.Versioned{ChangeID: change.ID, Tables: change.Tables, Declared: newest.Declared, Source: newest.Source})
 }
 
 // order takes a failure domain out or in. Where it is so already, nothing
@@ -127,6 +116,12 @@
 // judge says whether a change is a resend of an accepted one, or why it is
 // refused.
 func (tablesData *tablesData) judge(change *operator.Change, view *viewData) (version uint64, known bool, refused *fault.Error) {
+	if change.Declared != 0 {
+		// A number of the operator's own that isn't higher is a resend, or was
+		// overtaken.
+		newest := tablesData.newest()
+		return newest.Version, change.Declared <= newest.Declared, nil
+	}
 	for index := range tablesData.Changes {
 		accepted := &tablesData.Changes[index]
 		if accepted.ID != change.ID {
