--- a/internal/httptarget/announcements.go
+++ b/internal/httptarget/announcements.go
@@ -4,8 +4,6 @@
 package httptarget
 
 import (
-	"net/http"
-
 	"github.com/gin-gonic/gin"
 
 	"gitlab.com/comfreythread/comfreythread/internal/web"
@@ -73,11 +71,11 @@
 	if err == nil {
 		err = announcements.Announce(record)
 	}
-	respond(ginContext, err)
+	web.Done(ginContext, err)
 }
 
 func (announcements *Announcements) remove(ginContext *gin.Context) {
-	respond(ginContext, announcements.End(ginContext.Param("id")))
+	web.Done(ginContext, announcements.End(ginContext.Param("id")))
 }
 
 func recordOf(id string, announcement *target.HTTPAnnouncement) *Record {
@@ -93,11 +91,3 @@
 	}
 	return record
 }
-
-func respond(ginContext *gin.Context, err error) {
-	if err != nil {
-		web.Fail(ginContext, err)
-		return
-	}
-	ginContext.JSON(http.StatusOK, struct{}{})
-}
--- a/internal/web/web.go
+++ b/internal/web/web.go
@@ -114,6 +114,16 @@
 	ginContext.AbortWithStatusJSON(statusOf(typed.Kind), typed)
 }
 
+// Done answers a call that returns nothing: with an empty object, or with the
+// typed error.
+func Done(ginContext *gin.Context, err error) {
+	if err != nil {
+		Fail(ginContext, err)
+		return
+	}
+	ginContext.JSON(http.StatusOK, struct{}{})
+}
+
 func statusOf(kind fault.Kind) int {
 	switch kind {
 	case fault.BadRequest:
