--- a/internal/httpcaller/respond.go
+++ b/internal/httpcaller/respond.go
@@ -113,9 +113,5 @@
 	if _, err := writer.Write(body); err != nil {
 		call.server.journal.unwritten(call, err)
 	}
-	kind := ""
-	if call.route != nil {
-		kind = call.route.Kind
-	}
-	call.server.metrics.Latency().WithLabelValues(kind).Observe(time.Since(call.begun).Seconds())
+	call.server.metrics.Latency().WithLabelValues(call.kind()).Observe(time.Since(call.begun).Seconds())
 }
