--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -148,17 +148,13 @@
 	}
 }
 
-// persist tries until one try succeeds, and reports whether one did in time.
+// persist tries a call until it succeeds, and reports whether it did in time.
 func (soak *soak) persist(ctx context.Context, try func(ctx context.Context) error) bool {
-	for until := time.Now().Add(recoverLimit); time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, readPause) {
+	return eventually(ctx, recoverLimit, func() bool {
 		limited, cancel := context.WithTimeout(ctx, operatorLimit)
-		err := try(limited)
-		cancel()
-		if err == nil {
-			return true
-		}
-	}
-	return false
+		defer cancel()
+		return try(limited) == nil
+	})
 }
 
 // readVersions reads the newest version through one process after the other.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -152,15 +152,25 @@
 	return append(append([]*process{}, soak.controls...), soak.entries...)
 }
 
+// eventually looks until it finds what it looks for, and reports whether it did in
+// time.
+func eventually(ctx context.Context, limit time.Duration, look func() bool) bool {
+	for until := time.Now().Add(limit); time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, lookPause) {
+		if look() {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitWell waits until every entry serves the newest tables and whole answers,
 // and returns what is wrong where that takes too long.
 func (soak *soak) awaitWell(ctx context.Context) string {
 	problem := "never looked"
-	for until := time.Now().Add(recoverLimit); time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, lookPause) {
-		if problem = soak.wrong(); problem == "" {
-			return ""
-		}
-	}
+	eventually(ctx, recoverLimit, func() bool {
+		problem = soak.wrong()
+		return problem == ""
+	})
 	return problem
 }
 
@@ -184,36 +194,34 @@
 
 // awaitServing waits until an entry that was started answers at all.
 func (soak *soak) awaitServing(entry int) {
-	for until := time.Now().Add(recoverLimit); time.Now().Before(until); time.Sleep(lookPause) {
-		if soak.look(entry, routeRead).failed == "" {
-			return
-		}
+	if !eventually(context.Background(), recoverLimit, func() bool { return soak.look(entry, routeRead).failed == "" }) {
+		soak.record.fail(fmt.Sprintf("entry %d didn't answer after its start", entry))
 	}
-	soak.record.fail(fmt.Sprintf("entry %d didn't answer after its start", entry))
 }
 
 // awaitWhole waits until all replicas count, lack nothing, and the one that was
 // lost isn't among them, and returns their IDs, or nil where that takes too long.
 func (soak *soak) awaitWhole(ctx context.Context, limit time.Duration, lost string) map[string]bool {
 	random := rand.New(rand.NewPCG(soak.seed, 2))
-	for until := time.Now().Add(limit); time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, lookPause) {
+	var whole map[string]bool
+	if !eventually(ctx, limit, func() bool {
 		limited, cancel := context.WithTimeout(ctx, operatorLimit)
+		defer cancel()
 		status, err := soak.operator(random).Status(limited)
-		cancel()
 		if err != nil {
-			continue
+			return false
 		}
-		whole := map[string]bool{}
+		whole = map[string]bool{}
 		for _, replica := range status.Replicas {
 			if replica.Voter && replica.Lag == 0 && replica.ID != lost {
 				whole[replica.ID] = true
 			}
 		}
-		if len(whole) == members && len(status.Replicas) == members {
-			return whole
-		}
+		return len(whole) == members && len(status.Replicas) == members
+	}) {
+		return nil
 	}
-	return nil
+	return whole
 }
 
 func (soak *soak) note(format string, values ...any) {
