Shorten the election after a restart of everything

Cause: after all control processes had restarted together and one had lost its disk, entries had no tables for 0.77 s.

A replica now tells the sender of a report that the addressee has gone, so that it isn't waited for (a quorum is still needed); vote requests wait for the verification; a call at a replica without a leader waits up to 100 ms for one; four batches of view edits are in flight. Ruled out: waiting for a quorum of disks alone (the wait finds outdated disks without a reset).

--- a/internal/control/fake_replica_test.go
+++ b/internal/control/fake_replica_test.go
@@ -64,6 +64,8 @@
 	return fake.group.leaderSince
 }
 
+func (fake *fakeReplica) AwaitLeader(context.Context) string { return "" }
+
 func (fake *fakeReplica) Status() replica.Status { return replica.Status{} }
 
 func (fake *fakeReplica) AddReplica(context.Context, string, string) error { return nil }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -29,6 +29,13 @@
 	// viewWindow is how long an edit of the view waits for others. Many entries that start at
 	// the same time then share a few views.
 	viewWindow = 20 * time.Millisecond
+	// maximumViewEditsInFlight is the maximum number of batches of view edits in flight. After a
+	// restart of everything all entries join at about the same time, and those of a later batch
+	// don't wait for the replication of an earlier one.
+	maximumViewEditsInFlight = 4
+	// leaderWait is how long a call at a replica that knows no leader waits for an election to
+	// end. Callers would otherwise only learn of the leader in their next round of attempts.
+	leaderWait = 100 * time.Millisecond
 	// maximumClockSkew is added to the maximum lifetime of a request ID, because the leader's
 	// clock may be behind the clock of the entry that checked the ID.
 	maximumClockSkew = time.Minute
@@ -48,6 +55,8 @@
 		// LeadingSince returns the time since which this replica has led without interruption; it
 		// is zero if the replica doesn't lead.
 		LeadingSince() time.Time
+		// AwaitLeader returns the leader's peer address once one is known, or "" if ctx ends first.
+		AwaitLeader(ctx context.Context) string
 		// Status returns the state of the replica group as seen by this replica.
 		Status() replica.Status
 		// AddReplica returns nil once the replica of that process name at the peer address is a
@@ -78,31 +87,32 @@
 	return &Service{
 		log: log, state: state,
 		ledgerBatcher: batcher{propose: log.Propose, maximumInFlight: 1, maximumBatchSize: maximumBatch},
-		viewBatcher:   batcher{propose: log.Propose, maximumInFlight: 1, maximumBatchSize: maximumBatch, window: viewWindow},
+		viewBatcher:   batcher{propose: log.Propose, maximumInFlight: maximumViewEditsInFlight, maximumBatchSize: maximumBatch, window: viewWindow},
 		changeBatcher: batcher{propose: log.Propose, maximumInFlight: maximumChangesInFlight, maximumBatchSize: 1},
 	}
 }
 
 // Register registers the methods of the service at the server.
 func (service *Service) Register(server *frame.Server) {
-	handle(server, MethodRenew, service.renew)
-	handle(server, MethodChange, service.change)
-	handle(server, MethodTables, service.tables)
-	handle(server, MethodStatus, service.status)
-	handle(server, MethodGrant, service.grant)
-	handle(server, MethodRecord, service.record)
-	handle(server, MethodReplicas, service.replicas)
-	handle(server, MethodDomain, service.domain)
-	handle(server, MethodExceptions, service.replaceExceptions)
+	handle(server, service.log, MethodRenew, service.renew)
+	handle(server, service.log, MethodChange, service.change)
+	handle(server, service.log, MethodTables, service.tables)
+	handle(server, service.log, MethodStatus, service.status)
+	handle(server, service.log, MethodGrant, service.grant)
+	handle(server, service.log, MethodRecord, service.record)
+	handle(server, service.log, MethodReplicas, service.replicas)
+	handle(server, service.log, MethodDomain, service.domain)
+	handle(server, service.log, MethodExceptions, service.replaceExceptions)
 }
 
-// handle registers a method. If this replica doesn't lead, the reply names the leader.
-func handle[In, Out any](server *frame.Server, name string, handler func(ctx context.Context, in *In) (*Out, error)) {
+// handle registers a method. If this replica doesn't lead, the reply names the leader; if none is
+// known yet, the reply waits for up to leaderWait.
+func handle[In, Out any](server *frame.Server, log Log, name string, handler func(ctx context.Context, in *In) (*Out, error)) {
 	frame.Handle(server, name, func(ctx context.Context, in *In) (*reply[Out], error) {
 		out, err := handler(ctx, in)
 		var notLeading *replica.NotLeadingError
 		if errors.As(err, &notLeading) {
-			return &reply[Out]{NotLeading: true, Leader: notLeading.LeaderAddress()}, nil
+			return &reply[Out]{NotLeading: true, Leader: leaderAddress(ctx, log, notLeading)}, nil
 		}
 		if err != nil {
 			return nil, err
@@ -111,6 +121,15 @@
 	})
 }
 
+func leaderAddress(ctx context.Context, log Log, notLeading *replica.NotLeadingError) string {
+	if address := notLeading.LeaderAddress(); address != "" {
+		return address
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaderWait)
+	defer cancel()
+	return log.AwaitLeader(ctx)
+}
+
 func (service *Service) change(ctx context.Context, change *operator.Change) (*operator.ChangeReply, error) {
 	if change.ID == "" || len(change.ID) > operator.MaximumNameBytes {
 		return nil, fault.New(fault.BadRequest, "the change ID is missing or too long", fmt.Sprintf("use 1 to %d bytes", operator.MaximumNameBytes))
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -123,6 +123,11 @@
 		// acknowledges entries.
 		diskVerified bool
 		verifiedBy   map[string]bool
+		// replaced are the members at whose address another replica has replied since the start.
+		replaced map[string]bool
+		// deferredVotes holds the latest vote request of each replica that arrived before the disk
+		// was verified.
+		deferredVotes map[string]envelope
 		// leaderless are the replicas that have reported since the start that they follow no
 		// leader.
 		leaderless map[string]bool
@@ -191,6 +196,8 @@
 	core.startedAt = now
 	core.newcomers = map[string]newcomer{}
 	core.verifiedBy = map[string]bool{}
+	core.replaced = map[string]bool{}
+	core.deferredVotes = map[string]envelope{}
 	core.leaderless = map[string]bool{}
 	core.commit = max(core.commit, core.snapshot.Index)
 	core.applied = core.snapshot.Index
@@ -272,6 +279,7 @@
 		return
 	}
 	if envelope.to != core.id {
+		core.reportAddresseeGone(envelope)
 		return
 	}
 	switch message := envelope.message.(type) {
@@ -285,6 +293,7 @@
 		core.out.reset = core.out.reset || message.Term >= core.Term
 	default:
 		if core.hasGroup() && !core.diskVerified {
+			core.deferVoteRequest(envelope)
 			return
 		}
 		core.receiveVerified(now, envelope)
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -122,6 +122,24 @@
 	core.replyVote(envelope, voteReply{Term: core.Term, Granted: granted})
 }
 
+// deferVoteRequest keeps a vote request until the disk is verified. When all replicas restart
+// together, the first one that stands for election would otherwise have to ask again.
+func (core *core) deferVoteRequest(received *envelope) {
+	if _, isVoteRequest := received.message.(voteRequest); isVoteRequest && core.isVoter(received.from) {
+		core.deferredVotes[received.from] = *received
+	}
+}
+
+// receiveDeferredVotes handles the deferred vote requests as if they had just arrived.
+func (core *core) receiveDeferredVotes(now time.Time) {
+	for _, id := range core.voters() {
+		if deferred, found := core.deferredVotes[id]; found {
+			core.receiveVerified(now, &deferred)
+		}
+	}
+	clear(core.deferredVotes)
+}
+
 // replyPreVote replies with the requested term only if the pre-vote is granted. A refusal must not
 // make the requester raise its term.
 func (core *core) replyPreVote(envelope *envelope, request *voteRequest, granted bool) {
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -113,14 +113,17 @@
 }
 
 // verifyDisk asks the other replicas whether they have a later generation of this replica's disk
-// registered, and marks the disk as verified once enough of them have replied. It waits for all of
-// them until verifyTimeout; then a quorum suffices, because the others may have failed.
+// registered, and marks the disk as verified once enough of them have replied. It waits until
+// verifyTimeout for all of them but those that were replaced; then a quorum suffices, because the
+// others may have failed.
 func (core *core) verifyDisk(now time.Time) {
 	core.verifiedBy[core.id] = true
 	verified := func(id string) bool { return core.verifiedBy[id] }
-	if core.hasQuorum(verified) && (core.allVoters(verified) || !now.Before(core.startedAt.Add(verifyTimeout))) {
+	repliedOrReplaced := func(id string) bool { return core.verifiedBy[id] || core.replaced[id] }
+	if core.hasQuorum(verified) && (core.allVoters(repliedOrReplaced) || !now.Before(core.startedAt.Add(verifyTimeout))) {
 		core.diskVerified = true
 		core.staggerElection(now)
+		core.receiveDeferredVotes(now)
 		return
 	}
 	if now.Before(core.nextHello) {
@@ -164,10 +167,22 @@
 	core.sendAfterSync(envelope.from, envelope.fromAddress, reply)
 }
 
+// reportAddresseeGone replies to a report for a replica that doesn't run at this address any more, for
+// example because its disk was lost. The sender then doesn't wait for that replica.
+func (core *core) reportAddresseeGone(envelope *envelope) {
+	if report, isReport := envelope.message.(generationReport); isReport {
+		core.send(envelope.from, envelope.fromAddress, generationReply{Generation: report.Generation, AddresseeGone: true})
+	}
+}
+
 func (core *core) receiveGenerationReply(now time.Time, envelope *envelope, reply *generationReply) {
 	if reply.Generation != core.Generation {
 		return
 	}
+	if reply.AddresseeGone {
+		core.recordReplaced(envelope.fromAddress)
+		return
+	}
 	if reply.Outdated {
 		core.out.reset = true
 		return
@@ -179,6 +194,15 @@
 	}
 }
 
+// recordReplaced records that the members at an address no longer run there.
+func (core *core) recordReplaced(address string) {
+	for _, member := range core.members() {
+		if member.Address == address && member.ID != core.id {
+			core.replaced[member.ID] = true
+		}
+	}
+}
+
 // endVoteHoldOff ends the vote hold-off after a restart early, once a quorum has reported that it
 // follows no leader: the hold-off protects a leader that a quorum hears, and there is none. A group
 // whose replicas have all restarted thus doesn't wait for a leader that is gone.
@@ -196,7 +220,8 @@
 // have their disks verified at the same time, and would otherwise stand for election together.
 func (core *core) staggerElection(now time.Time) {
 	if core.holdOffEnded && core.diskVerified && core.role == roleFollower && core.leaderID == "" {
-		core.electionDeadline = now.Add(time.Duration(slices.Index(core.voters(), core.id)) * electionStagger)
+		present := slices.DeleteFunc(core.voters(), func(id string) bool { return core.replaced[id] })
+		core.electionDeadline = now.Add(time.Duration(slices.Index(present, core.id)) * electionStagger)
 	}
 }
 
--- a/internal/replica/message.go
+++ b/internal/replica/message.go
@@ -40,6 +40,9 @@
 		Outdated bool `msgpack:"o"`
 		// Leaderless is true if the sender of the reply neither leads nor follows a leader.
 		Leaderless bool `msgpack:"l,omitempty"`
+		// AddresseeGone is true if the report was addressed to another replica than the one that
+		// replies, which now runs at that address.
+		AddresseeGone bool `msgpack:"a,omitempty"`
 	}
 
 	// rejoinRequest tells a replica to discard its disk and join again, because it lacks entries
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -86,6 +86,8 @@
 	publishedState struct {
 		status       Status
 		leadingSince time.Time
+		// leaderChanged is closed once a state with another leader is published.
+		leaderChanged chan struct{}
 	}
 )
 
@@ -98,7 +100,7 @@
 		options: options, batchedRequests: maximumBatchedRequests, machine: machine, transport: transport{dial: options.Dial},
 		requests: make(chan request, maximumRequests), stopping: make(chan struct{}), stopped: make(chan struct{}),
 	}
-	replica.published.Store(&publishedState{})
+	replica.published.Store(&publishedState{leaderChanged: make(chan struct{})})
 	return replica
 }
 
@@ -178,6 +180,24 @@
 	return replica.published.Load().leadingSince
 }
 
+// AwaitLeader returns the leader's peer address once this replica knows a leader, or "" if ctx ends
+// or the replica stops first.
+func (replica *Replica) AwaitLeader(ctx context.Context) string {
+	for {
+		published := replica.published.Load()
+		if published.status.LeaderAddress != "" {
+			return published.status.LeaderAddress
+		}
+		select {
+		case <-ctx.Done():
+			return ""
+		case <-replica.stopped:
+			return ""
+		case <-published.leaderChanged:
+		}
+	}
+}
+
 // Status returns the state of the group as seen by this replica.
 func (replica *Replica) Status() Status {
 	return replica.published.Load().status
--- a/internal/replica/replies.go
+++ b/internal/replica/replies.go
@@ -94,7 +94,13 @@
 	for _, member := range core.members() {
 		published.status.Replicas = append(published.status.Replicas, core.statusOf(member))
 	}
-	previous := driver.replica.published.Swap(published)
+	previous := driver.replica.published.Load()
+	published.leaderChanged = previous.leaderChanged
+	if published.status.LeaderAddress != previous.status.LeaderAddress {
+		published.leaderChanged = make(chan struct{})
+		defer close(previous.leaderChanged)
+	}
+	driver.replica.published.Store(published)
 	driver.logGroupChange(&previous.status, &published.status)
 }
 
--- a/internal/replica/vote_and_commit_test.go
+++ b/internal/replica/vote_and_commit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -97,3 +98,92 @@
 		}
 	}
 }
+
+// TestReplacedMemberEndsVerification checks that a restarted replica doesn't wait for a member at whose
+// address another replica replies. In a group of five that lost power together with one disk, that
+// wait would otherwise delay the election by verifyTimeout.
+func TestReplacedMemberEndsVerification(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var members []member
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		members = append(members, member{ID: id, Address: id + ":1", Voter: true})
+	}
+	restarted := &core{random: rand.New(rand.NewPCG(1, 1))}
+	restarted.load(&durableState{
+		id: "a", hard: hardState{Term: 2},
+		entries: []entry{{Index: 1, Term: 1, Kind: entryMembers, Data: encodeMembers(members)}},
+	})
+	restarted.start(now)
+	newcomer := &core{id: "e#2", address: "e:1", random: rand.New(rand.NewPCG(1, 1))}
+	newcomer.start(now)
+	newcomer.drainOutput()
+	newcomer.step(now, messageReceived{envelope: envelope{from: "a", fromAddress: "a:1", to: "e", toAddress: "e:1", message: generationReport{Generation: restarted.Generation}}})
+	replies := newcomer.drainOutput().immediate
+	replies = slices.DeleteFunc(replies, func(sent envelope) bool { return sent.toAddress != "a:1" })
+	if len(replies) != 1 {
+		t.Fatalf("the replica with the lost disk sends %d replies, expected 1", len(replies))
+	}
+	restarted.step(now, messageReceived{envelope: replies[0]})
+	for _, other := range []string{"b", "c", "d"} {
+		if restarted.diskVerified {
+			t.Fatalf("the disk is verified before the reply of %s, expected the wait for all remaining members", other)
+		}
+		restarted.step(now, messageReceived{envelope: envelope{from: other, fromAddress: other + ":1", to: "a", message: generationReply{Generation: restarted.Generation}}})
+	}
+	if !restarted.diskVerified {
+		t.Fatal("the disk is not verified, expected no wait for the member that was replaced")
+	}
+}
+
+// TestReplacedMembersAreNoQuorum checks that replies from replaced members don't verify a disk.
+func TestReplacedMembersAreNoQuorum(t *testing.T) {
+	now := time.Unix(1000, 0)
+	members := []member{{ID: "a", Address: "a:1", Voter: true}, {ID: "b", Address: "b:1", Voter: true}, {ID: "c", Address: "c:1", Voter: true}}
+	restarted := &core{random: rand.New(rand.NewPCG(1, 1))}
+	restarted.load(&durableState{
+		id: "a", hard: hardState{Term: 2},
+		entries: []entry{{Index: 1, Term: 1, Kind: entryMembers, Data: encodeMembers(members)}},
+	})
+	restarted.start(now)
+	for _, other := range []string{"b", "c"} {
+		restarted.step(now, messageReceived{envelope: envelope{from: other + "#2", fromAddress: other + ":1", to: "a", message: generationReply{Generation: restarted.Generation, AddresseeGone: true}}})
+	}
+	restarted.step(now.Add(2*verifyTimeout), ticked{})
+	if restarted.diskVerified {
+		t.Fatal("the disk is verified without the reply of any other member")
+	}
+}
+
+// TestVoteRequestWaitsForVerification checks that a vote request that arrives before the disk is
+// verified is answered once it is. When everything restarts together, replicas verify their disks at
+// different times, and the first candidate would otherwise ask in vain.
+func TestVoteRequestWaitsForVerification(t *testing.T) {
+	now := time.Unix(1000, 0)
+	members := []member{{ID: "a", Voter: true}, {ID: "b", Voter: true}, {ID: "c", Voter: true}}
+	restarted := &core{random: rand.New(rand.NewPCG(1, 1))}
+	restarted.load(&durableState{
+		id: "a", hard: hardState{Term: 2},
+		entries: []entry{{Index: 1, Term: 1, Kind: entryMembers, Data: encodeMembers(members)}},
+	})
+	restarted.start(now)
+	granted := func() int {
+		count := 0
+		for _, sent := range restarted.drainOutput().afterSync {
+			if reply, isReply := sent.message.(voteReply); isReply && reply.Granted && sent.to == "b" {
+				count++
+			}
+		}
+		return count
+	}
+	request := envelope{from: "b", to: "a", message: voteRequest{Term: 3, LastIndex: 1, LastTerm: 1, Pre: true}}
+	restarted.step(now, messageReceived{envelope: request})
+	if granted() != 0 {
+		t.Fatal("a vote was granted before the disk is verified")
+	}
+	for _, other := range []string{"b", "c"} {
+		restarted.step(now, messageReceived{envelope: envelope{from: other, to: "a", message: generationReply{Generation: restarted.Generation, Leaderless: true}}})
+	}
+	if granted() != 1 {
+		t.Fatal("the vote request that came before the verification was not answered after it")
+	}
+}
