Acknowledge the withdrawal of a target once it is on the disk

Cause: a control process wrote its targets at most once a second and acknowledged announcements before. After a crash within that second its file still had a target as ready that had been told that it may leave, and entries used it again until it had been silent for 4.5 s; its address may belong to another target by then. A process that was down for longer than the others remember ended targets brought them back in the same way.

Withdrawals are now on the disk before they are acknowledged, collected for 10 ms; where the disk doesn't take them within 0.5 s, the target is told to withdraw elsewhere. The file has a time, is renewed every 20 s, and isn't loaded once it is a minute old. A failed write is repeated. A file of the earlier form isn't loaded; its targets announce themselves within about a second.

Ruled out: entries that remember the highest revision of each target (they may restart together with control).

--- a/internal/httptarget/announcements.go
+++ b/internal/httptarget/announcements.go
@@ -4,6 +4,8 @@
 package httptarget
 
 import (
+	"context"
+
 	"github.com/gin-gonic/gin"
 
 	"gitlab.com/comfreythread/comfreythread/internal/web"
@@ -34,23 +36,30 @@
 }
 
 // Announce stores an announcement that has passed Record.Check, or returns a
-// fault.Error.
-func (announcementAPI *AnnouncementAPI) Announce(record *Record) error {
+// fault.Error. The announcement of a target that is leaving must outlast a restart.
+func (announcementAPI *AnnouncementAPI) Announce(ctx context.Context, record *Record) error {
 	if err := announcementAPI.checkMembership(); err != nil {
 		return err
 	}
-	return announcementAPI.registry.Announce(*record)
+	if err := announcementAPI.registry.Announce(*record); err != nil || record.State != StateLeaving {
+		return err
+	}
+	return announcementAPI.registry.AwaitSaved(ctx, record.ID)
 }
 
-// Remove records that a target has ended, or returns a fault.Error.
-func (announcementAPI *AnnouncementAPI) Remove(id string) error {
+// Remove records that a target has ended, or returns a fault.Error. The record must outlast a
+// restart.
+func (announcementAPI *AnnouncementAPI) Remove(ctx context.Context, id string) error {
 	if err := announcementAPI.checkMembership(); err != nil {
 		return err
 	}
 	if err := checkID(id); err != nil {
 		return err
 	}
-	return announcementAPI.registry.End(id)
+	if err := announcementAPI.registry.End(id); err != nil {
+		return err
+	}
+	return announcementAPI.registry.AwaitSaved(ctx, id)
 }
 
 func (announcementAPI *AnnouncementAPI) checkMembership() error {
@@ -69,13 +78,13 @@
 	record := newRecord(ginContext.Param("id"), &announcement)
 	err := record.Check()
 	if err == nil {
-		err = announcementAPI.Announce(record)
+		err = announcementAPI.Announce(ginContext.Request.Context(), record)
 	}
 	web.RespondEmpty(ginContext, err)
 }
 
 func (announcementAPI *AnnouncementAPI) remove(ginContext *gin.Context) {
-	web.RespondEmpty(ginContext, announcementAPI.Remove(ginContext.Param("id")))
+	web.RespondEmpty(ginContext, announcementAPI.Remove(ginContext.Request.Context(), ginContext.Param("id")))
 }
 
 func newRecord(id string, announcement *target.HTTPAnnouncement) *Record {
--- a/internal/httptarget/directory_test.go
+++ b/internal/httptarget/directory_test.go
@@ -107,7 +107,7 @@
 	ginkgo.It("loads its targets after a restart, and starts empty if the file is damaged", func() {
 		folder := ginkgo.GinkgoT().TempDir()
 		store := NewStore(folder, nil)
-		gomega.Expect(store.write([]Record{announcedRecord("t", "10.0.0.1:80", 5, 3, StateReady)})).To(gomega.Succeed())
+		gomega.Expect(store.write([]Record{announcedRecord("t", "10.0.0.1:80", 5, 3, StateReady)}, time.Now())).To(gomega.Succeed())
 		registry := NewRegistry(1, zap.NewNop())
 		registry.Load(store)
 		records, _, _ := registry.changesSince(0)
--- a/internal/httptarget/registry.go
+++ b/internal/httptarget/registry.go
@@ -45,6 +45,13 @@
 		targets        map[string]*registeredTarget
 		// changed is closed and replaced at each change.
 		changed chan struct{}
+		// persistent is true if the registry is saved to a store. savedRevision is the last
+		// revision that was saved, and saved is closed and replaced at each save.
+		persistent    bool
+		savedRevision uint64
+		saved         chan struct{}
+		// saveNow requests a save without the usual pause.
+		saveNow chan struct{}
 	}
 
 	registeredTarget struct {
@@ -61,7 +68,7 @@
 // NewRegistry returns an empty registry. The session must differ from that of
 // each earlier process at the same address.
 func NewRegistry(session uint64, logger *zap.Logger) *Registry {
-	return &Registry{logger: logger, session: session, targets: map[string]*registeredTarget{}, changed: make(chan struct{})}
+	return &Registry{logger: logger, session: session, targets: map[string]*registeredTarget{}, changed: make(chan struct{}), saved: make(chan struct{}), saveNow: make(chan struct{}, 1)}
 }
 
 // Announce stores an announcement that has passed Record.Check. One that is older
--- a/internal/httptarget/store.go
+++ b/internal/httptarget/store.go
@@ -16,12 +16,22 @@
 	"go.uber.org/zap"
 
 	"gitlab.com/comfreythread/comfreythread/internal/disk"
+	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 )
 
 const (
 	// saveInterval is the minimum interval between two writes. Changes that a crash
-	// loses within it are announced again within about the same time.
+	// loses within it are announced again within about the same time. Withdrawals don't
+	// wait for it.
 	saveInterval = time.Second
+	// withdrawalPause is the time in which withdrawals are collected for one write.
+	withdrawalPause = 10 * time.Millisecond
+	// withdrawalTimeout limits the wait for the write of a withdrawal. It leaves a target
+	// time to withdraw at another process instead.
+	withdrawalTimeout = 500 * time.Millisecond
+	// resaveInterval is the longest interval between two writes, so that the file's time
+	// shows until when its process ran.
+	resaveInterval = 20 * time.Second
 
 	storeName     = "targets"
 	temporaryName = "targets.new"
@@ -29,7 +39,8 @@
 )
 
 var (
-	errStoreDamaged = errors.New("the targets file is damaged; targets return once they announce themselves again")
+	errStoreOutdated = errors.New("the targets file is too old; targets return once they announce themselves again")
+	errStoreDamaged  = errors.New("the targets file is damaged; targets return once they announce themselves again")
 )
 
 type (
@@ -39,6 +50,12 @@
 		folder     string
 		fileSystem disk.FileSystem
 	}
+
+	// storedTargets is the content of the file.
+	storedTargets struct {
+		SavedAt time.Time `msgpack:"t"`
+		Records []Record  `msgpack:"c"`
+	}
 )
 
 // NewStore returns the store in a folder. A nil file system means that of the
@@ -50,11 +67,15 @@
 	return &Store{folder: folder, fileSystem: fileSystem}
 }
 
-// Load adds the stored targets to the registry. Each target has SilenceSpan to
-// announce itself again before it counts as silent. If the file can't be read, Load
-// logs this and adds none.
+// Load adds the stored targets to the registry, and makes withdrawals wait for Save. Each
+// target has SilenceSpan to announce itself again before it counts as silent. If the file
+// can't be read, or is so old that the other registries may have forgotten targets that
+// have ended since, Load logs this and adds none.
 func (registry *Registry) Load(store *Store) {
-	records, err := store.read()
+	registry.lock.Lock()
+	registry.persistent = true
+	registry.lock.Unlock()
+	records, err := store.read(time.Now())
 	if errors.Is(err, fs.ErrNotExist) {
 		registry.logger.Info("no targets loaded: the targets file doesn't exist yet", zap.String("folder", store.folder))
 		return
@@ -72,34 +93,105 @@
 	registry.logger.Info("targets loaded", zap.Int("targets", len(records)))
 }
 
-// Save writes the registry to the store after changes, at most once in saveInterval,
-// until ctx ends. A failed write is logged, and repeated only after the next change.
+// Save writes the registry to the store until ctx ends: after changes, at most once in
+// saveInterval, at once after withdrawals, and at least once in resaveInterval. A failed
+// write is logged and repeated.
 func (registry *Registry) Save(ctx context.Context, store *Store) {
-	ticker := time.NewTicker(saveInterval)
-	defer ticker.Stop()
-	lastRevision := uint64(0)
-	for {
+	var lastSave time.Time
+	for lastRevision := uint64(0); ; {
 		records, revision, changed := registry.changesSince(0)
-		if revision != lastRevision {
-			if err := store.write(records); err != nil {
+		if revision != lastRevision || revision > 0 && time.Since(lastSave) >= resaveInterval {
+			if err := store.write(records, time.Now()); err != nil {
 				registry.logger.Warn("targets not saved", zap.String("folder", store.folder), zap.Error(err))
+				changed = nil
+			} else {
+				lastRevision = revision
+				registry.markSaved(revision)
 			}
-			lastRevision = revision
+			lastSave = time.Now()
 		}
+		if !registry.awaitSaveTime(ctx, changed, lastSave) {
+			return
+		}
+	}
+}
+
+// awaitSaveTime waits until the registry must be saved again. It returns false once ctx has
+// ended. A nil changed means that the last write failed.
+func (registry *Registry) awaitSaveTime(ctx context.Context, changed <-chan struct{}, lastSave time.Time) bool {
+	if changed != nil {
+		resave := time.NewTimer(resaveInterval)
+		defer resave.Stop()
 		select {
 		case <-ctx.Done():
-			return
+			return false
+		case <-resave.C:
 		case <-changed:
 		}
+	}
+	pause := time.NewTimer(time.Until(lastSave.Add(saveInterval)))
+	defer pause.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-pause.C:
+		return true
+	case <-registry.saveNow:
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(withdrawalPause):
+		return true
+	}
+}
+
+func (registry *Registry) markSaved(revision uint64) {
+	registry.lock.Lock()
+	defer registry.lock.Unlock()
+	registry.savedRevision = revision
+	close(registry.saved)
+	registry.saved = make(chan struct{})
+}
+
+// AwaitSaved returns once the latest change of a target is on the disk, if the registry is
+// saved to one. A target that is told that it has withdrawn must not be in use again after a
+// restart of this process. If the write takes too long, AwaitSaved returns a fault.Error.
+func (registry *Registry) AwaitSaved(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, withdrawalTimeout)
+	defer cancel()
+	for {
+		saved := registry.unsaved(id)
+		if saved == nil {
+			return nil
+		}
+		select {
+		case registry.saveNow <- struct{}{}:
+		default:
+		}
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
+			registry.logger.Warn("withdrawal not saved in time", zap.String("target", id))
+			return fault.New(fault.Unavailable, "the withdrawal isn't on the disk yet", "send it again, to another control process if possible")
+		case <-saved:
 		}
 	}
 }
 
-func (store *Store) read() ([]Record, error) {
+// unsaved returns a channel that is closed at the next save if the latest change of a target
+// isn't saved yet, or nil.
+func (registry *Registry) unsaved(id string) <-chan struct{} {
+	registry.lock.Lock()
+	defer registry.lock.Unlock()
+	registered, found := registry.targets[id]
+	if !found || !registry.persistent || registered.revision <= registry.savedRevision {
+		return nil
+	}
+	return registry.saved
+}
+
+// read returns the stored records, unless the file is outdated at now.
+func (store *Store) read(now time.Time) ([]Record, error) {
 	data, err := store.fileSystem.Read(filepath.Join(store.folder, storeName))
 	if err != nil {
 		return nil, err
@@ -107,17 +199,20 @@
 	if len(data) < checksumBytes || binary.BigEndian.Uint64(data) != xxhash.Sum64(data[checksumBytes:]) {
 		return nil, errStoreDamaged
 	}
-	var records []Record
-	if err := msgpack.Unmarshal(data[checksumBytes:], &records); err != nil {
+	var stored storedTargets
+	if err := msgpack.Unmarshal(data[checksumBytes:], &stored); err != nil {
 		return nil, errors.Wrap(err, "decode the targets file")
 	}
-	return records, nil
+	if now.Sub(stored.SavedAt) >= retentionSpan {
+		return nil, errStoreOutdated
+	}
+	return stored.Records, nil
 }
 
 // write replaces the file atomically: at any moment it holds either the previous or
-// the new records.
-func (store *Store) write(records []Record) error {
-	encoded, err := msgpack.Marshal(records)
+// the new records and their time.
+func (store *Store) write(records []Record, now time.Time) error {
+	encoded, err := msgpack.Marshal(&storedTargets{SavedAt: now, Records: records})
 	if err != nil {
 		return errors.Wrap(err, "encode the targets")
 	}
