Say truly that a request has not run, count missing parts, contain panics

A trial showed, too, that a panic in one attempt ended the whole entry, and one in a call of a peer the process called.

A request is now withdrawn before it is given up: if nothing was written to any target, nothing will be, and the refusal says so with 503 and Retry-After. Shards without a part are counted by route and reason (missing_parts_total). A panic in a task of a request or in a call of a peer is logged, counted (panics_total) and fails that task or call alone.

Ruled out: 503 whenever the route is safe to repeat, because it promises that the request hasn't run. The specs fail without the withdrawal and without the recovery.

--- a/internal/frame/call_test.go
+++ b/internal/frame/call_test.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
@@ -46,6 +47,37 @@
 	}
 }
 
+var _ = ginkgo.Describe("a method that panics", func() {
+	ginkgo.It("fails its call only", func() {
+		bubble.Run(suite, func(expect gomega.Gomega) {
+			network, server := &standin.Network{}, new(frame.Server)
+			var panicked []string
+			server.OnPanic = func(method string, _ any, _ []byte) { panicked = append(panicked, method) }
+			frame.Handle(server, "double", func(_ context.Context, in *number) (*number, error) {
+				if in.Value < 0 {
+					panic("negative")
+				}
+				return &number{Value: 2 * in.Value}, nil
+			})
+			listener, _ := network.Listen("10.0.0.1:1")
+			go func() { _ = server.Serve(listener) }()
+			client := frame.NewClient("10.0.0.1:1", network.Dialer("10.0.0.2"))
+			defer func() {
+				client.Close()
+				server.Stop()
+			}()
+			_, err := frame.Call[number, number](context.Background(), client, "double", &number{Value: -1})
+			var typed *fault.Error
+			expect.Expect(errors.As(err, &typed)).To(gomega.BeTrue())
+			expect.Expect(typed.Kind).To(gomega.Equal(fault.Internal))
+			expect.Expect(panicked).To(gomega.Equal([]string{"double"}))
+			reply, err := frame.Call[number, number](context.Background(), client, "double", &number{Value: 21})
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			expect.Expect(reply.Value).To(gomega.Equal(42))
+		})
+	})
+})
+
 var _ = ginkgo.Describe("a call", func() {
 	ginkgo.It("returns the reply after one round trip", func() {
 		bubble.Run(suite, func(expect gomega.Gomega) {
--- a/internal/frame/server.go
+++ b/internal/frame/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -27,6 +28,10 @@
 type (
 	// Server serves methods to peers. The zero value has no methods.
 	Server struct {
+		// OnPanic, if not nil, is called with the value and the stack of a panic in a method.
+		// The process goes on, and the caller gets a fault.Error.
+		OnPanic func(method string, recovered any, stack []byte)
+
 		lock     sync.Mutex
 		methods  map[string]method
 		links    map[*link]bool
@@ -211,11 +216,26 @@
 	server.running.Go(func() {
 		defer calls.cancel(call.CallID)
 		send := func(part any) error { return respond(link, typePart, call.CallID, part, nil) }
-		reply, err := method(ctx, call.Body, send)
+		reply, err := server.invoke(ctx, method, call, send)
 		_ = respond(link, typeReply, call.CallID, reply, err)
 	})
 }
 
+// invoke calls a method and turns a panic into an error.
+func (server *Server) invoke(ctx context.Context, method method, call *message, send func(part any) error) (reply any, err error) {
+	defer func() {
+		recovered := recover()
+		if recovered == nil {
+			return
+		}
+		if server.OnPanic != nil {
+			server.OnPanic(call.Method, recovered, debug.Stack())
+		}
+		reply, err = nil, fault.New(fault.Internal, "the call hit a defect", "report it with the log of the process that was called")
+	}()
+	return method(ctx, call.Body, send)
+}
+
 func respond(link *link, messageType messageType, callID uint64, body any, failure error) error {
 	response := &message{Type: messageType, CallID: callID}
 	if failure != nil {
--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
@@ -36,6 +37,10 @@
 	localityFar    locality = "far"
 )
 
+var (
+	errPanicked = errors.New("the attempt hit a defect; see the log")
+)
+
 type (
 	// locality is the location of a target relative to the entry: in the same
 	// failure domain, elsewhere in the same region, or in another region.
@@ -69,6 +74,8 @@
 		// true if the budget ruled out a further attempt.
 		sentAttempts []sentAttempt
 		budgetDenied bool
+		// lastFailure is the outcome of the latest attempt that failed, in logs and metrics.
+		lastFailure string
 	}
 
 	// sentAttempt describes an attempt for the log: its target, the time from the receipt
@@ -253,6 +260,9 @@
 }
 
 func (dispatch *dispatch) recordFailure(target *httptarget.Target, outcome string, fields ...zap.Field) {
+	dispatch.lock.Lock()
+	dispatch.lastFailure = outcome
+	dispatch.lock.Unlock()
 	dispatch.call.server.metrics.Outcomes().WithLabelValues(dispatch.pool, outcome).Inc()
 	dispatch.call.server.requestLog.attemptFailed(dispatch.call, target, outcome, dispatch.attempts, fields...)
 }
@@ -339,16 +349,30 @@
 	server.requestMetrics.countAttempt(dispatch.pool, trigger)
 	limit := server.connectionLimit(pool, target)
 	server.workers.run(func() {
+		var outcome httptarget.Outcome = &httptarget.Lost{Sent: true, Cause: errPanicked}
+		defer func() { dispatch.outcomes <- finishedAttempt{target: target, outcome: outcome} }()
 		ctx, span := tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
 		defer span.End()
 		startedAt := time.Now()
-		outcome := server.sender.Send(ctx, target, &dispatch.call.request, dispatch.hardDeadline, limit)
+		outcome = server.sender.Send(ctx, target, &dispatch.call.request, dispatch.hardDeadline, limit)
 		server.requestMetrics.observeAttempt(server.locality(target.FailureDomain()), outcome, time.Since(startedAt))
-		dispatch.outcomes <- finishedAttempt{target: target, outcome: outcome}
 	})
 	return true
 }
 
+// missingReason returns why the dispatch has no part so far, as a label value.
+func (dispatch *dispatch) missingReason() string {
+	dispatch.lock.Lock()
+	defer dispatch.lock.Unlock()
+	switch {
+	case dispatch.budgetDenied:
+		return missingWithoutBudget
+	case dispatch.lastFailure != "":
+		return dispatch.lastFailure
+	}
+	return missingLate
+}
+
 // String formats the attempts for the log.
 func (dispatch *dispatch) String() string {
 	dispatch.lock.Lock()
--- a/internal/httpcaller/forward.go
+++ b/internal/httpcaller/forward.go
@@ -28,7 +28,7 @@
 		call.relay(writer, &result)
 	case call.ctx.Err() != nil:
 		call.abort()
-	case result.mayHaveRun:
+	case result.mayHaveRun && !call.request.Withdraw():
 		call.reportLost(writer, &result)
 	default:
 		call.refuse(writer, result.reason)
--- a/internal/httpcaller/gather.go
+++ b/internal/httpcaller/gather.go
@@ -23,7 +23,9 @@
 		results chan dispatchResult
 		// unanswered holds the dispatches without a usable response so far, by the name
 		// of the shard's pool.
-		unanswered   map[string]*dispatch
+		unanswered map[string]*dispatch
+		// unsent holds the reasons why nothing was sent to some shards.
+		unsent       []policy.Reason
 		parts        [][]byte
 		proofs       []string
 		failedShards int
@@ -52,12 +54,13 @@
 	}
 	decision := query.collect(progress)
 	cancel()
+	call.server.requestMetrics.countMissingParts(query)
 	switch {
 	case call.ctx.Err() != nil:
 		call.abort()
 	case decision == policy.Answer:
 		query.respond(writer, progress)
-	case query.mayHaveRun || query.pending > 0:
+	case (query.mayHaveRun || query.pending > 0) && !call.request.Withdraw():
 		call.reportLost(writer, &dispatchResult{reason: policy.TooLate, mayHaveRun: query.mayHaveRun}, query.fields()...)
 	default:
 		call.refuse(writer, policy.NoRoom)
@@ -79,6 +82,7 @@
 		dispatch := query.call.newDispatch(pool, softTimeout-policy.ResponseMargin)
 		if refusalReason := dispatch.refusalReason(); refusalReason != 0 {
 			query.failedShards++
+			query.unsent = append(query.unsent, refusalReason)
 			reason = refusalReason
 			continue
 		}
@@ -91,7 +95,11 @@
 	for _, dispatch := range dispatches {
 		query.unanswered[dispatch.pool] = dispatch
 		query.pending++
-		server.workers.run(func() { query.results <- dispatch.execute(ctx) })
+		server.workers.run(func() {
+			result := dispatchResult{pool: dispatch.pool, mayHaveRun: true, cause: errPanicked}
+			defer func() { query.results <- result }()
+			result = dispatch.execute(ctx)
+		})
 	}
 	return 0
 }
--- a/internal/httpcaller/request_log.go
+++ b/internal/httpcaller/request_log.go
@@ -88,6 +88,10 @@
 	requestLog.logger.Info("failed to write response", requestLog.fields(call, causeField(err))...)
 }
 
+func (requestLog *requestLog) taskPanicked(recovered any, stack []byte) {
+	requestLog.logger.Error("task of a request panicked", zap.Any("panic", recovered), zap.ByteString("stack", stack))
+}
+
 func (requestLog *requestLog) requestAnswered(call *call, result *dispatchResult) {
 	if entry := requestLog.logger.Check(zap.DebugLevel, "request answered"); entry != nil {
 		entry.Write(requestLog.fields(call, zap.Int("status", result.response.Status), zap.String("target", result.target.ID()))...)
--- a/internal/httpcaller/request_metrics.go
+++ b/internal/httpcaller/request_metrics.go
@@ -22,6 +22,12 @@
 	outcomeInvalid   = "wrong"
 	outcomeCancelled = "cancelled"
 
+	// missingLate and missingWithoutBudget are reasons for a missing part: no answer yet,
+	// and no budget for a hedge or retry. The other reasons are those of refusals and the
+	// outcomes of attempts.
+	missingLate          = "late"
+	missingWithoutBudget = "budget"
+
 	// noReason is the label value of a request that ended without a reason.
 	noReason = "none"
 )
@@ -65,6 +71,17 @@
 	requestMetrics.metrics.HTTPRequests().WithLabelValues(call.routeKind(), outcome, reason).Observe(time.Since(call.startedAt).Seconds())
 }
 
+// countMissingParts counts the shards without a part by reason.
+func (requestMetrics *requestMetrics) countMissingParts(query *query) {
+	missingParts := requestMetrics.metrics.MissingParts()
+	for _, dispatch := range query.unanswered {
+		missingParts.WithLabelValues(query.call.routeKind(), dispatch.missingReason()).Inc()
+	}
+	for _, reason := range query.unsent {
+		missingParts.WithLabelValues(query.call.routeKind(), reason.String()).Inc()
+	}
+}
+
 func outcomeName(outcome httptarget.Outcome) string {
 	switch outcome := outcome.(type) {
 	case *httptarget.Refused:
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -107,11 +107,18 @@
 // NewServer returns a server, which becomes ready once its entry has tables and has heard
 // from a registry of targets.
 func NewServer(options Options, board *blackboard.Board, directory *httptarget.Directory, sender *httptarget.Sender, logger *zap.Logger, metrics *metrics.Metrics) *Server {
-	return &Server{
+	server := &Server{
 		options: options, board: board, directory: directory, sender: sender, budgets: policy.NewBudgets(options.Budget),
 		requestLog: newRequestLog(logger, metrics), metrics: metrics, requestMetrics: requestMetrics{metrics: metrics}, createdAt: time.Now(),
-		workers: newWorkers(),
 	}
+	server.workers = newWorkers(server.recordPanic)
+	return server
+}
+
+// recordPanic counts and logs a panic in a task of a request.
+func (server *Server) recordPanic(recovered any, stack []byte) {
+	server.metrics.Panics().Inc()
+	server.requestLog.taskPanicked(recovered, stack)
 }
 
 // Ready reports whether callers should send requests to this server.
--- a/internal/httpcaller/suite_test.go
+++ b/internal/httpcaller/suite_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	dto "github.com/prometheus/client_model/go"
 	"go.uber.org/zap"
 
 	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
@@ -23,6 +24,7 @@
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
+	"gitlab.com/comfreythread/comfreythread/internal/tcp"
 	"gitlab.com/comfreythread/comfreythread/pkg/duration"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
@@ -56,6 +58,12 @@
 }
 
 func newGateway() *gateway {
+	return newGatewayWithDialer(nil)
+}
+
+// newGatewayWithDialer returns a gateway that connects to targets by dial, or by TCP if dial is
+// nil.
+func newGatewayWithDialer(dial tcp.Dialer) *gateway {
 	gateway := &gateway{registry: httptarget.NewRegistry(1, zap.NewNop()), metrics: metrics.New()}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -69,7 +77,7 @@
 	gateway.server = httpcaller.NewServer(httpcaller.Options{
 		FailureDomain: "nord-a", Region: "nord", Regions: map[string]string{"nord-a": "nord", "sud-a": "sud"}, Headers: dialect.Default(),
 		Budget: policy.BudgetLimits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
-	}, &gateway.board, directory, httptarget.NewSender(dialect.Default(), nil), zap.NewNop(), gateway.metrics)
+	}, &gateway.board, directory, httptarget.NewSender(dialect.Default(), dial), zap.NewNop(), gateway.metrics)
 	httpServer := httptest.NewServer(gateway.server)
 	gateway.address = httpServer.URL
 	ginkgo.DeferCleanup(func() {
@@ -153,12 +161,33 @@
 			continue
 		}
 		for _, metric := range family.GetMetric() {
-			var values []string
-			for _, label := range metric.GetLabel() {
-				values = append(values, label.GetValue())
-			}
-			counts[strings.Join(values, " ")] = metric.GetHistogram().GetSampleCount()
+			counts[labelValues(metric)] = metric.GetHistogram().GetSampleCount()
 		}
 	}
 	return counts
 }
+
+// counts returns the values of a counter by its label values.
+func (gateway *gateway) counts(name string) map[string]float64 {
+	families, err := gateway.metrics.Registry().Gather()
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	counts := map[string]float64{}
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			counts[labelValues(metric)] = metric.GetCounter().GetValue()
+		}
+	}
+	return counts
+}
+
+// labelValues returns the label values of a metric, separated by spaces.
+func labelValues(metric *dto.Metric) string {
+	var values []string
+	for _, label := range metric.GetLabel() {
+		values = append(values, label.GetValue())
+	}
+	return strings.Join(values, " ")
+}
--- a/internal/httpcaller/workers.go
+++ b/internal/httpcaller/workers.go
@@ -4,6 +4,7 @@
 package httpcaller
 
 import (
+	"runtime/debug"
 	"sync/atomic"
 )
 
@@ -19,11 +20,13 @@
 	workers struct {
 		tasks chan func()
 		idle  atomic.Int64
+		// onPanic is called with the value and the stack of a panic in a task.
+		onPanic func(recovered any, stack []byte)
 	}
 )
 
-func newWorkers() *workers {
-	return &workers{tasks: make(chan func())}
+func newWorkers(onPanic func(recovered any, stack []byte)) *workers {
+	return &workers{tasks: make(chan func()), onPanic: onPanic}
 }
 
 // run runs a task on an idle worker, or on a new one if none is idle.
@@ -37,7 +40,7 @@
 
 func (workers *workers) work(task func()) {
 	for {
-		task()
+		workers.runTask(task)
 		if workers.idle.Add(1) > maximumIdleWorkers {
 			workers.idle.Add(-1)
 			return
@@ -46,3 +49,13 @@
 		workers.idle.Add(-1)
 	}
 }
+
+// runTask runs a task. A panic ends only this task: the other requests of the process go on.
+func (workers *workers) runTask(task func()) {
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			workers.onPanic(recovered, debug.Stack())
+		}
+	}()
+	task()
+}
--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -36,6 +37,12 @@
 	// is addressed to another one.
 	wrongTargetStatus = http.StatusMisdirectedRequest
 
+	// States of a request: nothing was written to any target, something was, and nothing
+	// was and nothing will be.
+	requestUnsent    = 0
+	requestSent      = 1
+	requestWithdrawn = 2
+
 	lineEnd = "\r\n"
 	// headerOverhead is the capacity reserved for the deadline's digits, the
 	// separators and the line ends.
@@ -61,6 +68,8 @@
 	ErrTooLarge = errors.New("the answer is too large; it was dropped")
 	// ErrBusy reports that the limit of connections to the target is reached.
 	ErrBusy = errors.New("no connection to the target is free")
+
+	errWithdrawn = errors.New("the request was withdrawn before it was sent")
 )
 
 type (
@@ -78,6 +87,8 @@
 		// target.
 		head []byte
 		body []byte
+		// state is one of the states below.
+		state atomic.Int32
 	}
 
 	// Outcome is Answered, Refused or Lost.
@@ -282,6 +293,9 @@
 	if err := connection.SetDeadline(exchange.deadline); err != nil {
 		return &Refused{Reason: Unreachable, Cause: err}, false
 	}
+	if !exchange.request.claimSend() {
+		return &Refused{Reason: Unreachable, Cause: errWithdrawn}, false
+	}
 	message := exchange.message()
 	if len(message) > largeMessageBytes {
 		go func() {
@@ -298,6 +312,17 @@
 	return exchange.receive()
 }
 
+// Withdraw keeps the request from being sent to any target from now on. It returns false if
+// part of the request may have been sent already.
+func (request *Request) Withdraw() bool {
+	return request.state.CompareAndSwap(requestUnsent, requestWithdrawn) || request.state.Load() == requestWithdrawn
+}
+
+// claimSend records that the request is about to be sent, unless it was withdrawn.
+func (request *Request) claimSend() bool {
+	return request.state.CompareAndSwap(requestUnsent, requestSent) || request.state.Load() == requestSent
+}
+
 // Encode encodes the request with the given headers, from which the caller has
 // removed the hop-by-hop headers. It sets a missing User-Agent in header to the empty
 // string, which suppresses the default of net/http.
--- a/internal/httptarget/attempt_test.go
+++ b/internal/httptarget/attempt_test.go
@@ -93,6 +93,21 @@
 	return request
 }
 
+var _ = ginkgo.Describe("a withdrawn request", func() {
+	ginkgo.It("is not sent any more, and can't be withdrawn once it was sent", func() {
+		raw := newRawTarget(func(connection net.Conn, _ *http.Request, _ []byte) bool {
+			_, _ = io.WriteString(connection, answerText("q1", "yes"))
+			return true
+		})
+		sender, target, request := NewSender(dialect.Default(), nil), raw.target(), getRequest("q1")
+		gomega.Expect(request.Withdraw()).To(gomega.BeTrue())
+		gomega.Expect(sender.Send(context.Background(), target, request, time.Now().Add(longTimeout), 2)).To(gomega.BeAssignableToTypeOf(&Refused{}))
+		request = getRequest("q1")
+		gomega.Expect(sender.Send(context.Background(), target, request, time.Now().Add(longTimeout), 2)).To(gomega.BeAssignableToTypeOf(&Answered{}))
+		gomega.Expect(request.Withdraw()).To(gomega.BeFalse())
+	})
+})
+
 var _ = ginkgo.Describe("an attempt", func() {
 	sender := NewSender(dialect.Default(), nil)
 	send := func(target *Target, request *Request) Outcome {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -36,6 +36,8 @@
 		httpRequests       *prometheus.HistogramVec
 		httpAttempts       *prometheus.HistogramVec
 		diskSync           prometheus.Histogram
+		missingParts       *prometheus.CounterVec
+		panics             prometheus.Counter
 	}
 )
 
@@ -62,6 +64,8 @@
 		httpRequests:       histogram("http_request_seconds", "Time from a request of an HTTP route to its end, by what became of it and why.", prometheus.ExponentialBuckets(0.001, 2, 14), "route", "outcome", "reason"),
 		httpAttempts:       histogram("http_attempt_seconds", "Time of attempts at targets of HTTP routes, by where the target stands and what came of it.", prometheus.ExponentialBuckets(0.001, 2, 12), "place", "outcome"),
 		diskSync:           prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "disk_sync_seconds", Help: "Time of syncs of the log file.", Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16)}),
+		missingParts:       counter("missing_parts_total", "Shards without a part in the answers to queries of HTTP routes, and in those given up.", "route", "reason"),
+		panics:             prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "panics_total", Help: "Tasks of requests and calls of peers that hit a defect of the program."}),
 		directoryUnequal:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "directory_unequal_seconds", Help: "Time since the directory was last equal to a peer's."}),
 	}
 	metrics.registry.MustRegister(
@@ -69,7 +73,7 @@
 		metrics.queueWait, metrics.slotsInUse, metrics.coverage, metrics.latency,
 		metrics.tablesVersion, metrics.viewNumber, metrics.fenced,
 		metrics.targetsMoved, metrics.directoryChanges, metrics.directoryExchanges, metrics.directoryUnequal, metrics.logLinesLeftOut,
-		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync,
+		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync, metrics.missingParts, metrics.panics,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
@@ -91,6 +95,13 @@
 // Sheds counts runs that targets shed, by pool and reason.
 func (metrics *Metrics) Sheds() *prometheus.CounterVec { return metrics.sheds }
 
+// MissingParts counts the shards without a part in the answers to queries of HTTP routes, and in those
+// given up, by route and reason.
+func (metrics *Metrics) MissingParts() *prometheus.CounterVec { return metrics.missingParts }
+
+// Panics counts the tasks of requests and the calls of peers that panicked.
+func (metrics *Metrics) Panics() prometheus.Counter { return metrics.panics }
+
 // DroppedAnswers counts dropped answers, by reason: for example late, damaged, or for another
 // attempt.
 func (metrics *Metrics) DroppedAnswers() *prometheus.CounterVec { return metrics.droppedAnswers }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -165,8 +165,11 @@
 	return client
 }
 
-func newPeerServer() *frame.Server {
-	return new(frame.Server)
+func newPeerServer(logger *zap.Logger, metrics *metrics.Metrics) *frame.Server {
+	return &frame.Server{OnPanic: func(method string, recovered any, stack []byte) {
+		metrics.Panics().Inc()
+		logger.Error("call of a peer panicked", zap.String("method", method), zap.Any("panic", recovered), zap.ByteString("stack", stack))
+	}}
 }
 
 func startTracing(settings *settings.Settings, stdout io.Writer, lifecycle fx.Lifecycle) error {
