Let all renewals at a new leader share one start of its tenure

Cause: the first renewals at a new leader each submitted a beginTenure command, and commands on the tables are replicated two at a time.

Calls of one term now share one command; one that fails is begun anew.

Ruled out: larger batches for that queue (changes of the tables are large).

--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -56,7 +56,7 @@
 	if current != nil && current.term == term {
 		return current, nil
 	}
-	if _, err := service.changeBatcher.submit(ctx, beginTenure{Term: term}); err != nil {
+	if err := service.startTenure(ctx, term); err != nil {
 		return nil, err
 	}
 	service.lock.Lock()
@@ -70,6 +70,45 @@
 	return service.tenure, nil
 }
 
+// startTenure returns once a beginTenure command of the term is applied. Calls that arrive
+// together share one command: after a restart of everything all entries renew at once, and the
+// log replicates commands on the tables a few at a time.
+func (service *Service) startTenure(ctx context.Context, term uint64) error {
+	start := service.sharedTenureStart(term)
+	select {
+	case <-ctx.Done():
+		return fault.New(fault.Unavailable, "the leader is changing", "try again")
+	case <-start.done:
+		return start.err
+	}
+}
+
+// sharedTenureStart returns the start of the term's tenure that is in progress or was successful,
+// or begins another one.
+func (service *Service) sharedTenureStart(term uint64) *tenureStart {
+	service.lock.Lock()
+	defer service.lock.Unlock()
+	if current := service.tenureStart; current != nil && current.term == term && !current.failed() {
+		return current
+	}
+	start := &tenureStart{term: term, done: make(chan struct{})}
+	service.tenureStart = start
+	go func() {
+		_, start.err = service.changeBatcher.submit(context.Background(), beginTenure{Term: term})
+		close(start.done)
+	}()
+	return start
+}
+
+func (tenureStart *tenureStart) failed() bool {
+	select {
+	case <-tenureStart.done:
+		return tenureStart.err != nil
+	default:
+		return false
+	}
+}
+
 func (service *Service) notLeadingError(ctx context.Context) error {
 	if err := service.log.Confirm(ctx); err != nil {
 		return err
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -79,6 +79,16 @@
 		// lock must be acquired before the lock of state.
 		lock   sync.Mutex
 		tenure *tenure
+		// tenureStart is the latest start of a tenure, or nil.
+		tenureStart *tenureStart
+	}
+
+	// tenureStart is a beginTenure command that all calls of one term share. Its error is set
+	// before done is closed.
+	tenureStart struct {
+		term uint64
+		done chan struct{}
+		err  error
 	}
 )
 
