Don't take an answer without an ID for that of the next request

Cause: answers to other requests were told apart by the request's ID, and one without an ID passed as the answer to whatever request its connection carried. A target that names requests in its answers and then sends a late second copy without the name would have given one caller's answer to the next one.

On a connection whose answers have named their requests, a successful answer that names none is now lost, and the connection is closed. Targets that never name requests are served as before. Failures and refusals without an ID are still taken: nothing of another caller is in them.

The spec fails before (the copy is returned as the answer).

--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -62,7 +62,8 @@
 )
 
 var (
-	// ErrStray reports a connection that delivered too many answers to other requests.
+	// ErrStray reports a connection that delivered too many answers to other requests, or one
+	// that may be such an answer.
 	ErrStray = errors.New("the connection holds answers to other requests; it was closed")
 	// ErrTooLarge reports an answer above MaximumAnswerBytes.
 	ErrTooLarge = errors.New("the answer is too large; it was dropped")
@@ -378,17 +379,28 @@
 			return &Lost{Sent: true, Cause: err}, false
 		}
 		answeredID := response.Header.Get(exchange.sender.headers.RequestID)
+		if exchange.isStray(response, answeredID) {
+			return &Lost{Sent: true, Cause: ErrStray}, false
+		}
 		if answeredID != "" && answeredID != exchange.request.ID {
 			if response.Close {
 				break
 			}
 			continue
 		}
+		exchange.connection.echoesID = answeredID != ""
 		return exchange.classify(response, body), exchange.isReusable(response)
 	}
 	return &Lost{Sent: true, Cause: ErrStray}, false
 }
 
+// isStray reports whether a successful answer may belong to an earlier request on the
+// connection: it names none, although the target names the request in its answers. It may
+// be a late second copy of an earlier answer.
+func (exchange *exchange) isStray(response *http.Response, answeredID string) bool {
+	return answeredID == "" && exchange.connection.echoesID && response.StatusCode < http.StatusMultipleChoices
+}
+
 // isReusable reports whether the connection can carry another request: the request
 // is fully written, no unread bytes are buffered, and the target keeps it open. It also
 // applies the idle timeout from the answer's Keep-Alive header to the connection.
--- a/internal/httptarget/attempt_test.go
+++ b/internal/httptarget/attempt_test.go
@@ -93,6 +93,52 @@
 	return request
 }
 
+// A target may send a second copy of an answer late, when its connection is in use again. The next
+// caller must not get it as its own answer, whether or not the copy names its request.
+var _ = ginkgo.Describe("a late second copy of an answer", func() {
+	ginkgo.DescribeTable("isn't taken for the answer to the next request",
+		func(copied string, expected Outcome) {
+			requests := 0
+			raw := newRawTarget(func(connection net.Conn, request *http.Request, _ []byte) bool {
+				if requests++; requests == 1 {
+					_, _ = io.WriteString(connection, answerText("q1", "first"))
+					return true
+				}
+				_, _ = io.WriteString(connection, copied+answerText(request.Header.Get(dialect.Default().RequestID), "second"))
+				return true
+			})
+			sender, target := NewSender(dialect.Default(), nil), raw.target()
+			for _, id := range []string{"q1", "q2"} {
+				request := getRequest(id)
+				request.Repeatable = true
+				outcome := sender.Send(context.Background(), target, request, time.Now().Add(longTimeout), 2)
+				if id == "q1" {
+					gomega.Expect(outcome).To(gomega.BeAssignableToTypeOf(&Answered{}))
+					continue
+				}
+				gomega.Expect(outcome).To(gomega.BeAssignableToTypeOf(expected))
+				if answered, isAnswered := outcome.(*Answered); isAnswered {
+					gomega.Expect(string(answered.Body)).To(gomega.Equal("second"))
+				}
+			}
+			gomega.Expect(raw.opened.Load()).To(gomega.Equal(int64(1)))
+		},
+		ginkgo.Entry("with the ID of the earlier request: skipped", answerText("q1", "first"), &Answered{}),
+		ginkgo.Entry("without an ID: lost, because nothing shows whose answer it is", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst", &Lost{}),
+	)
+
+	ginkgo.It("doesn't keep a target from being used that never names requests", func() {
+		raw := newRawTarget(func(connection net.Conn, _ *http.Request, _ []byte) bool {
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes")
+			return true
+		})
+		sender, target := NewSender(dialect.Default(), nil), raw.target()
+		for _, id := range []string{"q1", "q2"} {
+			gomega.Expect(sender.Send(context.Background(), target, getRequest(id), time.Now().Add(longTimeout), 2)).To(gomega.BeAssignableToTypeOf(&Answered{}))
+		}
+	})
+})
+
 var _ = ginkgo.Describe("a withdrawn request", func() {
 	ginkgo.It("is not sent any more, and can't be withdrawn once it was sent", func() {
 		raw := newRawTarget(func(connection net.Conn, _ *http.Request, _ []byte) bool {
--- a/internal/httptarget/connection.go
+++ b/internal/httptarget/connection.go
@@ -44,6 +44,8 @@
 		idleSince   time.Time
 		// used is true once a request was sent on the connection.
 		used bool
+		// echoesID is true once an answer on the connection named its request.
+		echoesID bool
 	}
 
 	// targetConnections holds the idle connections to a target, the most recently
