--- a/internal/httpcaller/suite_test.go
+++ b/internal/httpcaller/suite_test.go
@@ -153,41 +153,34 @@
 
 // sampleCounts returns the number of samples of a histogram by its label values.
 func (gateway *gateway) sampleCounts(name string) map[string]uint64 {
-	families, err := gateway.metrics.Registry().Gather()
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	counts := map[string]uint64{}
-	for _, family := range families {
-		if family.GetName() != name {
-			continue
-		}
-		for _, metric := range family.GetMetric() {
-			counts[labelValues(metric)] = metric.GetHistogram().GetSampleCount()
-		}
-	}
+	gateway.eachMetric(name, func(labelValues string, metric *dto.Metric) {
+		counts[labelValues] = metric.GetHistogram().GetSampleCount()
+	})
 	return counts
 }
 
 // counts returns the values of a counter by its label values.
 func (gateway *gateway) counts(name string) map[string]float64 {
+	counts := map[string]float64{}
+	gateway.eachMetric(name, func(labelValues string, metric *dto.Metric) { counts[labelValues] = metric.GetCounter().GetValue() })
+	return counts
+}
+
+// eachMetric calls visit with each metric of a name and its label values, separated by spaces.
+func (gateway *gateway) eachMetric(name string, visit func(labelValues string, metric *dto.Metric)) {
 	families, err := gateway.metrics.Registry().Gather()
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	counts := map[string]float64{}
 	for _, family := range families {
 		if family.GetName() != name {
 			continue
 		}
 		for _, metric := range family.GetMetric() {
-			counts[labelValues(metric)] = metric.GetCounter().GetValue()
+			var values []string
+			for _, label := range metric.GetLabel() {
+				values = append(values, label.GetValue())
+			}
+			visit(strings.Join(values, " "), metric)
 		}
 	}
-	return counts
-}
-
-// labelValues returns the label values of a metric, separated by spaces.
-func labelValues(metric *dto.Metric) string {
-	var values []string
-	for _, label := range metric.GetLabel() {
-		values = append(values, label.GetValue())
-	}
-	return strings.Join(values, " ")
 }
--- a/internal/replica/vote_and_commit_test.go
+++ b/internal/replica/vote_and_commit_test.go
@@ -7,17 +7,23 @@
 	"time"
 )
 
-// TestRestartedReplicaWithholdsVote guards against a restarted replica that grants a vote as soon
-// as its disk is verified, while a leader that it heard before the restart may still lead.
-func TestRestartedReplicaWithholdsVote(t *testing.T) {
-	now := time.Unix(1000, 0)
-	members := []member{{ID: "a", Voter: true}, {ID: "b", Voter: true}, {ID: "c", Voter: true}}
+// restartedCore returns the core of replica a after a restart in a group of the given members.
+func restartedCore(now time.Time, members []member) *core {
 	restarted := &core{random: rand.New(rand.NewPCG(1, 1))}
 	restarted.load(&durableState{
 		id: "a", hard: hardState{Term: 2},
 		entries: []entry{{Index: 1, Term: 1, Kind: entryMembers, Data: encodeMembers(members)}},
 	})
 	restarted.start(now)
+	return restarted
+}
+
+// TestRestartedReplicaWithholdsVote guards against a restarted replica that grants a vote as soon
+// as its disk is verified, while a leader that it heard before the restart may still lead.
+func TestRestartedReplicaWithholdsVote(t *testing.T) {
+	now := time.Unix(1000, 0)
+	members := []member{{ID: "a", Voter: true}, {ID: "b", Voter: true}, {ID: "c", Voter: true}}
+	restarted := restartedCore(now, members)
 	for _, other := range []string{"b", "c"} {
 		restarted.step(now, messageReceived{envelope: envelope{from: other, to: "a", message: generationReply{Generation: restarted.Generation}}})
 	}
@@ -82,12 +88,7 @@
 	for _, id := range []string{"a", "b", "c", "d", "e"} {
 		members = append(members, member{ID: id, Voter: true})
 	}
-	restarted := &core{random: rand.New(rand.NewPCG(1, 1))}
-	restarted.load(&durableState{
-		id: "a", hard: hardState{Term: 2},
-		entries: []entry{{Index: 1, Term: 1, Kind: entryMembers, Data: encodeMembers(members)}},
-	})
-	restarted.start(now)
+	restarted := restartedCore(now, members)
 	for _, row := range []struct {
 		other string
 		ended bool
@@ -108,12 +109,7 @@
 	for _, id := range []string{"a", "b", "c", "d", "e"} {
 		members = append(members, member{ID: id, Address: id + ":1", Voter: true})
 	}
-	restarted := &core{random: rand.New(rand.NewPCG(1, 1))}
-	restarted.load(&durableState{
-		id: "a", hard: hardState{Term: 2},
-		entries: []entry{{Index: 1, Term: 1, Kind: entryMembers, Data: encodeMembers(members)}},
-	})
-	restarted.start(now)
+	restarted := restartedCore(now, members)
 	newcomer := &core{id: "e#2", address: "e:1", random: rand.New(rand.NewPCG(1, 1))}
 	newcomer.start(now)
 	newcomer.drainOutput()
@@ -139,12 +135,7 @@
 func TestReplacedMembersAreNoQuorum(t *testing.T) {
 	now := time.Unix(1000, 0)
 	members := []member{{ID: "a", Address: "a:1", Voter: true}, {ID: "b", Address: "b:1", Voter: true}, {ID: "c", Address: "c:1", Voter: true}}
-	restarted := &core{random: rand.New(rand.NewPCG(1, 1))}
-	restarted.load(&durableState{
-		id: "a", hard: hardState{Term: 2},
-		entries: []entry{{Index: 1, Term: 1, Kind: entryMembers, Data: encodeMembers(members)}},
-	})
-	restarted.start(now)
+	restarted := restartedCore(now, members)
 	for _, other := range []string{"b", "c"} {
 		restarted.step(now, messageReceived{envelope: envelope{from: other + "#2", fromAddress: other + ":1", to: "a", message: generationReply{Generation: restarted.Generation, AddresseeGone: true}}})
 	}
@@ -160,12 +151,7 @@
 func TestVoteRequestWaitsForVerification(t *testing.T) {
 	now := time.Unix(1000, 0)
 	members := []member{{ID: "a", Voter: true}, {ID: "b", Voter: true}, {ID: "c", Voter: true}}
-	restarted := &core{random: rand.New(rand.NewPCG(1, 1))}
-	restarted.load(&durableState{
-		id: "a", hard: hardState{Term: 2},
-		entries: []entry{{Index: 1, Term: 1, Kind: entryMembers, Data: encodeMembers(members)}},
-	})
-	restarted.start(now)
+	restarted := restartedCore(now, members)
 	granted := func() int {
 		count := 0
 		for _, sent := range restarted.drainOutput().afterSync {
