Hand targets the time that is left alone, not the caller's deadline beside it

Cause: a forwarded request kept the caller's deadline header, and each attempt added its own with the time that is left then. Targets read the first one: a retry or hedge that left 0.7 s after the request had come was handed the caller's whole time, and a target worked on requests that were given up before it could answer.

Ruled out by the trace: frozen clocks and slow links (the value is the caller's own in each case). The spec fails before with two values.

--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -267,7 +267,11 @@
 	call.fingerprint = blackboard.NewFingerprint(request.Method+" "+request.Host+request.RequestURI, body)
 	call.request.Method, call.request.URI, call.request.Host = request.Method, request.RequestURI, request.Host
 	call.request.Repeatable = !call.route.NeverRepeat
-	if err := call.request.Encode(endToEnd(request.Header), body); err != nil {
+	header := endToEnd(request.Header)
+	// Each attempt sets these two by its target and the time that is left then.
+	header.Del(call.server.options.Headers.Deadline)
+	header.Del(call.server.options.Headers.Target)
+	if err := call.request.Encode(header, body); err != nil {
 		call.rejectInvalid(writer, http.StatusBadRequest, "the request can't be forwarded: "+err.Error())
 		return false
 	}
--- a/internal/httpcaller/server_test.go
+++ b/internal/httpcaller/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -91,6 +92,23 @@
 		gomega.Expect(body).To(gomega.Equal("short and stout"))
 	})
 
+	// A target that is handed the caller's whole time after a part of it has passed works on requests
+	// that are given up before it answers.
+	ginkgo.It("hands the target the time that is left, and not the caller's deadline beside it", func() {
+		var deadlines, targets []string
+		gateway.addTarget("p", "nord-a", func(writer http.ResponseWriter, request *http.Request) {
+			deadlines, targets = request.Header.Values(dialect.Default().Deadline), request.Header.Values(dialect.Default().Target)
+			writer.Header().Set(dialect.Default().Proof, "proof")
+		})
+		gateway.apply(&operator.Tables{Routes: []operator.Route{ordersRoute()}, Pools: []operator.Pool{pool("p")}})
+		sendUntilServed("/orders/7")
+		gomega.Expect(targets).To(gomega.Equal([]string{"target-1"}))
+		gomega.Expect(deadlines).To(gomega.HaveLen(1))
+		left, err := strconv.Atoi(deadlines[0])
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(left).To(gomega.BeNumerically("<", callerDeadline.Milliseconds()))
+	})
+
 	ginkgo.It("is observed by route, outcome and reason, and its attempts by locality and outcome", func() {
 		gateway.addTarget("p", "nord-a", answerWith("proof", "yes"))
 		gateway.apply(&operator.Tables{Routes: []operator.Route{ordersRoute()}, Pools: []operator.Pool{pool("p")}})
--- a/internal/httpcaller/suite_test.go
+++ b/internal/httpcaller/suite_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -32,6 +33,8 @@
 const (
 	// longTimeout is longer than any wait in these specs takes.
 	longTimeout = 20 * time.Second
+	// callerDeadline is the deadline that callers send.
+	callerDeadline = 15 * time.Second
 )
 
 type (
@@ -142,7 +145,7 @@
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	request.Host = "a.example"
 	request.Header.Set(dialect.Default().RequestID, "q1")
-	request.Header.Set(dialect.Default().Deadline, "15000")
+	request.Header.Set(dialect.Default().Deadline, strconv.FormatInt(callerDeadline.Milliseconds(), 10))
 	response, err := http.DefaultClient.Do(request)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	defer func() { _ = response.Body.Close() }()
