--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -88,7 +88,7 @@
 		// target.
 		head []byte
 		body []byte
-		// state is one of the states below.
+		// state is requestUnsent, requestSent or requestWithdrawn.
 		state atomic.Int32
 	}
 
@@ -325,7 +325,7 @@
 }
 
 // Encode encodes the request with the given headers, from which the caller has
-// removed the hop-by-hop headers. It sets a missing User-Agent in header to the empty
+// removed the hop-by-hop headers and those that each attempt adds. It sets a missing User-Agent in header to the empty
 // string, which suppresses the default of net/http.
 func (request *Request) Encode(header http.Header, body []byte) error {
 	if header.Get("User-Agent") == "" {
