Count a part as late if its attempt timed out, whichever timer fires first

An attempt times out at the moment at which its query is given up; where the attempt's timer fired first, its time-out was counted as a broken connection.

The reason now follows from the outcome: an attempt that timed out is late in both orders, and an answer that is no part is a failure also where it isn't tried again (it was counted as late). Logs and outcomes of attempts are as before.

--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -74,7 +74,7 @@
 		// true if the budget ruled out a further attempt.
 		sentAttempts []sentAttempt
 		budgetDenied bool
-		// lastFailure is the outcome of the latest attempt that failed, in logs and metrics.
+		// lastFailure is why the latest attempt that failed gave no part, as a label value.
 		lastFailure string
 	}
 
@@ -229,6 +229,9 @@
 // ends the dispatch.
 func (dispatch *dispatch) handleOutcome(finishedAttempt finishedAttempt, result *dispatchResult) bool {
 	result.target = finishedAttempt.target
+	dispatch.lock.Lock()
+	dispatch.lastFailure = failureReason(finishedAttempt.outcome)
+	dispatch.lock.Unlock()
 	switch outcome := finishedAttempt.outcome.(type) {
 	case *httptarget.Answered:
 		result.response = outcome
@@ -260,9 +263,6 @@
 }
 
 func (dispatch *dispatch) recordFailure(target *httptarget.Target, outcome string, fields ...zap.Field) {
-	dispatch.lock.Lock()
-	dispatch.lastFailure = outcome
-	dispatch.lock.Unlock()
 	dispatch.call.server.metrics.Outcomes().WithLabelValues(dispatch.pool, outcome).Inc()
 	dispatch.call.server.requestLog.attemptFailed(dispatch.call, target, outcome, dispatch.attempts, fields...)
 }
--- a/internal/httpcaller/request_metrics.go
+++ b/internal/httpcaller/request_metrics.go
@@ -10,6 +10,7 @@
 
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
+	"gitlab.com/comfreythread/comfreythread/internal/tcp"
 )
 
 const (
@@ -22,10 +23,11 @@
 	outcomeInvalid   = "wrong"
 	outcomeCancelled = "cancelled"
 
-	// missingLate and missingWithoutBudget are reasons for a missing part: no answer yet,
-	// and no budget for a hedge or retry. The other reasons are those of refusals and the
-	// outcomes of attempts.
+	// missingLate, missingFailed and missingWithoutBudget are reasons for a missing part: no
+	// answer in time, an answer that is no part, and no budget for a hedge or retry. The
+	// other reasons are those of refusals and the outcomes of attempts.
 	missingLate          = "late"
+	missingFailed        = "failure"
 	missingWithoutBudget = "budget"
 
 	// noReason is the label value of a request that ended without a reason.
@@ -82,6 +84,21 @@
 	}
 }
 
+// failureReason returns why an attempt with this outcome gives no part, as a label value. An
+// attempt ends without an answer at the same time as its query is given up, so that which of the
+// two comes first must not matter: both are late.
+func failureReason(outcome httptarget.Outcome) string {
+	switch outcome := outcome.(type) {
+	case *httptarget.Answered:
+		return missingFailed
+	case *httptarget.Lost:
+		if tcp.IsTimeout(outcome.Cause) {
+			return missingLate
+		}
+	}
+	return outcomeName(outcome)
+}
+
 func outcomeName(outcome httptarget.Outcome) string {
 	switch outcome := outcome.(type) {
 	case *httptarget.Refused:
