--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -220,6 +220,21 @@
 	return err
 }
 
+// StartRollout orders a rollout. Sending the order again is safe.
+func (client *Client) StartRollout(ctx context.Context, order *operator.RolloutOrder) (*operator.Rollout, error) {
+	return call[operator.RolloutOrder, operator.Rollout](ctx, client, MethodRollout, order, attemptTimeout)
+}
+
+// Rollout reads the newest rollout of a pool.
+func (client *Client) Rollout(ctx context.Context, pool string) (*operator.Rollout, error) {
+	return call[RolloutStateRequest, operator.Rollout](ctx, client, MethodRolloutState, &RolloutStateRequest{Pool: pool}, attemptTimeout)
+}
+
+// ReportRollouts reports what an entry has seen of the rollouts in progress, and returns its grants.
+func (client *Client) ReportRollouts(ctx context.Context, report *RolloutReport) (*RolloutGrants, error) {
+	return call[RolloutReport, RolloutGrants](ctx, client, MethodRolloutEvidence, report, attemptTimeout)
+}
+
 // AddReplica adds a control replica. It returns after the replica has become a voter.
 func (client *Client) AddReplica(ctx context.Context, added *operator.Replica) (*operator.EmptyReply, error) {
 	return call[ReplicasRequest, operator.EmptyReply](ctx, client, MethodReplicas, &ReplicasRequest{Add: added}, replicasTimeout)
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gitlab.com/comfreythread/comfreythread/internal/membership"
+	"gitlab.com/comfreythread/comfreythread/internal/policy"
 	"gitlab.com/comfreythread/comfreythread/pkg/caller"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
@@ -28,6 +29,13 @@
 	MethodDomain = "control.domain"
 	// MethodReplicas adds or removes a control replica.
 	MethodReplicas = "control.replicas"
+	// MethodRollout orders a rollout.
+	MethodRollout = "control.rollout"
+	// MethodRolloutState reads the newest rollout of a pool.
+	MethodRolloutState = "control.rollout_state"
+	// MethodRolloutEvidence reports what an entry has seen of the releases of a rollout, and returns
+	// grants.
+	MethodRolloutEvidence = "control.rollout_evidence"
 )
 
 type (
@@ -123,6 +131,48 @@
 	// RecordReply is the reply to a RecordRequest.
 	RecordReply struct{}
 
+	// RolloutStateRequest requests the newest rollout of a pool.
+	RolloutStateRequest struct {
+		Pool string `msgpack:"p"`
+	}
+
+	// RolloutReport is what one entry has seen of the rollouts in progress.
+	RolloutReport struct {
+		Entry       string              `msgpack:"e"`
+		Incarnation uint64              `msgpack:"i"`
+		Pools       []PoolRolloutReport `msgpack:"p"`
+	}
+
+	// PoolRolloutReport is what one entry has seen of the rollout of one pool. All counts are
+	// cumulative since the entry learned of the rollout, so that a lost report loses nothing.
+	PoolRolloutReport struct {
+		Pool      string    `msgpack:"p"`
+		StartedAt time.Time `msgpack:"s"`
+		// Requests counts the requests that the entry sent to the pool, hedges and retries included, and
+		// Sent those of them that it sent to the new release.
+		Requests uint64 `msgpack:"n"`
+		Sent     uint64 `msgpack:"m"`
+		// Unused is the number of grants that the entry holds.
+		Unused   int                    `msgpack:"u"`
+		Evidence policy.RolloutEvidence `msgpack:"e"`
+	}
+
+	// RolloutGrants is the reply to a RolloutReport.
+	RolloutGrants struct {
+		Pools []PoolRolloutGrants `msgpack:"p"`
+	}
+
+	// PoolRolloutGrants lets an entry send requests to the new release of one pool.
+	PoolRolloutGrants struct {
+		Pool      string                `msgpack:"p"`
+		StartedAt time.Time             `msgpack:"s"`
+		Phase     operator.RolloutPhase `msgpack:"h"`
+		// Grants is the number of requests that may be sent to the new release within ValidFor. It
+		// replaces the unused grants.
+		Grants   int           `msgpack:"g"`
+		ValidFor time.Duration `msgpack:"v"`
+	}
+
 	// ReplicasRequest adds or removes one replica.
 	ReplicasRequest struct {
 		Add    *operator.Replica `msgpack:"a,omitempty"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,9 +65,11 @@
 		// them too.
 		MetricsAddress string `json:"metrics_address,omitempty"`
 		// Gateway makes an entry serve HTTP routes; nil turns that off.
-		Gateway  *Gateway `json:"gateway,omitempty"`
-		LogLevel string   `json:"log_level,omitempty"`
-		Tracing  Tracing  `json:"tracing,omitzero"`
+		Gateway *Gateway `json:"gateway,omitempty"`
+		// Rollouts lets operators order rollouts; nil turns that off. All processes use the same value.
+		Rollouts *Rollouts `json:"rollouts,omitempty"`
+		LogLevel string    `json:"log_level,omitempty"`
+		Tracing  Tracing   `json:"tracing,omitzero"`
 	}
 
 	// Control holds the settings of the control role.
@@ -93,6 +95,34 @@
 		RetryWindow duration.Duration `json:"retry_window"`
 		// StopSpan is how long a planned stop may take.
 		StopSpan duration.Duration `json:"stop_span"`
+		// Allotments turns the limits of tenants on; nil means that none is enforced.
+		Allotments *Allotments `json:"allotments,omitempty"`
+		// Revocation defines how an entry without contact with control treats keys.
+		Revocation Revocation `json:"revocation,omitzero"`
+	}
+
+	// Rollouts limits what the release of a rollout may get before it has proved to be good.
+	Rollouts struct {
+		// Share is the maximum share of the pool's requests, and Slack the number of requests on top.
+		Share float64 `json:"share"`
+		Slack float64 `json:"slack"`
+		// RollbackSpan is the time after which a bad release gets no request any more.
+		RollbackSpan duration.Duration `json:"rollback_span"`
+	}
+
+	// Allotments defines how exactly the limits of tenants are kept. In any window, the requests of a
+	// tenant are at most (rate x Window + burst) x (1 + Overage) + Slack.
+	Allotments struct {
+		Window  duration.Duration `json:"window"`
+		Overage float64           `json:"overage"`
+		Slack   float64           `json:"slack"`
+	}
+
+	// Revocation defines how an entry without contact with control treats keys. If Strict is true, it
+	// refuses requests that need a key after Span without contact.
+	Revocation struct {
+		Strict bool              `json:"strict,omitempty"`
+		Span   duration.Duration `json:"span,omitempty"`
 	}
 
 	// Tracing selects the exporter of tracing spans.
@@ -161,6 +191,7 @@
 		validator.address("metrics_address", settings.MetricsAddress)
 	}
 	validator.gateway(settings)
+	validator.rollouts(settings.Rollouts)
 	validator.oneOf("log_level", settings.LogLevel, "debug", "info", "warn", "error")
 	validator.oneOf("tracing.exporter", settings.Tracing.Exporter, ExportNone, ExportStdout, ExportOTLP)
 	if settings.Tracing.Exporter == ExportOTLP {
@@ -206,6 +237,37 @@
 	if gateway.StopSpan.Std() < time.Second || gateway.StopSpan.Std() > time.Hour {
 		validator.addProblem("gateway.stop_span", "the span is out of range", "use 1s to 1h")
 	}
+	if allotments := gateway.Allotments; allotments != nil {
+		validator.span("gateway.allotments.window", allotments.Window)
+		validator.notNegative("gateway.allotments.overage", allotments.Overage)
+		validator.notNegative("gateway.allotments.slack", allotments.Slack)
+	}
+	if gateway.Revocation.Strict {
+		validator.span("gateway.revocation.span", gateway.Revocation.Span)
+	}
+}
+
+func (validator *validator) rollouts(rollouts *Rollouts) {
+	if rollouts == nil {
+		return
+	}
+	if !(rollouts.Share > 0 && rollouts.Share <= 1) {
+		validator.addProblem("rollouts.share", "the share is out of range", "use a number above 0, up to 1")
+	}
+	validator.notNegative("rollouts.slack", rollouts.Slack)
+	validator.span("rollouts.rollback_span", rollouts.RollbackSpan)
+}
+
+func (validator *validator) span(path string, span duration.Duration) {
+	if span.Std() < 100*time.Millisecond || span.Std() > time.Hour {
+		validator.addProblem(path, "the span is out of range", "use 100ms to 1h")
+	}
+}
+
+func (validator *validator) notNegative(path string, value float64) {
+	if !(value >= 0 && value <= maximumRetrySlack) {
+		validator.addProblem(path, "the number is out of range", fmt.Sprintf("use 0 to %d", maximumRetrySlack))
+	}
 }
 
 func (validator *validator) oneOf(path, value string, allowed ...string) {
--- a/pkg/operator/tables.go
+++ b/pkg/operator/tables.go
@@ -34,6 +34,30 @@
 		// HTTPLimits limit the requests of callers of HTTP routes; nil means
 		// the defaults.
 		HTTPLimits *HTTPLimits `json:"http_limits,omitempty"`
+		// Rollouts holds the newest rollout of each pool that had one. Only
+		// control writes it: a change keeps the rollouts in force.
+		Rollouts []Rollout `json:"rollouts,omitempty"`
+		// Tenants are the teams that may send HTTP requests; without any, every
+		// caller may.
+		Tenants []Tenant `json:"tenants,omitempty"`
+	}
+
+	// Tenant is a team that sends HTTP requests under keys of its own.
+	Tenant struct {
+		Name string `json:"name"`
+		// KeyDigests are the SHA-256 digests of the tenant's API keys, in
+		// hexadecimal. Tables never hold the keys themselves.
+		KeyDigests []string `json:"key_digests"`
+		// RatePerSecond and Burst are the tenant's allotment over all entries;
+		// a rate of 0 means no limit.
+		RatePerSecond float64 `json:"rate_per_second,omitempty"`
+		Burst         float64 `json:"burst,omitempty"`
+		// Priority takes precedence over that of the route, which then decides
+		// between equals. Nil means that only the route's priority counts.
+		Priority *int `json:"priority,omitempty"`
+		// Regions lists the regions whose targets may serve the tenant; empty
+		// means all.
+		Regions []string `json:"regions,omitempty"`
 	}
 
 	// Route assigns a kind of request, or HTTP requests, to pools.
@@ -75,6 +99,8 @@
 		// Regions lists the regions whose targets may serve the route; empty
 		// means all.
 		Regions []string `json:"regions,omitempty"`
+		// Public lets callers without a key use the route.
+		Public bool `json:"public,omitempty"`
 	}
 
 	// WeightedPool is a pool in a split, with its relative weight.
