--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -20,9 +22,12 @@
 )
 
 const (
-	// maximumAttempts is the maximum number of targets tried in one dispatch,
+	// maximumAttempts is the maximum number of targets tried in a row in one dispatch,
 	// including those that refuse the request.
 	maximumAttempts = 4
+	// maximumStalledAttempts is the maximum number of attempts of a dispatch that has
+	// waited for targets or for budget.
+	maximumStalledAttempts = 24
 	// domainRoundTrip, regionRoundTrip and farRoundTrip are the assumed network
 	// round-trip times within a failure domain, to another failure domain of the
 	// same region, and to another region. They apply until a latency is measured.
@@ -72,6 +77,12 @@
 		// attempts counts the attempts, arrivals those that may have reached a
 		// target, and possibleRuns those whose request may have run.
 		attempts, arrivals, possibleRuns int
+		// possibleRunners holds the targets that may have run the request.
+		possibleRunners []*httptarget.Target
+		// waits counts how often the dispatch has waited for the next attempt.
+		waits int
+		// stalled is true while the dispatch waits without an attempt in progress.
+		stalled bool
 		// inFlight counts the attempts without an outcome so far.
 		inFlight int
 		outcomes chan finishedAttempt
@@ -128,9 +139,18 @@
 		call: call, pool: pool, repeatable: !call.route.NeverRepeat,
 		softDeadline: call.startedAt.Add(softDeadline), hardDeadline: hardDeadline,
 	}
+	dispatch.outcomes = make(chan finishedAttempt, maximumAttempts)
+	dispatch.rankTargets()
+	return dispatch
+}
+
+// rankTargets ranks the targets that may get the request now, without those that may have run it.
+func (dispatch *dispatch) rankTargets() {
+	call := dispatch.call
+	dispatch.targets, dispatch.candidates, dispatch.next, dispatch.availableAt = nil, nil, 0, time.Time{}
 	now := time.Now()
-	for _, target := range call.server.directory.Pool(pool) {
-		if !call.isEligible(target) {
+	for _, target := range call.server.directory.Pool(dispatch.pool) {
+		if !call.isEligible(target) || slices.Contains(dispatch.possibleRunners, target) {
 			continue
 		}
 		condition := target.Condition(now)
@@ -147,8 +167,6 @@
 		dispatch.candidates = append(dispatch.candidates, call.server.candidate(target, &condition))
 	}
 	dispatch.order = policy.Rank(dispatch.candidates, randomNumbers(len(dispatch.candidates)))
-	dispatch.outcomes = make(chan finishedAttempt, maximumAttempts)
-	return dispatch
 }
 
 // isEligible reports whether the tables allow sending requests of this route to target.
@@ -239,25 +257,25 @@
 }
 
 // execute sends attempts until one yields a final response, no further attempt is
-// possible, or ctx ends.
+// possible, or ctx ends. While the budget or the targets allow none, it waits.
 func (dispatch *dispatch) execute(ctx context.Context) dispatchResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	result := dispatchResult{pool: dispatch.pool, reason: policy.NoRoom}
-	if !dispatch.sendNext(ctx, triggerFirst) {
+	next := time.NewTimer(0)
+	defer next.Stop()
+	if dispatch.sendNext(ctx, triggerFirst) {
+		next.Reset(dispatch.hedgeDelay())
+	} else if !dispatch.awaitRetry(next) {
 		return result
 	}
-	hedge := time.NewTimer(dispatch.hedgeDelay())
-	defer hedge.Stop()
-	for dispatch.inFlight > 0 {
+	for dispatch.inFlight > 0 || dispatch.stalled {
 		select {
 		case <-ctx.Done():
-			result.mayHaveRun, result.cause = true, ctx.Err()
+			result.mayHaveRun, result.cause = dispatch.possibleRuns > 0, ctx.Err()
 			return result
-		case <-hedge.C:
-			if dispatch.mayAttempt() && dispatch.spendBudget(true) && dispatch.sendNext(ctx, triggerHedge) {
-				result.hedged = true
-			}
+		case <-next.C:
+			dispatch.sendOverdue(ctx, next, &result)
 		case finishedAttempt := <-dispatch.outcomes:
 			dispatch.inFlight--
 			if dispatch.handleOutcome(finishedAttempt, &result) {
@@ -265,6 +283,8 @@
 			}
 			if dispatch.sendFurther(ctx, finishedAttempt) {
 				result.retried = true
+			} else if dispatch.inFlight == 0 {
+				dispatch.awaitRetry(next)
 			}
 		}
 	}
@@ -272,6 +292,68 @@
 	return result
 }
 
+// sendOverdue sends a hedge, or after a wait the next attempt. If the budget or the targets allow
+// none, it waits again.
+func (dispatch *dispatch) sendOverdue(ctx context.Context, next *time.Timer, result *dispatchResult) {
+	if dispatch.inFlight > 0 {
+		switch {
+		case !dispatch.mayAttempt():
+		case !dispatch.spendBudget(ctx, true):
+			next.Reset(policy.HedgeRetryDelay)
+		case dispatch.sendNext(ctx, triggerHedge):
+			result.hedged = true
+		}
+		return
+	}
+	dispatch.setStalled(false)
+	dispatch.rankTargets()
+	if dispatch.mayAttempt() && dispatch.spendBudget(ctx, false) && dispatch.sendNext(ctx, triggerRetry) {
+		result.retried = true
+		next.Reset(dispatch.hedgeDelay())
+		return
+	}
+	dispatch.awaitRetry(next)
+}
+
+// awaitRetry lets a dispatch without an attempt in progress wait before it looks for a target again.
+// It returns false if the dispatch has failed for good.
+func (dispatch *dispatch) awaitRetry(next *time.Timer) bool {
+	stall := policy.Stall{
+		PossibleRuns: dispatch.possibleRuns, AllowedRuns: dispatch.allowedRuns(), Gathered: dispatch.call.route.HTTP.Gather != nil,
+		Waits: dispatch.waits, Remaining: time.Until(dispatch.hardDeadline),
+	}
+	delay, waits := stall.Delay(rand.Float64())
+	if !waits || dispatch.attempts >= maximumStalledAttempts || dispatch.call.isQuarantined() || !dispatch.mayFindTarget() {
+		return false
+	}
+	dispatch.waits++
+	dispatch.setStalled(true)
+	next.Reset(delay)
+	return true
+}
+
+// mayFindTarget reports whether the pool has a target that can't have run the request, although it may have
+// no room now.
+func (dispatch *dispatch) mayFindTarget() bool {
+	return slices.ContainsFunc(dispatch.call.server.directory.Pool(dispatch.pool), func(target *httptarget.Target) bool {
+		return dispatch.call.isEligible(target) && !target.Leaving() && !slices.Contains(dispatch.possibleRunners, target)
+	})
+}
+
+// setStalled records whether the dispatch waits without an attempt in progress.
+func (dispatch *dispatch) setStalled(stalled bool) {
+	if stalled == dispatch.stalled {
+		return
+	}
+	dispatch.stalled = stalled
+	if stalled {
+		dispatch.call.stalledDispatches.Add(1)
+		dispatch.call.notifyStalled()
+	} else {
+		dispatch.call.stalledDispatches.Add(-1)
+	}
+}
+
 // sendFurther sends the request to another target after an attempt without a usable answer, and
 // reports whether that is a retry. An attempt that got no permit is made at the next target instead;
 // its budget was spent before.
@@ -282,7 +364,7 @@
 	if isLimited(finishedAttempt.outcome) && dispatch.sendNext(ctx, finishedAttempt.trigger) {
 		return false
 	}
-	return dispatch.inFlight == 0 && dispatch.spendBudget(false) && dispatch.sendNext(ctx, triggerRetry)
+	return dispatch.inFlight == 0 && dispatch.spendBudget(ctx, false) && dispatch.sendNext(ctx, triggerRetry)
 }
 
 // handleOutcome updates the result by the outcome of an attempt and reports whether it
@@ -302,6 +384,7 @@
 		dispatch.recordFailure(finishedAttempt.target, "failure", zap.Int("status", outcome.Status))
 	case *httptarget.Refused:
 		dispatch.possibleRuns--
+		dispatch.possibleRunners = slices.DeleteFunc(dispatch.possibleRunners, func(target *httptarget.Target) bool { return target == finishedAttempt.target })
 		switch outcome.Reason {
 		case httptarget.Unreachable:
 			dispatch.arrivals--
@@ -341,6 +424,9 @@
 	if !dispatch.repeatable || dispatch.next >= len(dispatch.order) {
 		return time.Until(dispatch.hardDeadline)
 	}
+	if dispatch.next == 0 {
+		return policy.HedgeRetryDelay
+	}
 	first, second := &dispatch.candidates[dispatch.order[dispatch.next-1]], &dispatch.candidates[dispatch.order[dispatch.next]]
 	return policy.HedgeDelay(first, second, time.Until(dispatch.softDeadline))
 }
@@ -365,21 +451,29 @@
 // mayAttempt reports whether another attempt is allowed by the route and the time left,
 // has a target to go to, and would not send a quarantined request.
 func (dispatch *dispatch) mayAttempt() bool {
-	allowedRuns := max(1, dispatch.call.route.HTTP.MaxAttempts)
+	maximum := maximumAttempts
+	if dispatch.waits > 0 {
+		maximum = maximumStalledAttempts
+	}
+	return dispatch.possibleRuns < dispatch.allowedRuns() && dispatch.attempts < maximum && dispatch.inFlight < maximumAttempts && dispatch.next < len(dispatch.order) && time.Now().Before(dispatch.hardDeadline) && !dispatch.call.isQuarantined()
+}
+
+// allowedRuns returns the number of targets that may run the request.
+func (dispatch *dispatch) allowedRuns() int {
 	if !dispatch.repeatable {
-		allowedRuns = 1
+		return 1
 	}
-	return dispatch.possibleRuns < allowedRuns && dispatch.attempts < maximumAttempts && dispatch.next < len(dispatch.order) && time.Now().Before(dispatch.hardDeadline) && !dispatch.call.isQuarantined()
+	return max(1, dispatch.call.route.HTTP.MaxAttempts)
 }
 
 // spendBudget charges a hedge or retry to the pool's budget and reports whether it is
 // allowed. An attempt is free as long as no earlier one may have reached a target.
-func (dispatch *dispatch) spendBudget(isHedge bool) bool {
+func (dispatch *dispatch) spendBudget(ctx context.Context, isHedge bool) bool {
 	if dispatch.arrivals == 0 {
 		return true
 	}
 	server := dispatch.call.server
-	if server.budgets.Spend(dispatch.pool, isHedge, server.entryCount(), server.uptime()) {
+	if server.budgets.Spend(dispatch.pool, isHedge, server.entryCount(), server.uptime()) || server.spendSharedBudget(ctx, dispatch.pool, isHedge) {
 		return true
 	}
 	dispatch.lock.Lock()
@@ -413,6 +507,7 @@
 	dispatch.attempts++
 	dispatch.arrivals++
 	dispatch.possibleRuns++
+	dispatch.possibleRunners = append(dispatch.possibleRunners, target)
 	dispatch.inFlight++
 	dispatch.call.attempts.Add(1)
 	server.requestMetrics.countAttempt(dispatch.pool, trigger)
--- a/internal/httpcaller/gather.go
+++ b/internal/httpcaller/gather.go
@@ -50,6 +50,7 @@
 	progress := &policy.QueryProgress{
 		TargetLatency: call.route.HTTP.TargetLatency.Std(), Limit: call.timeout, Shards: len(gather.Pools), MinimumCoverage: gather.MinimumCoverage,
 	}
+	call.stalledChanged = make(chan struct{}, 1)
 	ctx, cancel := context.WithCancel(call.ctx)
 	defer cancel()
 	if reason := query.start(ctx, progress); reason != 0 {
@@ -121,6 +122,7 @@
 	defer timer.Stop()
 	for {
 		progress.Elapsed, progress.PartsReceived, progress.Failed = time.Since(query.call.startedAt), len(query.parts), query.failedShards
+		progress.Stalled = int(query.call.stalledDispatches.Load())
 		decision, until := progress.Decide()
 		if decision != policy.Wait {
 			return decision
@@ -131,11 +133,20 @@
 			return policy.GiveUp
 		case result := <-query.results:
 			query.addResult(&result)
+		case <-query.call.stalledChanged:
 		case <-timer.C:
 		}
 	}
 }
 
+// notifyStalled wakes the collector of a query, because a dispatch has begun to wait.
+func (call *call) notifyStalled() {
+	select {
+	case call.stalledChanged <- struct{}{}:
+	default:
+	}
+}
+
 // addResult records the result of one shard. Only a successful response that carries
 // a proof counts as a part.
 func (query *query) addResult(result *dispatchResult) {
--- a/internal/httpcaller/limits.go
+++ b/internal/httpcaller/limits.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
@@ -29,6 +30,24 @@
 	// set no limit. It is longer than callers usually keep connections open, so that
 	// few requests arrive while the connection is being closed.
 	defaultIdleTimeout = 2 * time.Minute
+	// sharedBudgetPrefix distinguishes the names of budgets from the IDs of targets, whose permits are
+	// counted in the same way.
+	sharedBudgetPrefix = "budget:"
+	// maximumDeniedBudgets bounds the budgets that are remembered as used up.
+	maximumDeniedBudgets = 8192
+)
+
+type (
+	// sharedBudgets holds until when budgets that all entries share have no room. The zero value works.
+	sharedBudgets struct {
+		lock        sync.Mutex
+		deniedUntil map[sharedBudgetKey]time.Time
+	}
+
+	sharedBudgetKey struct {
+		pool  string
+		hedge bool
+	}
 )
 
 // Limits returns the timeouts for callers that the tables in force set.
@@ -91,6 +110,38 @@
 	return granted
 }
 
+// spendSharedBudget charges a hedge or retry to the part of a pool's budget that is counted for all entries
+// together, and reports whether it is allowed. A pool that had no room isn't asked for before there is some.
+func (server *Server) spendSharedBudget(ctx context.Context, pool string, isHedge bool) bool {
+	perSecond, burst, shared := server.options.Budget.SharedSlack(server.entryCount())
+	if !shared || !server.sharedBudgets.mayAsk(pool, isHedge, time.Now()) {
+		return false
+	}
+	granted, wait := server.permits.Acquire(ctx, &permit.Demand{TargetID: sharedBudgetPrefix + pool, PerSecond: perSecond, Burst: burst, Hedge: isHedge})
+	if !granted {
+		wait = min(max(0, wait), maximumDeferral)
+		server.sharedBudgets.deny(pool, isHedge, time.Now().Add(time.Duration((0.5+rand.Float64())*float64(wait))))
+	}
+	return granted
+}
+
+// mayAsk reports whether a pool's budget may have room at a time.
+func (sharedBudgets *sharedBudgets) mayAsk(pool string, isHedge bool, now time.Time) bool {
+	sharedBudgets.lock.Lock()
+	defer sharedBudgets.lock.Unlock()
+	return !now.Before(sharedBudgets.deniedUntil[sharedBudgetKey{pool: pool, hedge: isHedge}])
+}
+
+// deny records that a pool's budget has no room before a time.
+func (sharedBudgets *sharedBudgets) deny(pool string, isHedge bool, until time.Time) {
+	sharedBudgets.lock.Lock()
+	defer sharedBudgets.lock.Unlock()
+	if sharedBudgets.deniedUntil == nil || len(sharedBudgets.deniedUntil) >= maximumDeniedBudgets {
+		sharedBudgets.deniedUntil = map[sharedBudgetKey]time.Time{}
+	}
+	sharedBudgets.deniedUntil[sharedBudgetKey{pool: pool, hedge: isHedge}] = until
+}
+
 // coldRate returns the number of requests a second that all entries together may send to a target of
 // a pool in cold start. Zero means no limit.
 func coldRate(pool *operator.Pool) float64 {
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -70,6 +70,7 @@
 		sender         *httptarget.Sender
 		permits        *permit.Permits
 		budgets        *policy.Budgets
+		sharedBudgets  sharedBudgets
 		requestLog     *requestLog
 		metrics        *metrics.Metrics
 		requestMetrics requestMetrics
@@ -103,6 +104,10 @@
 		fingerprint blackboard.Fingerprint
 		// answered is true if a target has answered the request.
 		answered atomic.Bool
+		// stalledDispatches counts the dispatches that wait without an attempt in progress, and
+		// stalledChanged is notified when one begins to wait; nil if nobody is interested.
+		stalledDispatches atomic.Int64
+		stalledChanged    chan struct{}
 	}
 )
 
--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -257,9 +258,17 @@
 func (sender *Sender) SendDirectly(ctx context.Context, target *Target, request *Request, deadline time.Time, limit int) Outcome {
 	startedAt := time.Now()
 	target.beginAttempt(startedAt)
+	// A panic must not leave an attempt in progress behind, whose age would make the target look stalled.
+	completed := false
+	defer func() {
+		if !completed {
+			target.recordUncounted(startedAt)
+		}
+	}()
 	sender.links.begin(target.ID(), target.overdueAt(startedAt))
 	connection, err := sender.connect(ctx, target, request, deadline, limit)
 	if err != nil {
+		completed = true
 		return sender.handleConnectError(ctx, target, startedAt, err)
 	}
 	exchange := &exchange{sender: sender, target: target, request: request, deadline: deadline, connection: connection, writeDone: make(chan struct{})}
@@ -273,6 +282,7 @@
 		target.connections.discard(connection)
 	}
 	sender.links.abandon(target.ID(), now)
+	completed = true
 	target.recordOutcome(ctx, outcome, startedAt, now)
 	return outcome
 }
@@ -338,15 +348,27 @@
 	}
 	dialContext, cancel := context.WithDeadline(ctx, earlier(deadline, time.Now().Add(connectTimeout)))
 	defer cancel()
-	opened, err := sender.dial(dialContext, "tcp", target.Address())
+	opened, err := sender.dialReserved(dialContext, target)
 	if err != nil {
-		target.connections.releaseReservation()
 		return nil, err
 	}
 	sender.connected(target)
 	return newConnection(opened), nil
 }
 
+// dialReserved opens a reserved connection. Without one, also after a panic, it releases the reservation.
+func (sender *Sender) dialReserved(ctx context.Context, target *Target) (net.Conn, error) {
+	opened := false
+	defer func() {
+		if !opened {
+			target.connections.releaseReservation()
+		}
+	}()
+	connection, err := sender.dial(ctx, "tcp", target.Address())
+	opened = err == nil
+	return connection, err
+}
+
 // Preconnect opens a connection in advance, unless one is in use, an idle one stays
 // open for at least margin, limit connections are open, or the delay after an unused
 // connection was closed by the target hasn't passed. A failure to connect counts as a
@@ -358,9 +380,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	opened, err := sender.dial(ctx, "tcp", target.Address())
+	opened, err := sender.dialReserved(ctx, target)
 	if err != nil {
-		target.connections.releaseReservation()
 		if sender.relay != nil {
 			sender.lostLink(target, err)
 		}
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -52,6 +52,9 @@
 		PerSecond float64       `msgpack:"p"`
 		Age       time.Duration `msgpack:"a"`
 		Hedge     bool          `msgpack:"h,omitempty"`
+		// Burst is the number of unused permits that are kept; 0 means those of a short time. The
+		// count begins with the permits of the time for which the home has run.
+		Burst float64 `msgpack:"b,omitempty"`
 	}
 
 	// Decision is the reply to a Demand.
@@ -66,11 +69,12 @@
 	// Permits grants the permits of the targets whose home this entry is, and asks the other homes
 	// for theirs. Construct it with New.
 	Permits struct {
-		self   string
-		board  *blackboard.Board
-		client func(address string) *frame.Client
-		logger *zap.Logger
-		counts *prometheus.CounterVec
+		self      string
+		board     *blackboard.Board
+		client    func(address string) *frame.Client
+		logger    *zap.Logger
+		counts    *prometheus.CounterVec
+		createdAt time.Time
 
 		lock sync.Mutex
 		// granted counts the permits of all entries by target, where this entry is the target's
@@ -94,7 +98,7 @@
 // of the entry at a peer address.
 func New(self string, board *blackboard.Board, client func(address string) *frame.Client, logger *zap.Logger, metrics *metrics.Metrics) *Permits {
 	return &Permits{
-		self: self, board: board, client: client, logger: logger, counts: metrics.Permits(),
+		self: self, board: board, client: client, logger: logger, counts: metrics.Permits(), createdAt: time.Now(),
 		granted: map[string]*count{}, separate: map[string]*policy.SeparateLimit{}, avoidUntil: map[string]time.Time{},
 	}
 }
@@ -163,7 +167,7 @@
 // doesn't know whether it still is.
 func (permits *Permits) decide(demand *Demand) Decision {
 	home, found := permits.board.Membership().Placement().Home(demand.TargetID, demand.FailureDomain)
-	if !found || home.ID != permits.self || permits.board.InForce().Fenced() || !isRate(demand.PerSecond) {
+	if !found || home.ID != permits.self || permits.board.InForce().Fenced() || !isRate(demand.PerSecond) || !isRate(demand.Burst) {
 		return Decision{NotHome: true}
 	}
 	return permits.take(demand)
@@ -195,6 +199,11 @@
 	if counted == nil {
 		counted = new(count)
 		permits.granted[demand.TargetID] = counted
+		if demand.Burst > 0 {
+			counted.limit.SetRate(demand.PerSecond, now)
+			counted.limit.SetBurst(demand.Burst)
+			counted.limit.Credit(now.Sub(permits.createdAt))
+		}
 	}
 	if heardAt := now.Add(-max(0, demand.Age)); !heardAt.Before(counted.heardAt) {
 		counted.limit.SetRate(demand.PerSecond, now)
--- a/internal/policy/budget.go
+++ b/internal/policy/budget.go
@@ -28,6 +28,16 @@
 	// for retries, without which a request fails: if some targets are slow for
 	// seconds and others then lose answers, hedges alone would use the budget up.
 	hedgeShare = 0.7
+	// sharedBudgetEntries is the number of entries from which on the slack is counted at one place for all
+	// of them. The part of each would be about one arrival in a window, which is idle at most entries while
+	// others need several.
+	sharedBudgetEntries = 30
+	// sharedSlackShare is the share of BudgetLimits.Slack that may then be used. The place that counts
+	// starts without any, so that a restart can't use the slack once more.
+	sharedSlackShare = 0.75
+
+	// HedgeRetryDelay is the delay before a hedge that the budget didn't allow is considered again.
+	HedgeRetryDelay = 150 * time.Millisecond
 )
 
 type (
@@ -36,7 +46,7 @@
 	BudgetLimits struct {
 		// Ratio is the number of extra arrivals allowed per request, and Slack the
 		// number allowed on top of that for all entries together. Window is the
-		// period over which both are counted.
+		// period over which both are counted. See SharedSlack for many entries.
 		Ratio  float64
 		Slack  float64
 		Window time.Duration
@@ -93,6 +103,17 @@
 	return true
 }
 
+// SharedSlack returns the rate and the burst of the extra arrivals that all entries together may send to a
+// pool beyond what Spend allows, or false if each entry has its own part of the slack instead.
+func (limits BudgetLimits) SharedSlack(entries int) (perSecond, burst float64, shared bool) {
+	if entries < sharedBudgetEntries || limits.Window <= 0 {
+		return 0, 0, false
+	}
+	// In any window a token bucket grants its burst and what the rate adds in the window.
+	burst = sharedSlackShare * limits.Slack / 2
+	return burst / limits.Window.Seconds(), burst, true
+}
+
 // Remaining returns the number of retries that Spend would allow now, by pool.
 func (budgets *Budgets) Remaining(entries int, elapsed time.Duration) map[string]float64 {
 	budgets.lock.Lock()
@@ -114,7 +135,10 @@
 		requests += budget.requests[index]
 		spent += budget.extra[index]
 	}
-	slack := slackShare * budgets.limits.Slack / float64(max(1, entries))
+	slack := 0.0
+	if _, _, shared := budgets.limits.SharedSlack(entries); !shared {
+		slack = slackShare * budgets.limits.Slack / float64(max(1, entries))
+	}
 	return ratioShare*budgets.limits.Ratio*float64(requests) + slack, spent
 }
 
--- a/internal/policy/gather.go
+++ b/internal/policy/gather.go
@@ -15,6 +15,9 @@
 	ResponseMargin = 21 * time.Millisecond
 	// finalMargin is the time before the limit at which the final answer is sent.
 	finalMargin = 25 * time.Millisecond
+	// stalledShare is the share of the target latency for which a query with enough parts waits for shards
+	// that are stalled.
+	stalledShare = 0.5
 )
 
 const (
@@ -43,6 +46,8 @@
 		// Shards is the number of shards, PartsReceived the number of parts that have
 		// arrived, and Failed the number of shards that will send none.
 		Shards, PartsReceived, Failed int
+		// Stalled is the number of shards that have no attempt in progress and wait for the next one.
+		Stalled int
 		// MinimumCoverage is the least share of the shards, 0 to 1, that an answer may
 		// cover.
 		MinimumCoverage float64
@@ -59,7 +64,8 @@
 // Decide returns what to do now and, for Wait, the elapsed time at which to decide
 // again. The value of an answer grows with the square of its coverage and drops
 // sharply at the target latency. The query therefore waits for all parts up to the
-// target latency, and after that only until the minimum has arrived.
+// target latency, and after that only until the minimum has arrived. It doesn't wait as
+// long if the only shards left have no attempt in progress.
 func (queryProgress *QueryProgress) Decide() (QueryDecision, time.Duration) {
 	minimum := queryProgress.MinimumParts()
 	enough := queryProgress.PartsReceived >= minimum
@@ -71,6 +77,11 @@
 		return Answer, 0
 	case queryProgress.Elapsed >= queryProgress.finalDeadline() && !enough:
 		return GiveUp, 0
+	case enough && queryProgress.PartsReceived+queryProgress.Failed+queryProgress.Stalled >= queryProgress.Shards:
+		if queryProgress.Elapsed >= queryProgress.stalledDeadline() {
+			return Answer, 0
+		}
+		return Wait, queryProgress.stalledDeadline()
 	case queryProgress.Elapsed < queryProgress.preferredDeadline():
 		return Wait, queryProgress.preferredDeadline()
 	}
@@ -86,6 +97,11 @@
 	return min(queryProgress.finalDeadline(), max(queryProgress.TargetLatency/2, queryProgress.TargetLatency-ResponseMargin))
 }
 
+// stalledDeadline returns the elapsed time up to which a query with enough parts waits for stalled shards.
+func (queryProgress *QueryProgress) stalledDeadline() time.Duration {
+	return time.Duration(stalledShare * float64(queryProgress.preferredDeadline()))
+}
+
 // finalDeadline returns the elapsed time at which the final answer must be sent to
 // arrive within the limit.
 func (queryProgress *QueryProgress) finalDeadline() time.Duration {
--- a/internal/policy/rate_limit.go
+++ b/internal/policy/rate_limit.go
@@ -26,6 +26,7 @@
 	// RateLimit is a token bucket. The zero value is empty; set its rate with SetRate.
 	RateLimit struct {
 		perSecond float64
+		burst     float64
 		permits   float64
 		updatedAt time.Time
 	}
@@ -45,6 +46,16 @@
 	rateLimit.perSecond = max(perSecond, 1/probeInterval.Seconds())
 }
 
+// SetBurst sets the number of unused permits that are kept; 0 means those of burstSpan.
+func (rateLimit *RateLimit) SetBurst(burst float64) {
+	rateLimit.burst = burst
+}
+
+// Credit adds the permits of a time before the first use, up to those that are kept.
+func (rateLimit *RateLimit) Credit(span time.Duration) {
+	rateLimit.permits = min(rateLimit.capacity(), rateLimit.permits+rateLimit.perSecond*max(0, span).Seconds())
+}
+
 // Take takes one permit, or returns how long it takes until one is there. A hedge is granted
 // one only while more than half of the kept permits are unused, because without a permit a first
 // attempt or a retry leaves a part out of an answer.
@@ -83,6 +94,9 @@
 
 // capacity is the number of permits that are kept.
 func (rateLimit *RateLimit) capacity() float64 {
+	if rateLimit.burst > 0 {
+		return max(1, rateLimit.burst)
+	}
 	return max(1, rateLimit.perSecond*burstSpan.Seconds())
 }
 
