--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -28,6 +28,9 @@
 		// MissingParts contains the number of shards that are missing from it.
 		PartProofs   string
 		MissingParts string
+		// Credential contains the key of a tenant, and Tenant, for targets, its name.
+		Credential string
+		Tenant     string
 	}
 )
 
@@ -44,5 +47,7 @@
 		Pause:        "Retry-After",
 		PartProofs:   "Comfreythread-Part-Proofs",
 		MissingParts: "Comfreythread-Missing-Parts",
+		Credential:   "Authorization",
+		Tenant:       "Comfreythread-Tenant",
 	}
 }
--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -151,22 +152,19 @@
 	return dispatch
 }
 
-// isEligible reports whether the tables allow sending requests of this route to target.
+// isEligible reports whether the tables allow sending requests of this route and tenant to target.
 func (call *call) isEligible(target *httptarget.Target) bool {
 	domain := target.FailureDomain()
 	if call.routeIndex.tables.IsOut(domain) {
 		return false
 	}
-	regions := call.route.HTTP.Regions
-	if len(regions) == 0 {
-		return true
-	}
-	for _, region := range regions {
-		if call.server.options.Regions[domain] == region {
-			return true
-		}
-	}
-	return false
+	region := call.server.options.Regions[domain]
+	return allowsRegion(call.route.HTTP.Regions, region) && (call.tenant == nil || allowsRegion(call.tenant.Regions, region))
+}
+
+// allowsRegion reports whether a list of allowed regions has a region. An empty list allows all.
+func allowsRegion(regions []string, region string) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
 }
 
 // candidate describes a target's condition for the ranking.
--- a/internal/httpcaller/request_log.go
+++ b/internal/httpcaller/request_log.go
@@ -54,6 +54,9 @@
 
 func (requestLog *requestLog) fields(call *call, extra ...zap.Field) []zap.Field {
 	_, version := call.server.board.InForce().Tables()
+	if call.tenant != nil {
+		extra = append(extra, zap.String("tenant", call.tenant.Name))
+	}
 	return append(extra, zap.String("request", call.request.ID), zap.String("route", call.routeKind()), zap.Duration("elapsed", time.Since(call.startedAt)),
 		zap.Duration("limit", call.timeout), zap.Int64("attempts", call.attempts.Load()), zap.Uint64("tables", version))
 }
--- a/internal/httpcaller/request_metrics.go
+++ b/internal/httpcaller/request_metrics.go
@@ -41,6 +41,7 @@
 		metrics   *metrics.Metrics
 		attempts  metricCache[prometheus.Counter]
 		durations metricCache[prometheus.Observer]
+		tenants   tenantMetrics
 	}
 
 	// metricCache caches metrics by the values of their two labels.
@@ -71,6 +72,9 @@
 // observeRequest observes the outcome and duration of a finished request.
 func (requestMetrics *requestMetrics) observeRequest(call *call, outcome, reason string) {
 	requestMetrics.metrics.HTTPRequests().WithLabelValues(call.routeKind(), outcome, reason).Observe(time.Since(call.startedAt).Seconds())
+	if call.tenant != nil {
+		requestMetrics.tenants.count(requestMetrics.metrics.TenantRequests(), call.tenant.Name, outcome)
+	}
 }
 
 // countMissingParts counts the shards without a part by reason.
--- a/internal/httpcaller/respond.go
+++ b/internal/httpcaller/respond.go
@@ -14,6 +14,12 @@
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
 )
 
+const (
+	// reasonInvalid and reasonUnauthorized are the reasons for requests that are rejected.
+	reasonInvalid      = "bad_request"
+	reasonUnauthorized = "unauthorized"
+)
+
 type (
 	// refusal is the body of an error response that does not come from a target.
 	refusal struct {
@@ -91,8 +97,13 @@
 
 // rejectInvalid responds that the request itself is invalid.
 func (call *call) rejectInvalid(writer http.ResponseWriter, status int, message string) {
-	call.writeRefusal(writer, status, refusal{Reason: "bad_request", Message: message, NotRun: true})
-	call.server.metrics.Refusals().WithLabelValues("bad_request").Inc()
+	call.reject(writer, status, reasonInvalid, message)
+}
+
+// reject responds that the request has not run, and that sending it again as it is makes no sense.
+func (call *call) reject(writer http.ResponseWriter, status int, reason, message string) {
+	call.writeRefusal(writer, status, refusal{Reason: reason, Message: message, NotRun: true})
+	call.server.metrics.Refusals().WithLabelValues(reason).Inc()
 	call.server.requestMetrics.observeRequest(call, outcomeInvalid, strconv.Itoa(status))
 	call.server.requestLog.requestInvalid(call, status, message)
 }
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -22,6 +22,7 @@
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
 	"gitlab.com/comfreythread/comfreythread/internal/permit"
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
+	"gitlab.com/comfreythread/comfreythread/internal/settings"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
@@ -60,6 +61,8 @@
 		Regions map[string]string
 		Headers dialect.Headers
 		Budget  policy.BudgetLimits
+		// Revocation defines how keys are treated without contact with control.
+		Revocation settings.Revocation
 	}
 
 	// Server forwards requests of HTTP routes. Create it with NewServer.
@@ -81,10 +84,11 @@
 		stopping         atomic.Bool
 	}
 
-	// routeIndex holds one version of the tables and its routes.
+	// routeIndex holds one version of the tables with its routes and tenants.
 	routeIndex struct {
-		tables *operator.Tables
-		routes *policy.Routes
+		tables  *operator.Tables
+		routes  *policy.Routes
+		tenants *policy.Tenants
 	}
 
 	// call is one request in progress.
@@ -94,7 +98,9 @@
 		request    httptarget.Request
 		route      *operator.Route
 		routeIndex *routeIndex
-		startedAt  time.Time
+		// tenant is nil if the tables hold none, and for a request to a public route without a known key.
+		tenant    *operator.Tenant
+		startedAt time.Time
 		// timeout is the time after startedAt at which a response becomes useless.
 		timeout time.Duration
 		// attempts counts the attempts over all pools, for the log.
@@ -175,11 +181,15 @@
 	defer span.End()
 	call.ctx = ctx
 	call.timeout = call.timeoutOf(request)
-	switch {
-	case server.isStale():
+	if server.isStale() {
 		call.refuse(writer, policy.Stale)
 		return
-	case !policy.AdmitEntry(int(inFlight), route.HTTP.Priority):
+	}
+	if !call.authenticate(writer, request) {
+		return
+	}
+	switch {
+	case !policy.AdmitEntry(int(inFlight), call.priority()):
 		call.refuse(writer, policy.NoRoom)
 		return
 	case headerSize(request) > call.routeIndex.headerLimit():
@@ -213,7 +223,8 @@
 	}
 	cached := server.cachedRouteIndex.Load()
 	if cached == nil || cached.tables != tables {
-		cached = &routeIndex{tables: tables, routes: policy.NewRoutes(tables)}
+		cached = &routeIndex{tables: tables, routes: policy.NewRoutes(tables), tenants: policy.NewTenants(tables)}
+		server.requestMetrics.tenants.update(server.metrics.TenantRequests(), tables.Tenants)
 		server.cachedRouteIndex.Store(cached)
 	}
 	return cached
@@ -278,6 +289,7 @@
 	// Each attempt sets these two by its target and the time that is left then.
 	header.Del(call.server.options.Headers.Deadline)
 	header.Del(call.server.options.Headers.Target)
+	call.replaceCredential(header)
 	if err := call.request.Encode(header, body); err != nil {
 		call.rejectInvalid(writer, http.StatusBadRequest, "the request can't be forwarded: "+err.Error())
 		return false
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -41,6 +41,7 @@
 		targetWords        *prometheus.CounterVec
 		permits            *prometheus.CounterVec
 		relayedAttempts    *prometheus.CounterVec
+		tenantRequests     *prometheus.CounterVec
 	}
 )
 
@@ -72,6 +73,7 @@
 		targetWords:        counter("target_words_total", "What targets of HTTP routes said of themselves in answers.", "word"),
 		permits:            counter("permits_total", "Permits for requests to targets with a rate limit.", "result"),
 		relayedAttempts:    counter("relayed_attempts_total", "Attempts at targets of HTTP routes that this entry made through other entries.", "result"),
+		tenantRequests:     counter("tenant_requests_total", "Requests of HTTP routes by tenant; those with the lowest rates together as other.", "tenant", "outcome"),
 		directoryUnequal:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "directory_unequal_seconds", Help: "Time since the directory was last equal to a peer's."}),
 	}
 	metrics.registry.MustRegister(
@@ -79,7 +81,7 @@
 		metrics.queueWait, metrics.slotsInUse, metrics.coverage, metrics.latency,
 		metrics.tablesVersion, metrics.viewNumber, metrics.fenced,
 		metrics.targetsMoved, metrics.directoryChanges, metrics.directoryExchanges, metrics.directoryUnequal, metrics.logLinesLeftOut,
-		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync, metrics.missingParts, metrics.panics, metrics.targetWords, metrics.permits, metrics.relayedAttempts,
+		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync, metrics.missingParts, metrics.panics, metrics.targetWords, metrics.permits, metrics.relayedAttempts, metrics.tenantRequests,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
@@ -120,6 +122,10 @@
 // target, by result.
 func (metrics *Metrics) RelayedAttempts() *prometheus.CounterVec { return metrics.relayedAttempts }
 
+// TenantRequests counts requests on HTTP routes by tenant and outcome. Tenants without a series of their own
+// are counted together as other.
+func (metrics *Metrics) TenantRequests() *prometheus.CounterVec { return metrics.tenantRequests }
+
 // DroppedAnswers counts dropped answers, by reason: for example late, damaged, or for another
 // attempt.
 func (metrics *Metrics) DroppedAnswers() *prometheus.CounterVec { return metrics.droppedAnswers }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -69,6 +69,12 @@
 		version = parsed
 	}
 	versioned, err := server.control.Tables(ginContext.Request.Context(), version)
+	if err == nil {
+		// The source may hold the keys of tenants.
+		withoutSource := *versioned
+		withoutSource.Source = nil
+		versioned = &withoutSource
+	}
 	respond(ginContext, versioned, err)
 }
 
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -4,6 +4,7 @@
 package policy
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -23,6 +24,12 @@
 	// priorityReserveShare is the share of MaximumInFlight that each priority
 	// leaves free for the next higher one.
 	priorityReserveShare = 0.1
+	// lowestPriority is the priority as which all below it count.
+	lowestPriority = 5
+	// tenantReserveShare is the share that each priority of a tenant leaves free for the next higher one. It begins
+	// where the shares of the routes' priorities end, so that requests of tenants with priority 0, and of those without
+	// one, have what they have without tenants.
+	tenantReserveShare = 0.05
 	// MaximumInFlight bounds the requests in progress at one entry, so that its
 	// memory suffices for the largest usual bodies.
 	MaximumInFlight = 512
@@ -53,8 +60,22 @@
 type (
 	// Reason is why a request is refused.
 	Reason uint8
+
+	// Priority is the priority of a request; 0 is the highest of each kind. That of the tenant takes
+	// precedence, and that of the route decides between equals.
+	Priority struct {
+		// Tenant is 0 for a request without a tenant, and for a tenant without a priority.
+		Tenant int
+		Route  int
+	}
 )
 
+// Compare returns a negative number if the priority comes before the other one, 0 if they are equal, and
+// otherwise a positive number.
+func (priority Priority) Compare(other Priority) int {
+	return cmp.Or(cmp.Compare(priority.Tenant, other.Tenant), cmp.Compare(priority.Route, other.Route))
+}
+
 // String returns the name of the reason in logs and metrics.
 func (reason Reason) String() string {
 	switch reason {
@@ -79,11 +100,15 @@
 }
 
 // AdmitEntry reports whether an entry with inFlight requests in progress admits
-// another one of the given priority. Priority 0 is the highest; those above 5 count
-// as 5.
-func AdmitEntry(inFlight, priority int) bool {
-	usableShare := 1 - priorityReserveShare*float64(min(max(0, priority), 5))
-	return float64(inFlight) < usableShare*MaximumInFlight
+// another one of the given priority. Priorities below the lowest one, 5, count as it.
+func AdmitEntry(inFlight int, priority Priority) bool {
+	tenant, route := float64(min(max(0, priority.Tenant), lowestPriority)), float64(min(max(0, priority.Route), lowestPriority))
+	reservedShare := priorityReserveShare * route
+	if tenant > 0 {
+		// The priorities of the routes divide the share of each tenant's priority.
+		reservedShare = priorityReserveShare*lowestPriority + tenantReserveShare*(tenant-1+(route+1)/(lowestPriority+1))
+	}
+	return float64(inFlight) < (1-reservedShare)*MaximumInFlight
 }
 
 // AdmitTarget reports whether the best candidate is expected to answer within
--- a/internal/policy/choose_test.go
+++ b/internal/policy/choose_test.go
@@ -102,9 +102,9 @@
 
 var _ = ginkgo.Describe("admission", func() {
 	ginkgo.It("reserves capacity for requests of higher priority", func() {
-		gomega.Expect(policy.AdmitEntry(policy.MaximumInFlight*95/100, 0)).To(gomega.BeTrue())
-		gomega.Expect(policy.AdmitEntry(policy.MaximumInFlight*95/100, 1)).To(gomega.BeFalse())
-		gomega.Expect(policy.AdmitEntry(policy.MaximumInFlight, 0)).To(gomega.BeFalse())
+		gomega.Expect(policy.AdmitEntry(policy.MaximumInFlight*95/100, policy.Priority{Route: 0})).To(gomega.BeTrue())
+		gomega.Expect(policy.AdmitEntry(policy.MaximumInFlight*95/100, policy.Priority{Route: 1})).To(gomega.BeFalse())
+		gomega.Expect(policy.AdmitEntry(policy.MaximumInFlight, policy.Priority{Route: 0})).To(gomega.BeFalse())
 	})
 
 	ginkgo.It("adds jitter to the retry delay", func() {
--- /dev/null
+++ b/internal/policy/tenants.go
@@ -0,0 +1,37 @@
+// Lookup of the tenant for a key.
+
+package policy
+
+import (
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+)
+
+type (
+	// Tenants finds tenants by key. The zero value holds no tenants.
+	Tenants struct {
+		byDigest map[string]*operator.Tenant
+		any      bool
+	}
+)
+
+// NewTenants indexes the tenants of tables, which must not be changed afterwards.
+func NewTenants(tables *operator.Tables) *Tenants {
+	tenants := &Tenants{byDigest: map[string]*operator.Tenant{}, any: len(tables.Tenants) > 0}
+	for index := range tables.Tenants {
+		for _, digest := range tables.Tenants[index].KeyDigests {
+			tenants.byDigest[digest] = &tables.Tenants[index]
+		}
+	}
+	return tenants
+}
+
+// Any reports whether the tables hold tenants.
+func (tenants *Tenants) Any() bool {
+	return tenants.any
+}
+
+// Find returns the tenant that has a key, or nil. The time that it takes tells nothing about how much of
+// a key was right: only digests are compared, and a caller can't choose them.
+func (tenants *Tenants) Find(key string) *operator.Tenant {
+	return tenants.byDigest[operator.KeyDigest(key)]
+}
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -77,7 +77,8 @@
 	gateway := settings.Gateway
 	server := httpcaller.NewServer(httpcaller.Options{
 		Name: settings.Name, FailureDomain: settings.FailureDomain, Region: settings.Region, Regions: gateway.Regions, Headers: headers,
-		Budget: policy.BudgetLimits{Ratio: gateway.RetryRatio, Slack: gateway.RetrySlack, Window: gateway.RetryWindow.Std()},
+		Budget:     policy.BudgetLimits{Ratio: gateway.RetryRatio, Slack: gateway.RetrySlack, Window: gateway.RetryWindow.Std()},
+		Revocation: gateway.Revocation,
 	}, board, directory, sender, permits, logger, metrics)
 	metrics.GaugeFunc("http_requests_in_flight", "Requests of HTTP routes in progress.", func() float64 { return float64(server.InFlight()) })
 	metrics.GaugeFuncVec("retry_budget_left", "Hedges and retries that this entry may still send to a pool at this moment.", "pool", server.BudgetsLeft)
--- a/internal/verb/diff.go
+++ b/internal/verb/diff.go
@@ -71,12 +71,13 @@
 		differences = append(differences, difference{Row: "failure_domains_out", From: encodeJSON(from.FailureDomainsOut), To: encodeJSON(to.FailureDomainsOut)})
 	}
 	differences = append(differences, compareRows("pool", from.Pools, to.Pools, func(pool operator.Pool) string { return pool.Name })...)
+	differences = append(differences, compareRows("tenant", from.Tenants, to.Tenants, func(tenant operator.Tenant) string { return tenant.Name })...)
 	return append(differences, compareRows("route", from.Routes, to.Routes, func(route operator.Route) string { return route.Kind })...)
 }
 
-// compareRows returns the rows that differ: first those that were added or changed, then those that
+// compareRows returns the rows whose JSON differs: first those that were added or changed, then those that
 // were removed. The key identifies a row of the table.
-func compareRows[Row comparable](table string, from, to []Row, key func(Row) string) []difference {
+func compareRows[Row any](table string, from, to []Row, key func(Row) string) []difference {
 	var differences []difference
 	unmatched := map[string]Row{}
 	for _, row := range from {
@@ -85,7 +86,7 @@
 	for _, row := range to {
 		fromRow, found := unmatched[key(row)]
 		delete(unmatched, key(row))
-		if found && fromRow == row {
+		if found && encodeJSON(fromRow) == encodeJSON(row) {
 			continue
 		}
 		changedRow := difference{Row: table + " " + key(row), To: encodeJSON(row)}
--- a/internal/verb/table.go
+++ b/internal/verb/table.go
@@ -45,6 +45,7 @@
 		replicaCommand,
 		queryCommand,
 		explainCommand,
+		keyDigestCommand,
 		versionCommand,
 	}
 
--- a/pkg/operator/change.go
+++ b/pkg/operator/change.go
@@ -52,7 +52,8 @@
 		Version  uint64 `json:"version"`
 		ChangeID string `json:"change_id"`
 		Tables   Tables `json:"tables"`
-		// Declared and Source are from the newest change that set them.
+		// Declared and Source are from the newest change that set them. The API for operators
+		// leaves Source out, because it may hold keys.
 		Declared uint64 `json:"declared,omitempty"`
 		Source   []byte `json:"source,omitempty"`
 	}
--- a/pkg/operator/check.go
+++ b/pkg/operator/check.go
@@ -51,6 +51,7 @@
 		check.httpRoute(index, &tables.Routes[index], hostPrefixes, pools)
 	}
 	check.httpLimits(tables.HTTPLimits)
+	check.tenants(tables.Tenants)
 	domainsOut := map[string]bool{}
 	for index, failureDomain := range tables.FailureDomainsOut {
 		check.name(fmt.Sprintf("failure_domains_out[%d]", index), failureDomain, domainsOut)
