--- a/internal/httpcaller/fleet_test.go
+++ b/internal/httpcaller/fleet_test.go
@@ -84,8 +84,9 @@
 
 	// arrival is a request that reached a target from the entry with an IP.
 	arrival struct {
-		at time.Time
-		ip string
+		at     time.Time
+		ip     string
+		header http.Header
 	}
 )
 
@@ -211,7 +212,7 @@
 func (target *fleetTarget) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	target.lock.Lock()
 	ip, _, _ := net.SplitHostPort(request.RemoteAddr)
-	target.arrivals = append(target.arrivals, arrival{at: time.Now(), ip: ip})
+	target.arrivals = append(target.arrivals, arrival{at: time.Now(), ip: ip, header: request.Header})
 	target.lock.Unlock()
 	time.Sleep(fleetRunTime)
 	headers := dialect.Default()
--- a/internal/httpcaller/suite_test.go
+++ b/internal/httpcaller/suite_test.go
@@ -68,6 +68,11 @@
 // newGatewayWithDialer returns a gateway that connects to targets by dial, or by TCP if dial is
 // nil.
 func newGatewayWithDialer(dial tcp.Dialer) *gateway {
+	return newLoggingGateway(dial, zap.NewNop())
+}
+
+// newLoggingGateway is like newGatewayWithDialer, and writes the lines about requests to a logger.
+func newLoggingGateway(dial tcp.Dialer, logger *zap.Logger) *gateway {
 	gateway := &gateway{registry: httptarget.NewRegistry(1, zap.NewNop()), metrics: metrics.New()}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -78,10 +83,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	watcher := httptarget.NewWatcher(directory, func() []string { return []string{listener.Addr().String()} }, nil, zap.NewNop())
 	go watcher.Run(ctx)
+	sender := httptarget.NewSender(dialect.Default(), dial)
+	sender.Observe(logger, gateway.metrics)
 	gateway.server = httpcaller.NewServer(httpcaller.Options{
 		FailureDomain: "nord-a", Region: "nord", Regions: map[string]string{"nord-a": "nord", "sud-a": "sud"}, Headers: dialect.Default(),
 		Budget: policy.BudgetLimits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
-	}, &gateway.board, directory, httptarget.NewSender(dialect.Default(), dial), newPermits(&gateway.board, gateway.metrics), zap.NewNop(), gateway.metrics)
+	}, &gateway.board, directory, sender, newPermits(&gateway.board, gateway.metrics), logger, gateway.metrics)
 	httpServer := httptest.NewServer(gateway.server)
 	gateway.address = httpServer.URL
 	ginkgo.DeferCleanup(func() {
