--- a/internal/httpcaller/tenants_test.go
+++ b/internal/httpcaller/tenants_test.go
@@ -189,7 +189,11 @@
 
 	// Guards against a key that is forwarded, or a name that is missing, in all but the first attempt.
 	ginkgo.It("names the tenant and hides the key in retries, hedges and parts of queries", func() {
-		hang := func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() }
+		hang := func(_ http.ResponseWriter, request *http.Request) {
+			// The end of the connection is noticed only once the body is read.
+			_, _ = io.Copy(io.Discard, request.Body)
+			<-request.Context().Done()
+		}
 		for name, first := range map[string]http.HandlerFunc{"retried": answerStatus(http.StatusInternalServerError), "hedged": hang, "gathered": answerWith("proof", "aaaaaaaaaaaaaaaa")} {
 			gateway = newGateway()
 			tables := tenantTables(alphaKey)
--- a/internal/relay/message_test.go
+++ b/internal/relay/message_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"testing"
@@ -40,6 +41,27 @@
 	}
 }
 
+// Guards against an entry that changes a request which it passes on, such as the tenant's name in it.
+func TestAttemptKeepsTheEncodedRequest(t *testing.T) {
+	request := &httptarget.Request{ID: "q1", Method: http.MethodPost, URI: "/orders/7", Host: "a.example", Repeatable: true}
+	if err := request.Encode(http.Header{"Comfreythread-Tenant": {"alpha"}}, []byte("body")); err != nil {
+		t.Fatal(err)
+	}
+	encoded, err := msgpack.Marshal(newAttempt(new(httptarget.Target), request))
+	if err != nil {
+		t.Fatal(err)
+	}
+	attempt := new(Attempt)
+	if err := msgpack.Unmarshal(encoded, attempt); err != nil {
+		t.Fatal(err)
+	}
+	head, body := request.Encoded()
+	gotHead, gotBody := attempt.request().Encoded()
+	if !bytes.Equal(gotHead, head) || !bytes.Equal(gotBody, body) || !bytes.Contains(head, []byte("\r\nComfreythread-Tenant: alpha\r\n")) {
+		t.Errorf("got %q %q, expected %q %q", gotHead, gotBody, head, body)
+	}
+}
+
 // describe formats an outcome with all that it holds.
 func describe(outcome httptarget.Outcome) string {
 	switch outcome := outcome.(type) {
