--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -164,7 +164,7 @@
 			continue
 		}
 		dispatch.targets = append(dispatch.targets, target)
-		dispatch.candidates = append(dispatch.candidates, call.server.candidate(target, &condition))
+		dispatch.candidates = append(dispatch.candidates, dispatch.candidate(target, &condition))
 	}
 	dispatch.order = policy.Rank(dispatch.candidates, randomNumbers(len(dispatch.candidates)))
 }
@@ -185,11 +185,14 @@
 }
 
 // candidate describes a target's condition for the ranking.
-func (server *Server) candidate(target *httptarget.Target, condition *httptarget.Condition) policy.Candidate {
+func (dispatch *dispatch) candidate(target *httptarget.Target, condition *httptarget.Condition) policy.Candidate {
+	server := dispatch.call.server
+	// An attempt through another entry uses a connection of that one, which is open already.
+	isShared := !condition.Connected && server.connectionLimit(dispatch.call.routeIndex.routes.Pool(dispatch.pool), target) == 0
 	return policy.Candidate{
 		RoundTrip: server.roundTrip(target.FailureDomain()), Slots: condition.Slots, Cold: condition.Cold, Suspect: condition.Suspect, FailureShare: condition.FailureShare,
 		Measured: condition.Measured, Latency: condition.Latency, UsualLatency: condition.UsualLatency, StaleShare: httptarget.StaleShare(condition.Age),
-		Running: condition.Running, OldestAge: condition.OldestAge, Connected: condition.Connected, Limited: condition.Limited,
+		Running: condition.Running, OldestAge: condition.OldestAge, Connected: condition.Connected || isShared, Limited: condition.Limited,
 	}
 }
 
@@ -435,7 +438,7 @@
 	candidates := make([]policy.Candidate, len(untried))
 	for position, index := range untried {
 		condition := dispatch.targets[index].Condition(now)
-		dispatch.candidates[index] = dispatch.call.server.candidate(dispatch.targets[index], &condition)
+		dispatch.candidates[index] = dispatch.candidate(dispatch.targets[index], &condition)
 		candidates[position] = dispatch.candidates[index]
 	}
 	ranked := make([]int, len(untried))
--- a/internal/httpcaller/limits.go
+++ b/internal/httpcaller/limits.go
@@ -10,16 +10,12 @@
 
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
 	"gitlab.com/comfreythread/comfreythread/internal/permit"
+	"gitlab.com/comfreythread/comfreythread/internal/policy"
 	"gitlab.com/comfreythread/comfreythread/internal/web"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
 const (
-	// remoteConnections is the number of connections that each entry may open to a
-	// target of another failure domain: one idle connection and one more. The rest is
-	// reserved for the entries in the target's own failure domain, which send it most
-	// of its requests.
-	remoteConnections = 2
 	// maximumDeferral bounds how long a target is left out for another entry's word that its limit
 	// has no room.
 	maximumDeferral = 4 * time.Second
@@ -44,6 +40,13 @@
 		deniedUntil map[sharedBudgetKey]time.Time
 	}
 
+	// entriesByPlace counts the entries of one view.
+	entriesByPlace struct {
+		view               uint64
+		total              int
+		byDomain, byRegion map[string]int
+	}
+
 	sharedBudgetKey struct {
 		pool  string
 		hedge bool
@@ -66,11 +69,12 @@
 	return limits
 }
 
-// ConnectionLimit returns the number of connections that this entry may open to a target.
+// ConnectionLimit returns the number of connections that this entry may open to a target; 0 means that
+// it uses those of another entry.
 func (server *Server) ConnectionLimit(target *httptarget.Target) int {
 	routeIndex := server.currentRouteIndex()
 	if routeIndex == nil {
-		return remoteConnections
+		return policy.ConnectionLimit(0, policy.OtherRegion, policy.EntryCounts{})
 	}
 	return server.connectionLimit(routeIndex.routes.Pool(target.Pool()), target)
 }
@@ -78,17 +82,39 @@
 // connectionLimit returns the number of connections that this entry may open to a
 // target of a pool.
 func (server *Server) connectionLimit(pool *operator.Pool, target *httptarget.Target) int {
-	if pool == nil || target.FailureDomain() != server.options.FailureDomain {
-		return remoteConnections
-	}
-	localEntries := 0
-	members := server.board.Membership().View().Members
-	for index := range members {
-		if members[index].FailureDomain == target.FailureDomain() {
-			localEntries++
+	connections := 0
+	if pool != nil {
+		connections = pool.Connections
+	}
+	return policy.ConnectionLimit(connections, server.localityOf(target.FailureDomain()), server.countEntries(target.FailureDomain()))
+}
+
+// countEntries counts the entries by their place as seen from a failure domain.
+func (server *Server) countEntries(domain string) policy.EntryCounts {
+	view := server.board.Membership().View()
+	counted := server.entriesByPlace.Load()
+	if counted == nil || counted.view != view.Number || counted.total != len(view.Members) {
+		counted = &entriesByPlace{view: view.Number, total: len(view.Members), byDomain: map[string]int{}, byRegion: map[string]int{}}
+		for index := range view.Members {
+			counted.byDomain[view.Members[index].FailureDomain]++
+			counted.byRegion[server.options.Regions[view.Members[index].FailureDomain]]++
 		}
+		server.entriesByPlace.Store(counted)
+	}
+	inDomain, inRegion := counted.byDomain[domain], counted.byRegion[server.options.Regions[domain]]
+	return policy.EntryCounts{Domain: inDomain, Region: inRegion - inDomain, Other: counted.total - inRegion}
+}
+
+// localityOf returns where a failure domain is, as seen from this entry.
+func (server *Server) localityOf(domain string) policy.Locality {
+	switch server.locality(domain) {
+	case localityDomain:
+		return policy.SameDomain
+	case localityRegion:
+		return policy.SameRegion
+	case localityFar:
 	}
-	return max(remoteConnections, (pool.Connections-remoteConnections*(len(members)-localEntries))/max(1, localEntries))
+	return policy.OtherRegion
 }
 
 // acquirePermit reports whether a request may be sent to a target, whose rate limit holds for all
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -81,6 +81,7 @@
 		workers        *workers
 
 		cachedRouteIndex atomic.Pointer[routeIndex]
+		entriesByPlace   atomic.Pointer[entriesByPlace]
 		inFlight         atomic.Int64
 		stopping         atomic.Bool
 	}
--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -195,28 +195,44 @@
 // Send sends a request to a target and returns the outcome. It waits until the
 // deadline or the end of ctx; the latter closes the connection, so that the target
 // can stop. If no idle connection is left and limit connections to the target are
-// open, the request is refused as Busy. If this entry has no link to the target, the
-// request is sent through another entry.
+// open, the request is refused as Busy. If this entry has no link to the target, or
+// limit is 0, the request is sent through another entry.
 func (sender *Sender) Send(ctx context.Context, target *Target, request *Request, deadline time.Time, limit int) Outcome {
 	if sender.relay == nil {
 		return sender.SendDirectly(ctx, target, request, deadline, limit)
 	}
+	if limit <= 0 {
+		return sender.sendOverSharedConnection(ctx, target, request, deadline)
+	}
 	if !sender.LinkLost(target, limit) {
 		outcome := sender.SendDirectly(ctx, target, request, deadline, limit)
 		if !wantsRelay(ctx, outcome) {
 			return outcome
 		}
-		if relayed, sent := sender.sendThroughEntry(ctx, target, request, deadline); sent {
+		if relayed, sent := sender.sendThroughEntry(ctx, target, request, deadline, false); sent {
 			return relayed
 		}
 		return outcome
 	}
-	if relayed, sent := sender.sendThroughEntry(ctx, target, request, deadline); sent {
+	if relayed, sent := sender.sendThroughEntry(ctx, target, request, deadline, false); sent {
 		return relayed
 	}
 	return &Refused{Reason: Unreachable, Cause: errNoLink}
 }
 
+// sendOverSharedConnection sends a request through an entry near the target, because this entry may open no
+// connection to it. If no entry can be asked, it opens one all the same.
+func (sender *Sender) sendOverSharedConnection(ctx context.Context, target *Target, request *Request, deadline time.Time) Outcome {
+	unreachable := target.unreachable(time.Now())
+	if relayed, sent := sender.sendThroughEntry(ctx, target, request, deadline, true); sent {
+		return relayed
+	}
+	if unreachable || ctx.Err() != nil {
+		return &Refused{Reason: Unreachable, Cause: errNoLink}
+	}
+	return sender.SendDirectly(ctx, target, request, deadline, 1)
+}
+
 // wantsRelay reports whether an attempt that was not sent, because no connection could be opened, should
 // be made through another entry. An attempt that found all connections busy should not: the target may
 // be slow, and has no room for more.
@@ -227,7 +243,7 @@
 
 // sendThroughEntry sends an attempt through another entry. It returns false if none has a link to the
 // target.
-func (sender *Sender) sendThroughEntry(ctx context.Context, target *Target, request *Request, deadline time.Time) (Outcome, bool) {
+func (sender *Sender) sendThroughEntry(ctx context.Context, target *Target, request *Request, deadline time.Time, pinned bool) (Outcome, bool) {
 	if now := time.Now(); target.unreachable(now) {
 		target.recordConnectFailure(now, now)
 		return nil, false
@@ -237,7 +253,7 @@
 	}
 	startedAt := time.Now()
 	target.beginAttempt(startedAt)
-	outcome, sent := sender.relay.Send(ctx, target, request, deadline)
+	outcome, sent := sender.relay.Send(ctx, target, request, deadline, pinned)
 	now := time.Now()
 	if !sent {
 		request.releaseSend()
--- a/internal/httptarget/link.go
+++ b/internal/httptarget/link.go
@@ -33,8 +33,9 @@
 	// Relay sends attempts through other entries.
 	Relay interface {
 		// Send sends an attempt through an entry that has a link to the target. It returns
-		// false if none has, and the request was then not sent.
-		Send(ctx context.Context, target *Target, request *Request, deadline time.Time) (Outcome, bool)
+		// false if none has, and the request was then not sent. With pinned, attempts go to the
+		// same entry as long as it replies, so that few connections are used.
+		Send(ctx context.Context, target *Target, request *Request, deadline time.Time, pinned bool) (Outcome, bool)
 		// Reaches reports whether another entry has a link to the target.
 		Reaches(ctx context.Context, target *Target) bool
 	}
--- a/internal/httptarget/link_test.go
+++ b/internal/httptarget/link_test.go
@@ -17,7 +17,7 @@
 	noRelay struct{}
 )
 
-func (noRelay) Send(context.Context, *Target, *Request, time.Time) (Outcome, bool) { return nil, false }
+func (noRelay) Send(context.Context, *Target, *Request, time.Time, bool) (Outcome, bool) { return nil, false }
 func (noRelay) Reaches(context.Context, *Target) bool                              { return false }
 
 // refusingSender returns a sender all of whose connections are refused until the returned function is
--- a/internal/policy/connections.go
+++ b/internal/policy/connections.go
@@ -16,8 +16,51 @@
 	// process until their idle timeout, usually 15 s, part of which has passed
 	// while the process was down.
 	restartSpan = 12 * time.Second
+	// remoteConnections is the number of connections that an entry may open to a target of another
+	// failure domain: one idle connection and one more.
+	remoteConnections = 2
+	// regionShare is the share of a target's connections that the entries of its region may open if the
+	// target has too few for all entries. The rest covers connections that the target still counts after
+	// they were closed.
+	regionShare = 0.9
 )
 
+const (
+	// SameDomain, SameRegion and OtherRegion are where a target is, as seen from an entry.
+	SameDomain Locality = iota + 1
+	SameRegion
+	OtherRegion
+)
+
+type (
+	// Locality is where a target is, as seen from an entry.
+	Locality uint8
+
+	// EntryCounts are the numbers of entries in a target's failure domain, elsewhere in its region, and in
+	// other regions.
+	EntryCounts struct {
+		Domain, Region, Other int
+	}
+)
+
+// ConnectionLimit returns the number of connections that an entry may open to a target that accepts a number
+// of connections from all entries together. The load that it answers: a shard loses two of three targets,
+// and every entry turns to the one that is left. Where not every entry can have its connections, only the
+// entries of the target's region open some, and 0 means that an attempt goes through one of those.
+func ConnectionLimit(connections int, locality Locality, entries EntryCounts) int {
+	remote := remoteConnections * (entries.Region + entries.Other)
+	if connections <= 0 || remote+remoteConnections*entries.Domain <= connections || entries.Domain+entries.Region == 0 {
+		if locality == SameDomain {
+			return max(remoteConnections, (connections-remote)/max(1, entries.Domain))
+		}
+		return remoteConnections
+	}
+	if locality == OtherRegion {
+		return 0
+	}
+	return max(1, int(regionShare*float64(connections))/(entries.Domain+entries.Region))
+}
+
 // IdleConnections returns the number of a pool's targets to which an entry keeps an
 // idle connection. Connections is the number that each target accepts from all
 // entries together.
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -65,7 +65,7 @@
 
 func newRelay(settings *settings.Settings, board *blackboard.Board, directory *httptarget.Directory, sender *httptarget.Sender, peers *entry.Peers, logger *zap.Logger, metrics *metrics.Metrics) *relay.Relay {
 	return relay.New(relay.Options{
-		Self: settings.Name, FailureDomain: settings.FailureDomain, Region: settings.Region, Client: peers.Client,
+		Self: settings.Name, FailureDomain: settings.FailureDomain, Region: settings.Region, Regions: settings.Gateway.Regions, Client: peers.Client,
 	}, board, directory, sender, logger, metrics)
 }
 
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
 	"gitlab.com/comfreythread/comfreythread/internal/membership"
 )
@@ -44,8 +46,9 @@
 
 // candidates returns the other entries, the best one for attempts at a target first: those in the
 // target's failure domain, which keep most connections to it, then those near this entry, and last
-// those that are avoided.
-func (relay *Relay) candidates(target *httptarget.Target) []*membership.Member {
+// those that are avoided. Pinned candidates are those of the target's region first, in an order that
+// differs between entries but stays the same for one.
+func (relay *Relay) candidates(target *httptarget.Target, pinned bool) []*membership.Member {
 	members := relay.board.Membership().View().Members
 	candidates := make([]*membership.Member, 0, len(members))
 	now := time.Now()
@@ -55,6 +58,10 @@
 			candidates = append(candidates, member)
 		}
 	}
+	if pinned {
+		relay.sortPinned(candidates, target, now)
+		return candidates
+	}
 	rand.Shuffle(len(candidates), func(left, right int) { candidates[left], candidates[right] = candidates[right], candidates[left] })
 	slices.SortStableFunc(candidates, func(left, right *membership.Member) int {
 		return cmp.Compare(relay.distance(left, target, now), relay.distance(right, target, now))
@@ -62,6 +69,31 @@
 	return candidates
 }
 
+// sortPinned sorts entries for attempts over their connections: by whether they are avoided, by their distance
+// from the target, and by rendezvous hashing.
+func (relay *Relay) sortPinned(candidates []*membership.Member, target *httptarget.Target, now time.Time) {
+	targetRegion := relay.options.Regions[target.FailureDomain()]
+	rank := func(member *membership.Member) int {
+		switch {
+		case relay.entries.avoids(member.PeerAddress, now):
+			return 3
+		case member.FailureDomain == target.FailureDomain():
+			return 0
+		case member.Region == targetRegion:
+			return 1
+		}
+		return 2
+	}
+	slices.SortFunc(candidates, func(left, right *membership.Member) int {
+		return cmp.Or(cmp.Compare(rank(left), rank(right)), cmp.Compare(relay.weight(left), relay.weight(right)))
+	})
+}
+
+// weight returns the hash of an entry in the order of this entry's candidates.
+func (relay *Relay) weight(member *membership.Member) uint64 {
+	return xxhash.Sum64String(relay.options.Self + "/" + member.ID)
+}
+
 // distance orders entries for attempts at a target.
 func (relay *Relay) distance(member *membership.Member, target *httptarget.Target, now time.Time) int {
 	switch {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,6 +45,8 @@
 		Self          string
 		FailureDomain string
 		Region        string
+		// Regions maps each failure domain to its region.
+		Regions map[string]string
 		// Client returns the client of the entry at a peer address.
 		Client func(address string) *frame.Client
 	}
@@ -81,16 +83,22 @@
 }
 
 // Send implements httptarget.Relay.
-func (relay *Relay) Send(ctx context.Context, target *httptarget.Target, request *httptarget.Request, deadline time.Time) (httptarget.Outcome, bool) {
+func (relay *Relay) Send(ctx context.Context, target *httptarget.Target, request *httptarget.Request, deadline time.Time, pinned bool) (httptarget.Outcome, bool) {
 	attempt := newAttempt(target, request)
 	outOfReach := 0
-	candidates := relay.candidates(target)
+	candidates := relay.candidates(target, pinned)
+	var busy httptarget.Outcome
 	for _, entry := range candidates[:min(len(candidates), maximumEntries)] {
 		// Those that are avoided stand last.
 		if relay.entries.avoids(entry.PeerAddress, time.Now()) || outOfReach == sufficientEntries || ctx.Err() != nil || !time.Now().Before(deadline) {
 			break
 		}
 		outcome, sent, hasLinks := relay.sendThrough(ctx, entry, attempt, deadline)
+		if sent && isBusy(outcome) && pinned {
+			// Another entry may have a free connection.
+			busy = outcome
+			continue
+		}
 		if sent {
 			relay.count(outcome)
 			return outcome, true
@@ -99,10 +107,19 @@
 			outOfReach++
 		}
 	}
+	if busy != nil {
+		relay.count(busy)
+		return busy, true
+	}
 	relay.metrics.RelayedAttempts().WithLabelValues(resultNoEntry).Inc()
 	return nil, false
 }
 
+func isBusy(outcome httptarget.Outcome) bool {
+	refused, isRefused := outcome.(*httptarget.Refused)
+	return isRefused && refused.Reason == httptarget.Busy
+}
+
 // sendThrough sends an attempt through one entry. It also reports whether the entry has sent it and, if
 // it hasn't and won't, whether it has links to other targets.
 func (relay *Relay) sendThrough(ctx context.Context, entry *membership.Member, attempt *Attempt, deadline time.Time) (outcome httptarget.Outcome, sent, hasLinks bool) {
@@ -147,7 +164,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reachTimeout)
 	defer cancel()
 	question := &Question{TargetID: target.ID(), StartedAt: target.StartedAt()}
-	candidates := relay.candidates(target)
+	candidates := relay.candidates(target, false)
 	links := make(chan bool, reachEntries)
 	asked := candidates[:min(len(candidates), reachEntries)]
 	for _, entry := range asked {
