--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -40,6 +40,7 @@
 		panics             prometheus.Counter
 		targetWords        *prometheus.CounterVec
 		permits            *prometheus.CounterVec
+		allotments         *prometheus.CounterVec
 		relayedAttempts    *prometheus.CounterVec
 	}
 )
@@ -71,6 +72,7 @@
 		panics:             prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "panics_total", Help: "Tasks of requests and calls of peers that hit a defect of the program."}),
 		targetWords:        counter("target_words_total", "What targets of HTTP routes said of themselves in answers.", "word"),
 		permits:            counter("permits_total", "Permits for requests to targets with a rate limit.", "result"),
+		allotments:         counter("allotments_total", "Requests of tenants with a rate, by what was decided and how.", "result", "way"),
 		relayedAttempts:    counter("relayed_attempts_total", "Attempts at targets of HTTP routes that this entry made through other entries.", "result"),
 		directoryUnequal:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "directory_unequal_seconds", Help: "Time since the directory was last equal to a peer's."}),
 	}
@@ -79,7 +81,7 @@
 		metrics.queueWait, metrics.slotsInUse, metrics.coverage, metrics.latency,
 		metrics.tablesVersion, metrics.viewNumber, metrics.fenced,
 		metrics.targetsMoved, metrics.directoryChanges, metrics.directoryExchanges, metrics.directoryUnequal, metrics.logLinesLeftOut,
-		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync, metrics.missingParts, metrics.panics, metrics.targetWords, metrics.permits, metrics.relayedAttempts,
+		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync, metrics.missingParts, metrics.panics, metrics.targetWords, metrics.permits, metrics.allotments, metrics.relayedAttempts,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
@@ -116,6 +118,10 @@
 // or refused, by the target's home or, as granted_separately and refused_separately, by this entry without it.
 func (metrics *Metrics) Permits() *prometheus.CounterVec { return metrics.permits }
 
+// Allotments counts the requests of tenants with a rate, by result (granted or refused) and way: by credit, the word
+// of the tenant's home from before; asked, the home's reply; or separate, this entry's own part without the home.
+func (metrics *Metrics) Allotments() *prometheus.CounterVec { return metrics.allotments }
+
 // RelayedAttempts counts the attempts that this entry made through other entries because it had no link to the
 // target, by result.
 func (metrics *Metrics) RelayedAttempts() *prometheus.CounterVec { return metrics.relayedAttempts }
--- /dev/null
+++ b/internal/permit/account.go
@@ -0,0 +1,289 @@
+// The home's side of allotments: it counts the requests of a tenant at all entries, and tells entries
+// when they have to ask before each request.
+
+package permit
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/internal/membership"
+	"gitlab.com/comfreythread/comfreythread/internal/policy"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
+)
+
+const (
+	// MethodAccount is the peer method that reports admitted requests of tenants to their home, and asks
+	// it for further ones.
+	MethodAccount = "permit.account"
+	// MethodRevoke is the peer method by which a home tells an entry that it has to ask before each
+	// request of some tenants.
+	MethodRevoke = "permit.revoke"
+
+	// tenantPrefix begins the name by which the home of a tenant is chosen.
+	tenantPrefix = "tenant:"
+	// maximumReported bounds the change of one count in a message, so that a damaged one doesn't refuse a
+	// tenant for longer than some minutes.
+	maximumReported = 10_000
+)
+
+type (
+	// Account reports the requests of several tenants at one entry to their home.
+	Account struct {
+		Entry   string        `msgpack:"e"`
+		Reports []UsageReport `msgpack:"r"`
+	}
+
+	// UsageReport tells how many requests of a tenant an entry has admitted without asking.
+	UsageReport struct {
+		Tenant string `msgpack:"t"`
+		// Session identifies the entry's count among those that it kept for the tenant, and Sequence
+		// orders the reports of one count.
+		Session  uint64 `msgpack:"s"`
+		Sequence uint64 `msgpack:"q"`
+		// Total is the number of admitted requests since the begin of the session, without those that were
+		// asked for and less those that haven't run. Confirmed is the part of it that a reply has confirmed.
+		// As the home takes the difference from the last report, a report that is lost or arrives twice
+		// changes nothing.
+		Total     int64 `msgpack:"n"`
+		Confirmed int64 `msgpack:"c"`
+		// Ask asks for one further request.
+		Ask bool `msgpack:"a,omitempty"`
+	}
+
+	// AccountReply holds one grant for each report, in the same order.
+	AccountReply struct {
+		Grants []Grant `msgpack:"g"`
+		// Order orders the replies and revocations of one home.
+		Order uint64 `msgpack:"o"`
+	}
+
+	// Grant is the reply to a UsageReport.
+	Grant struct {
+		// NotHome is true if the asked entry is not the tenant's home; the report has had no effect then.
+		NotHome bool `msgpack:"h,omitempty"`
+		Granted bool `msgpack:"g,omitempty"`
+		// Wait is the time until the next request can be granted, if this one wasn't.
+		Wait time.Duration `msgpack:"w,omitempty"`
+		// Credit is the number of requests that the entry may admit before its report on them has been
+		// answered; if it is zero, the entry has to ask before each one.
+		Credit int `msgpack:"c,omitempty"`
+	}
+
+	// Revocation withdraws the credit for some tenants.
+	Revocation struct {
+		Home    string   `msgpack:"h"`
+		Tenants []string `msgpack:"t"`
+		Order   uint64   `msgpack:"o"`
+	}
+
+	// Empty is a reply without content.
+	Empty struct{}
+
+	// account is the count of one tenant's requests at its home.
+	account struct {
+		allotment policy.Allotment
+		// started is true once no other entry counts the tenant's requests any more.
+		started bool
+		holders map[string]*holder
+	}
+
+	// holder is an entry that has reported requests of the tenant.
+	holder struct {
+		session, sequence uint64
+		total             int64
+		// charged is what was counted for requests that the entry may have admitted, because it couldn't be
+		// told to ask.
+		charged int64
+		credit  int
+		// creditUntil is when the credit ends, with a margin.
+		creditUntil time.Time
+	}
+)
+
+// applyAccount counts the reports of an entry and decides on what it asks for.
+func (permits *Permits) applyAccount(received *Account) *AccountReply {
+	permits.observe()
+	fenced := permits.board.InForce().Fenced()
+	permits.lock.Lock()
+	reply := &AccountReply{Grants: make([]Grant, len(received.Reports))}
+	revoked := map[string][]string{}
+	for index := range received.Reports {
+		report := &received.Reports[index]
+		counted := permits.accounts[report.Tenant]
+		switch {
+		case fenced || !permits.isHome(report.Tenant):
+			reply.Grants[index] = Grant{NotHome: true}
+		case counted == nil:
+			// The home's tables have no limit for this tenant.
+			reply.Grants[index] = Grant{Granted: true}
+		default:
+			reply.Grants[index] = counted.apply(received.Entry, report, time.Now())
+			if received.Entry == permits.self {
+				// The home asks itself each time, at no cost.
+				counted.holders[received.Entry].credit = 0
+			}
+			for _, entry := range counted.revoke(time.Now()) {
+				revoked[entry] = append(revoked[entry], report.Tenant)
+			}
+		}
+	}
+	permits.order++
+	reply.Order = permits.order
+	order := permits.order
+	permits.lock.Unlock()
+	for entry, tenants := range revoked {
+		permits.sendRevocation(entry, &Revocation{Home: permits.self, Tenants: tenants, Order: order})
+	}
+	return reply
+}
+
+// apply counts a report and decides on its question.
+func (account *account) apply(entry string, report *UsageReport, now time.Time) Grant {
+	reporter := account.holders[entry]
+	if reporter == nil || reporter.session != report.Session {
+		charged := int64(0)
+		if reporter != nil {
+			charged = reporter.charged
+		}
+		reporter = &holder{session: report.Session, total: report.Confirmed, charged: charged}
+		account.holders[entry] = reporter
+	}
+	if report.Sequence > reporter.sequence {
+		change := min(maximumReported, max(-maximumReported, report.Total-reporter.total))
+		account.allotment.Count(float64(change-reporter.charged), now)
+		reporter.sequence, reporter.total, reporter.charged = report.Sequence, report.Total, 0
+	}
+	grant := Grant{}
+	if report.Ask {
+		grant.Granted, grant.Wait = account.allotment.Take(now)
+	}
+	if account.started {
+		grant.Credit = account.allotment.Credit(len(account.holders), now)
+	}
+	reporter.credit, reporter.creditUntil = grant.Credit, now.Add(creditSpan+creditMargin)
+	return grant
+}
+
+// revoke returns the entries that have to be told to ask before each request. They have no credit then.
+func (account *account) revoke(now time.Time) []string {
+	if account.started && !account.allotment.Low(now) {
+		return nil
+	}
+	var entries []string
+	for entry, holder := range account.holders {
+		if holder.credit > 0 && now.Before(holder.creditUntil) {
+			entries = append(entries, entry)
+		}
+	}
+	return entries
+}
+
+// sendRevocation tells an entry to ask before each request of some tenants. The credit of an entry that
+// doesn't reply is counted as used, because it may be cut off and use it.
+func (permits *Permits) sendRevocation(entry string, revocation *Revocation) {
+	permits.lock.Lock()
+	defer permits.lock.Unlock()
+	credits := map[string]int{}
+	for _, tenant := range revocation.Tenants {
+		if counted := permits.accounts[tenant]; counted != nil && counted.holders[entry] != nil {
+			credits[tenant] = counted.holders[entry].credit
+			counted.holders[entry].credit = 0
+		}
+	}
+	view := permits.board.Membership().View()
+	member, found := view.Member(entry)
+	if !found || entry == permits.self {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), accountTimeout)
+		defer cancel()
+		if _, err := frame.Call[Revocation, Empty](ctx, permits.client(member.PeerAddress), MethodRevoke, revocation); err != nil {
+			permits.charge(entry, credits)
+		}
+	}()
+}
+
+// charge counts the credits of an entry that couldn't be told to ask, until it reports what it has used.
+func (permits *Permits) charge(entry string, credits map[string]int) {
+	permits.lock.Lock()
+	defer permits.lock.Unlock()
+	for tenant, credit := range credits {
+		counted := permits.accounts[tenant]
+		if counted == nil || counted.holders[entry] == nil || counted.holders[entry].credit > 0 || counted.holders[entry].charged > 0 {
+			continue
+		}
+		counted.holders[entry].charged = int64(credit)
+		counted.allotment.Count(float64(credit), time.Now())
+	}
+}
+
+// observe follows the view and the tables: this entry keeps an account for each limited tenant whose home
+// it is, from the time at which it becomes the home, so that the bucket of an idle tenant is full when
+// its requests come.
+func (permits *Permits) observe() {
+	if permits.limits == nil {
+		return
+	}
+	tables, version := permits.board.InForce().Tables()
+	placement := permits.board.Membership().Placement()
+	permits.lock.Lock()
+	defer permits.lock.Unlock()
+	now := time.Now()
+	number := placement.View().Number
+	if number != permits.viewNumber || version != permits.tablesVersion {
+		permits.replaceAccounts(tables.Tenants, placement, now)
+		permits.viewNumber, permits.tablesVersion = number, version
+	}
+	if permits.unstarted == 0 {
+		return
+	}
+	permits.unstarted = 0
+	for tenant, counted := range permits.accounts {
+		if !counted.started && permits.board.Membership().MayUse(permits.self, tenantPrefix+tenant, "") {
+			counted.started = true
+			counted.allotment.Start(now)
+		}
+		if !counted.started {
+			permits.unstarted++
+		}
+	}
+}
+
+// replaceAccounts keeps the accounts of the tenants whose home this entry is. The lock must be held.
+func (permits *Permits) replaceAccounts(tenants []operator.Tenant, placement *membership.Placement, now time.Time) {
+	view := placement.View()
+	// Another entry may have been the home in a view that this entry hasn't seen.
+	missedView := view.Number > permits.viewNumber+1
+	kept := make(map[string]*account, len(permits.accounts))
+	for index := range tenants {
+		tenant := &tenants[index]
+		home, found := placement.Home(tenantPrefix+tenant.Name, "")
+		if !found || home.ID != permits.self || !isRate(tenant.RatePerSecond) || tenant.RatePerSecond == 0 {
+			continue
+		}
+		counted := permits.accounts[tenant.Name]
+		if counted == nil {
+			counted = &account{holders: map[string]*holder{}}
+			permits.unstarted++
+		} else if missedView {
+			counted.allotment.Restart(now)
+		}
+		counted.allotment.SetLimit(tenant.RatePerSecond, max(0, tenant.Burst), permits.limits, now)
+		maps.DeleteFunc(counted.holders, func(entry string, _ *holder) bool {
+			_, found := view.Member(entry)
+			return !found
+		})
+		kept[tenant.Name] = counted
+	}
+	permits.accounts = kept
+}
+
+// isHome reports whether this entry is the home of a tenant under the newest view.
+func (permits *Permits) isHome(tenant string) bool {
+	home, found := permits.board.Membership().Placement().Home(tenantPrefix+tenant, "")
+	return found && home.ID == permits.self
+}
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -1,5 +1,6 @@
 // Package permit counts the requests that all entries together send to a target with a rate limit.
-// The home of a target grants a permit for each request; the other entries ask it.
+// The home of a target grants a permit for each request; the other entries ask it. It also counts the
+// requests of tenants against their allotments, at one home for each tenant.
 package permit
 
 import (
@@ -80,6 +81,21 @@
 		// avoidUntil holds the homes that didn't reply, by peer address.
 		avoidUntil map[string]time.Time
 		sweptAt    time.Time
+
+		// limits is nil if the allotments of tenants aren't enforced.
+		limits     *policy.AllotmentLimits
+		allotments *prometheus.CounterVec
+		// accounts counts the requests of all entries by tenant, where this entry is the tenant's home, under
+		// the view and the tables with these numbers; unstarted of them may not fill yet.
+		accounts      map[string]*account
+		viewNumber    uint64
+		tablesVersion uint64
+		unstarted     int
+		// order is that of the last reply or revocation.
+		order uint64
+		// usages holds what this entry knows of tenants, by name, and links of homes, by peer address.
+		usages map[string]*usage
+		links  map[string]*homeLink
 	}
 
 	// count is the state of one target's limit.
@@ -96,11 +112,15 @@
 	return &Permits{
 		self: self, board: board, client: client, logger: logger, counts: metrics.Permits(),
 		granted: map[string]*count{}, separate: map[string]*policy.SeparateLimit{}, avoidUntil: map[string]time.Time{},
+		allotments: metrics.Allotments(), accounts: map[string]*account{}, usages: map[string]*usage{}, links: map[string]*homeLink{},
+		// Orders of a process have to be above those of the one before it.
+		order: uint64(time.Now().UnixNano()),
 	}
 }
 
-// Register adds the peer method by which other entries ask for permits.
+// Register adds the peer methods by which other entries ask for permits.
 func (permits *Permits) Register(server *frame.Server) {
+	permits.registerAllotments(server)
 	frame.Handle(server, MethodAcquire, func(_ context.Context, demand *Demand) (*Decision, error) {
 		decision := permits.decide(demand)
 		return &decision, nil
@@ -226,6 +246,7 @@
 			delete(permits.avoidUntil, address)
 		}
 	}
+	permits.sweepAllotments(now)
 }
 
 func (permits *Permits) avoids(address string) bool {
