--- a/internal/httpcaller/respond.go
+++ b/internal/httpcaller/respond.go
@@ -107,6 +107,9 @@
 }
 
 func (call *call) writeRefusal(writer http.ResponseWriter, status int, refusal refusal) {
+	if refusal.NotRun {
+		call.creditBack()
+	}
 	refusal.RequestID = call.request.ID
 	body, err := json.Marshal(refusal)
 	if err != nil {
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -103,6 +103,8 @@
 		fingerprint blackboard.Fingerprint
 		// answered is true if a target has answered the request.
 		answered atomic.Bool
+		// reservedFor is the name of the tenant whose allotment counts the request, or "".
+		reservedFor string
 	}
 )
 
--- a/internal/permit/account.go
+++ b/internal/permit/account.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
@@ -24,6 +25,9 @@
 
 	// tenantPrefix begins the name by which the home of a tenant is chosen.
 	tenantPrefix = "tenant:"
+	// floodFactor is the multiple of its rate that a tenant is supposed to send at worst to entries that
+	// don't reply.
+	floodFactor = 4
 	// maximumReported bounds the change of one count in a message, so that a damaged one doesn't refuse a
 	// tenant for longer than some minutes.
 	maximumReported = 10_000
@@ -85,6 +89,9 @@
 	// account is the count of one tenant's requests at its home.
 	account struct {
 		allotment policy.Allotment
+		perSecond float64
+		// charged is what was counted for entries that couldn't be told to ask, since the bucket became low.
+		charged float64
 		// started is true once no other entry counts the tenant's requests any more.
 		started bool
 		holders map[string]*holder
@@ -94,10 +101,7 @@
 	holder struct {
 		session, sequence uint64
 		total             int64
-		// charged is what was counted for requests that the entry may have admitted, because it couldn't be
-		// told to ask.
-		charged int64
-		credit  int
+		credit            int
 		// creditUntil is when the credit ends, with a margin.
 		creditUntil time.Time
 	}
@@ -109,7 +113,7 @@
 	fenced := permits.board.InForce().Fenced()
 	permits.lock.Lock()
 	reply := &AccountReply{Grants: make([]Grant, len(received.Reports))}
-	revoked := map[string][]string{}
+	revoked := map[string]map[string]int{}
 	for index := range received.Reports {
 		report := &received.Reports[index]
 		counted := permits.accounts[report.Tenant]
@@ -125,8 +129,11 @@
 				// The home asks itself each time, at no cost.
 				counted.holders[received.Entry].credit = 0
 			}
-			for _, entry := range counted.revoke(time.Now()) {
-				revoked[entry] = append(revoked[entry], report.Tenant)
+			for entry, credit := range counted.revoke(time.Now()) {
+				if revoked[entry] == nil {
+					revoked[entry] = map[string]int{}
+				}
+				revoked[entry][report.Tenant] = credit
 			}
 		}
 	}
@@ -134,8 +141,8 @@
 	reply.Order = permits.order
 	order := permits.order
 	permits.lock.Unlock()
-	for entry, tenants := range revoked {
-		permits.sendRevocation(entry, &Revocation{Home: permits.self, Tenants: tenants, Order: order})
+	for entry, credits := range revoked {
+		permits.sendRevocation(entry, credits, order)
 	}
 	return reply
 }
@@ -144,17 +151,13 @@
 func (account *account) apply(entry string, report *UsageReport, now time.Time) Grant {
 	reporter := account.holders[entry]
 	if reporter == nil || reporter.session != report.Session {
-		charged := int64(0)
-		if reporter != nil {
-			charged = reporter.charged
-		}
-		reporter = &holder{session: report.Session, total: report.Confirmed, charged: charged}
+		reporter = &holder{session: report.Session, total: report.Confirmed}
 		account.holders[entry] = reporter
 	}
 	if report.Sequence > reporter.sequence {
 		change := min(maximumReported, max(-maximumReported, report.Total-reporter.total))
-		account.allotment.Count(float64(change-reporter.charged), now)
-		reporter.sequence, reporter.total, reporter.charged = report.Sequence, report.Total, 0
+		account.allotment.Count(float64(change), now)
+		reporter.sequence, reporter.total = report.Sequence, report.Total
 	}
 	grant := Grant{}
 	if report.Ask {
@@ -167,57 +170,52 @@
 	return grant
 }
 
-// revoke returns the entries that have to be told to ask before each request. They have no credit then.
-func (account *account) revoke(now time.Time) []string {
+// revoke takes the credit from all entries if the bucket is low, and returns the credits of those that have to
+// be told, by entry.
+func (account *account) revoke(now time.Time) map[string]int {
 	if account.started && !account.allotment.Low(now) {
+		account.charged = 0
 		return nil
 	}
-	var entries []string
+	credits := map[string]int{}
 	for entry, holder := range account.holders {
 		if holder.credit > 0 && now.Before(holder.creditUntil) {
-			entries = append(entries, entry)
+			credits[entry] = holder.credit
 		}
+		holder.credit = 0
 	}
-	return entries
+	return credits
 }
 
-// sendRevocation tells an entry to ask before each request of some tenants. The credit of an entry that
-// doesn't reply is counted as used, because it may be cut off and use it.
-func (permits *Permits) sendRevocation(entry string, revocation *Revocation) {
-	permits.lock.Lock()
-	defer permits.lock.Unlock()
-	credits := map[string]int{}
-	for _, tenant := range revocation.Tenants {
-		if counted := permits.accounts[tenant]; counted != nil && counted.holders[entry] != nil {
-			credits[tenant] = counted.holders[entry].credit
-			counted.holders[entry].credit = 0
-		}
-	}
+// sendRevocation tells an entry to ask before each request of the tenants in credits.
+func (permits *Permits) sendRevocation(entry string, credits map[string]int, order uint64) {
 	view := permits.board.Membership().View()
 	member, found := view.Member(entry)
-	if !found || entry == permits.self {
+	if !found {
 		return
 	}
+	revocation := &Revocation{Home: permits.self, Tenants: slices.Sorted(maps.Keys(credits)), Order: order}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), accountTimeout)
 		defer cancel()
 		if _, err := frame.Call[Revocation, Empty](ctx, permits.client(member.PeerAddress), MethodRevoke, revocation); err != nil {
-			permits.charge(entry, credits)
+			permits.charge(credits)
 		}
 	}()
 }
 
-// charge counts the credits of an entry that couldn't be told to ask, until it reports what it has used.
-func (permits *Permits) charge(entry string, credits map[string]int) {
+// charge counts the credits of an entry that couldn't be told to ask, because it may be cut off and use them
+// until it hears from others that it is; see Permits.avoidHome. What is counted while a bucket is low is bounded
+// by what a flood may bring in that time, so that a tenant below its rate isn't refused for long.
+func (permits *Permits) charge(credits map[string]int) {
 	permits.lock.Lock()
 	defer permits.lock.Unlock()
 	for tenant, credit := range credits {
-		counted := permits.accounts[tenant]
-		if counted == nil || counted.holders[entry] == nil || counted.holders[entry].credit > 0 || counted.holders[entry].charged > 0 {
-			continue
+		if counted := permits.accounts[tenant]; counted != nil {
+			charged := min(float64(credit), floodFactor*counted.perSecond*accountTimeout.Seconds()-counted.charged)
+			counted.charged += charged
+			counted.allotment.Count(charged, time.Now())
 		}
-		counted.holders[entry].charged = int64(credit)
-		counted.allotment.Count(float64(credit), time.Now())
 	}
 }
 
@@ -272,6 +270,7 @@
 		} else if missedView {
 			counted.allotment.Restart(now)
 		}
+		counted.perSecond = tenant.RatePerSecond
 		counted.allotment.SetLimit(tenant.RatePerSecond, max(0, tenant.Burst), permits.limits, now)
 		maps.DeleteFunc(counted.holders, func(entry string, _ *holder) bool {
 			_, found := view.Member(entry)
--- a/internal/permit/allotment.go
+++ b/internal/permit/allotment.go
@@ -31,7 +31,7 @@
 	// creditSpan is how long a credit lasts without a further reply. It is the longest time for which an
 	// entry that the home couldn't tell to ask goes on admitting; a tenant whose requests come to an entry
 	// less often has to wait for the home's reply there.
-	creditSpan = 2 * time.Minute
+	creditSpan = 10 * time.Minute
 	// creditMargin is how much longer the home assumes that a credit lasts.
 	creditMargin = 5 * time.Second
 	// unsureHomeRetries and unsureHomeDelay bound how long an entry waits for an agreement on who is the
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -48,6 +48,8 @@
 	// Paused refuses because all targets have asked for a pause, or named a rate limit that has no
 	// room.
 	Paused
+	// OverAllotment refuses because the tenant has used up its allotment.
+	OverAllotment
 )
 
 type (
@@ -74,6 +76,8 @@
 		return "no_link"
 	case Paused:
 		return "paused"
+	case OverAllotment:
+		return "over_allotment"
 	}
 	return "unknown"
 }
@@ -108,7 +112,7 @@
 // together don't retry together.
 func RetryAfter(reason Reason, random float64) time.Duration {
 	switch reason {
-	case NoRoom, TooLate, Paused:
+	case NoRoom, TooLate, Paused, OverAllotment:
 		return Jitter(shortRetryDelay, random)
 	case NoTables, NoTarget, Stale, NoLink:
 		return Jitter(longRetryDelay, random)
--- a/internal/policy/allotment.go
+++ b/internal/policy/allotment.go
@@ -43,12 +43,13 @@
 	// SetLimit, and start it with Start once no other entry counts the tenant's requests.
 	Allotment struct {
 		perSecond, burst, tolerance float64
-		// level may be negative, by requests that were admitted before they were counted.
-		level     float64
-		updatedAt time.Time
-		set       bool
-		started   bool
-		low       bool
+		// level may be negative, by requests that were admitted before they were counted. Its least value is
+		// floor, at which nothing is granted for a window; what is older has no effect on the bound.
+		level, floor float64
+		updatedAt    time.Time
+		set          bool
+		started      bool
+		low          bool
 	}
 )
 
@@ -68,6 +69,7 @@
 func (allotment *Allotment) SetLimit(perSecond, burst float64, limits *AllotmentLimits, now time.Time) {
 	allotment.refill(now)
 	allotment.perSecond, allotment.burst, allotment.tolerance = perSecond, burst, limits.Tolerance(perSecond, burst)
+	allotment.floor = -perSecond * limits.Window.Seconds()
 	if !allotment.set {
 		allotment.set = true
 		allotment.level = allotment.reserve()
@@ -102,7 +104,7 @@
 // of requests that haven't run.
 func (allotment *Allotment) Count(requests float64, now time.Time) {
 	allotment.refill(now)
-	allotment.level = min(allotment.capacity(), allotment.level-requests)
+	allotment.level = max(allotment.floor, min(allotment.capacity(), allotment.level-requests))
 }
 
 // Low reports whether entries have to ask before each request.
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -60,7 +60,11 @@
 }
 
 func newPermits(settings *settings.Settings, board *blackboard.Board, peers *entry.Peers, logger *zap.Logger, metrics *metrics.Metrics) *permit.Permits {
-	return permit.New(settings.Name, board, peers.Client, logger, metrics)
+	permits := permit.New(settings.Name, board, peers.Client, logger, metrics)
+	if allotments := settings.Gateway.Allotments; allotments != nil {
+		permits.EnforceAllotments(policy.AllotmentLimits{Window: allotments.Window.Std(), Overage: allotments.Overage, Slack: allotments.Slack})
+	}
+	return permits
 }
 
 func newRelay(settings *settings.Settings, board *blackboard.Board, directory *httptarget.Directory, sender *httptarget.Sender, peers *entry.Peers, logger *zap.Logger, metrics *metrics.Metrics) *relay.Relay {
