--- a/internal/permit/allotment_test.go
+++ b/internal/permit/allotment_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,7 +60,7 @@
 		permits *permit.Permits
 		metrics *metrics.Metrics
 		// lost is true while the entry gets no requests.
-		lost bool
+		lost atomic.Bool
 	}
 )
 
@@ -95,7 +96,7 @@
 
 // start starts an entry's process.
 func (fleet *fleet) start(entry *fleetEntry) {
-	entry.board, entry.metrics, entry.lost = new(blackboard.Board), metrics.New(), false
+	entry.board, entry.metrics = new(blackboard.Board), metrics.New()
 	entry.board.InForce().Renew(time.Now().Add(time.Hour))
 	entry.board.InForce().Replace(fleet.version, &operator.Tables{Tenants: []operator.Tenant{fleet.tenant}})
 	entry.board.Membership().Update(&fleet.view, fleet.view.Number)
@@ -135,7 +136,7 @@
 	for end := time.Now().Add(span); time.Now().Before(end); {
 		time.Sleep(time.Duration(random.ExpFloat64() / (factor * fleet.tenant.RatePerSecond) * float64(time.Second)))
 		entry := choose()
-		if entry.lost {
+		if entry.lost.Load() {
 			continue
 		}
 		permits, tenant := entry.permits, fleet.tenant
@@ -259,7 +260,7 @@
 	lose := func(end func(fleet *fleet, home *fleetEntry)) func(fleet *fleet) {
 		return func(fleet *fleet) {
 			home := fleet.home()
-			home.lost = true
+			home.lost.Store(true)
 			end(fleet, home)
 			time.AfterFunc(3200*time.Millisecond, func() { fleet.replaceView(without(home)) })
 		}
@@ -270,10 +271,10 @@
 		{"home silent", lose(func(fleet *fleet, home *fleetEntry) { fleet.cut(home, fleet.entries) })},
 		{"home frozen for 2 s", func(fleet *fleet) {
 			home := fleet.home()
-			home.lost = true
+			home.lost.Store(true)
 			fleet.cut(home, fleet.entries)
 			time.AfterFunc(2*time.Second, func() {
-				home.lost = false
+				home.lost.Store(false)
 				for _, entry := range fleet.entries {
 					fleet.network.Heal(home.ip(), entry.ip())
 					fleet.network.Heal(entry.ip(), home.ip())
@@ -282,6 +283,9 @@
 		}},
 		{"home cut off from a third", func(fleet *fleet) { fleet.cut(fleet.home(), fleet.entries[:len(fleet.entries)/3]) }},
 		{"home cut off from most", func(fleet *fleet) { fleet.cut(fleet.home(), fleet.entries[:len(fleet.entries)*3/4]) }},
+		{"slow links", func(fleet *fleet) {
+			fleet.network.SetLatency(func(string, string) time.Duration { return 60 * time.Millisecond })
+		}},
 		{"home stopping", func(fleet *fleet) {
 			home := fleet.home().member.ID
 			fleet.replaceView(func(view *membership.View) {
@@ -383,6 +387,30 @@
 	}
 }
 
+// Guards against refusals of a tenant below its rate because its home changes, on stops of one home after another.
+func TestTenantBelowItsRateIsServedWhileHomesChange(t *testing.T) {
+	for _, perSecond := range []float64{1.6, 10, 50} {
+		bubble.Test(t, func(t *testing.T) {
+			fleet := newFleet(t, fleetSize, perSecond)
+			fleet.send(0.3, warmTime, fleet.any)
+			for range 5 {
+				home := fleet.home()
+				fleet.replaceView(func(view *membership.View) {
+					for index := range view.Members {
+						view.Members[index].Stopping = view.Members[index].Stopping || view.Members[index].ID == home.member.ID
+					}
+				})
+				fleet.send(0.6, 10*time.Second, fleet.any)
+			}
+			time.Sleep(time.Second)
+			t.Logf("rate %v: %d of %d were admitted", perSecond, len(fleet.admitted), fleet.wanted)
+			if len(fleet.admitted) != fleet.wanted {
+				t.Errorf("rate %v: %d of %d were admitted", perSecond, len(fleet.admitted), fleet.wanted)
+			}
+		})
+	}
+}
+
 // Guards against reports that are counted twice or never after a call was lost: the home has to count each
 // admitted request exactly once.
 func TestLostReportIsCountedOnce(t *testing.T) {
