Tell the other entries once that a home doesn't reply, and stop resending after a window

Reports to a home that stayed unreachable were sent again without end, each time with notices to all entries. Totals make a later report enough.

--- a/internal/permit/allotment.go
+++ b/internal/permit/allotment.go
@@ -306,8 +306,9 @@
 	time.AfterFunc(delay, func() { permits.sendReports(&sentTo) })
 }
 
-// sendReports sends the collected reports to a home. After a failure they are sent again, while this entry
-// believes that the home is one: the totals in them tell the home what it has already counted.
+// sendReports sends the collected reports to a home. After a failure they are sent again for a window, while this
+// entry believes that the home is one: the totals in them tell the home what it has already counted. Later,
+// requests that were admitted before a window have no effect on the bound, and the next question holds their total.
 func (permits *Permits) sendReports(home *membership.Member) {
 	permits.lock.Lock()
 	link := permits.link(home.PeerAddress)
@@ -329,7 +330,8 @@
 	defer permits.lock.Unlock()
 	for index := range reports {
 		current, found := permits.tenantHome(reports[index].Tenant)
-		if found && current.ID == home.ID && current.Incarnation == home.Incarnation {
+		used := permits.usages[reports[index].Tenant]
+		if found && current.ID == home.ID && used != nil && used.countedBy(&current) && time.Since(used.usedAt) < permits.limits.Window {
 			permits.scheduleReport(reports[index].Tenant, home, homeRetryDelay)
 		}
 	}
@@ -369,7 +371,7 @@
 	}
 }
 
-// avoidHome records that a home didn't reply, and tells the other entries.
+// avoidHome records that a home didn't reply. If it did before, the other entries are told.
 func (permits *Permits) avoidHome(home *membership.Member, cause error) {
 	permits.lock.Lock()
 	defer permits.lock.Unlock()
@@ -377,13 +379,14 @@
 	link := permits.link(home.PeerAddress)
 	link.avoidUntil = now.Add(homeRetryDelay)
 	permits.dropCredits(home.ID)
-	if !link.fallen {
-		link.fallen = true
-		if now.Sub(link.loggedAt) >= fallbackLogInterval {
-			link.loggedAt = now
-			permits.logger.Warn("home of tenants doesn't count their requests; using this entry's own parts of their allotments",
-				zap.String("home", home.ID), zap.Error(cause))
-		}
+	if link.fallen {
+		return
+	}
+	link.fallen = true
+	if now.Sub(link.loggedAt) >= fallbackLogInterval {
+		link.loggedAt = now
+		permits.logger.Warn("home of tenants doesn't count their requests; using this entry's own parts of their allotments",
+			zap.String("home", home.ID), zap.Error(cause))
 	}
 	if home.ID == permits.self || now.Sub(link.distrustedAt) < distrustInterval {
 		return
@@ -457,7 +460,7 @@
 // sweepAllotments removes what this entry hasn't used lately. The lock must be held.
 func (permits *Permits) sweepAllotments(now time.Time) {
 	maps.DeleteFunc(permits.usages, func(_ string, used *usage) bool {
-		return now.Sub(used.usedAt) >= creditSpan && used.total == used.confirmed
+		return now.Sub(used.usedAt) >= creditSpan
 	})
 	maps.DeleteFunc(permits.links, func(_ string, link *homeLink) bool {
 		return link.reports == nil && now.Sub(link.usedAt) >= creditSpan
