--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -109,6 +109,8 @@
 		fingerprint blackboard.Fingerprint
 		// answered is true if a target has answered the request.
 		answered atomic.Bool
+		// reservedFor is the name of the tenant whose allotment counts the request, or "".
+		reservedFor string
 	}
 )
 
@@ -204,6 +206,10 @@
 		call.refuse(writer, policy.Harmful)
 		return
 	}
+	if refused, retryAfter := call.reserve(call.tenant); refused {
+		call.refuseOverAllotment(writer, retryAfter)
+		return
+	}
 	call.forward(writer)
 }
 
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -55,6 +55,8 @@
 	// Paused refuses because all targets have asked for a pause, or named a rate limit that has no
 	// room.
 	Paused
+	// OverAllotment refuses because the tenant has used up its allotment.
+	OverAllotment
 )
 
 type (
@@ -95,6 +97,8 @@
 		return "no_link"
 	case Paused:
 		return "paused"
+	case OverAllotment:
+		return "over_allotment"
 	}
 	return "unknown"
 }
@@ -133,7 +137,7 @@
 // together don't retry together.
 func RetryAfter(reason Reason, random float64) time.Duration {
 	switch reason {
-	case NoRoom, TooLate, Paused:
+	case NoRoom, TooLate, Paused, OverAllotment:
 		return Jitter(shortRetryDelay, random)
 	case NoTables, NoTarget, Stale, NoLink:
 		return Jitter(longRetryDelay, random)
