Let homes of tenants go on without a lease while others confirm their view

A home that others confirm goes on, and a new one fills at half of the rate until the view is settled.

--- a/internal/permit/account.go
+++ b/internal/permit/account.go
@@ -110,7 +110,7 @@
 // applyAccount counts the reports of an entry and decides on what it asks for.
 func (permits *Permits) applyAccount(received *Account) *AccountReply {
 	permits.observe()
-	fenced := permits.board.InForce().Fenced()
+	fenced := permits.board.InForce().Fenced() && !permits.confirmsHome()
 	permits.lock.Lock()
 	reply := &AccountReply{Grants: make([]Grant, len(received.Reports))}
 	revoked := map[string]map[string]int{}
--- a/internal/permit/allotment.go
+++ b/internal/permit/allotment.go
@@ -113,6 +113,9 @@
 	frame.Handle(server, MethodAccount, func(_ context.Context, account *Account) (*AccountReply, error) {
 		return permits.applyAccount(account), nil
 	})
+	frame.Handle(server, MethodView, func(context.Context, *Empty) (*ViewNumber, error) {
+		return &ViewNumber{Number: permits.board.Membership().View().Number}, nil
+	})
 	frame.Handle(server, MethodRevoke, func(_ context.Context, revocation *Revocation) (*Empty, error) {
 		permits.applyRevocation(revocation)
 		return new(Empty), nil
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -83,8 +83,9 @@
 		sweptAt    time.Time
 
 		// limits is nil if the allotments of tenants aren't enforced.
-		limits     *policy.AllotmentLimits
-		allotments *prometheus.CounterVec
+		limits       *policy.AllotmentLimits
+		confirmation confirmation
+		allotments   *prometheus.CounterVec
 		// accounts counts the requests of all entries by tenant, where this entry is the tenant's home, under
 		// the view and the tables with these numbers; unstarted of them may not fill yet.
 		accounts      map[string]*account
--- a/internal/policy/allotment.go
+++ b/internal/policy/allotment.go
@@ -22,6 +22,10 @@
 	// of a second's requests, for more than 150 ms, which is longer than it takes to tell all entries.
 	allotmentLowShare  = 0.5
 	allotmentHighShare = 0.8
+	// allotmentUnsettledShare is the share of the rate at which a bucket fills while another entry may still
+	// count for those that don't know the newest view. That lasts for up to a lease after a loss of the home,
+	// or of all entries, and without it tenants within their rates would be refused meanwhile.
+	allotmentUnsettledShare = 0.5
 	// allotmentCreditSpan is the time for which one entry may send at the tenant's rate before its
 	// report has been answered: a batch of reports and a round trip between regions.
 	allotmentCreditSpan = 100 * time.Millisecond
@@ -77,7 +81,7 @@
 	allotment.level = min(allotment.level, allotment.capacity())
 }
 
-// Start lets the bucket fill. Before, it grants no more than its first tokens.
+// Start lets the bucket fill at the whole rate, and up to its capacity.
 func (allotment *Allotment) Start(now time.Time) {
 	allotment.refill(now)
 	allotment.started = true
@@ -139,9 +143,12 @@
 }
 
 func (allotment *Allotment) refill(now time.Time) {
-	if allotment.started && !allotment.updatedAt.IsZero() {
-		added := allotment.perSecond * math.Max(0, now.Sub(allotment.updatedAt).Seconds())
-		allotment.level = min(allotment.capacity(), allotment.level+added)
+	if !allotment.updatedAt.IsZero() {
+		added, capacity := allotment.perSecond*math.Max(0, now.Sub(allotment.updatedAt).Seconds()), allotment.capacity()
+		if !allotment.started {
+			added, capacity = allotmentUnsettledShare*added, max(allotment.level, min(capacity, allotment.reserve()))
+		}
+		allotment.level = min(capacity, allotment.level+added)
 	}
 	if now.After(allotment.updatedAt) {
 		allotment.updatedAt = now
