--- a/pkg/operator/check.go
+++ b/pkg/operator/check.go
@@ -77,6 +77,18 @@
 	return fault.InvalidDocument("order", check.problems)
 }
 
+// Check validates the order. It returns all problems as one *fault.Error, or nil
+// if there are none.
+func (order *RolloutOrder) Check() error {
+	var check tableCheck
+	check.name("pool", order.Pool, map[string]bool{})
+	check.name("release", order.Release, map[string]bool{})
+	if order.Duration <= 0 || order.Duration.Std() > MaximumRolloutDuration {
+		check.add("duration", "the duration is missing or out of range", "use a span above 0s, up to "+MaximumRolloutDuration.String())
+	}
+	return fault.InvalidDocument("rollout", check.problems)
+}
+
 func (tableCheck *tableCheck) add(path, message, remedy string) {
 	tableCheck.problems = append(tableCheck.problems, fault.Problem{Path: path, Message: message, Remedy: remedy})
 }
--- a/pkg/operator/tables.go
+++ b/pkg/operator/tables.go
@@ -36,10 +36,14 @@
 		HTTPLimits *HTTPLimits `json:"http_limits,omitempty"`
 		// Rollouts holds the newest rollout of each pool that had one. Only
 		// control writes it: a change keeps the rollouts in force.
-		Rollouts []Rollout `json:"rollouts,omitempty"`
+		//
+		// The msgpack tags of Rollouts, Tenants and HTTPRoute.Public leave out empty
+		// values, so that tables without them have the encoding, and a change of them
+		// the digest, that builds without these fields compute.
+		Rollouts []Rollout `json:"rollouts,omitempty" msgpack:",omitempty"`
 		// Tenants are the teams that may send HTTP requests; without any, every
 		// caller may.
-		Tenants []Tenant `json:"tenants,omitempty"`
+		Tenants []Tenant `json:"tenants,omitempty" msgpack:",omitempty"`
 	}
 
 	// Tenant is a team that sends HTTP requests under keys of its own.
@@ -100,7 +104,7 @@
 		// means all.
 		Regions []string `json:"regions,omitempty"`
 		// Public lets callers without a key use the route.
-		Public bool `json:"public,omitempty"`
+		Public bool `json:"public,omitempty" msgpack:",omitempty"`
 	}
 
 	// WeightedPool is a pool in a split, with its relative weight.
