--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -16,7 +16,7 @@
 
 type (
 	// command is one of beginTenure, changeTables, changeDomain, editView, replaceExceptions,
-	// grantRun and recordRun.
+	// grantRun, recordRun, startRollout and advanceRollout.
 	command interface {
 		isCommand()
 	}
@@ -64,6 +64,27 @@
 		Request RecordRequest `msgpack:"r"`
 	}
 
+	// startRollout starts a rollout, unless the order was sent before or conflicts with the rollout of
+	// the pool that is in progress.
+	startRollout struct {
+		Order operator.RolloutOrder `msgpack:"o"`
+		// Now is the leader's time.
+		Now time.Time `msgpack:"t"`
+		// Replaces is the start of the rollout that the order may replace although it was ordered
+		// with the same pool, release and duration. It is zero if the order may be a resend.
+		Replaces time.Time `msgpack:"r"`
+	}
+
+	// advanceRollout moves a rollout to another phase. It has no effect unless the newest rollout
+	// of the pool was started at StartedAt and is in phase From.
+	advanceRollout struct {
+		Pool      string                `msgpack:"p"`
+		StartedAt time.Time             `msgpack:"s"`
+		From      operator.RolloutPhase `msgpack:"f"`
+		To        operator.RolloutPhase `msgpack:"t"`
+		Reason    string                `msgpack:"r"`
+	}
+
 	// envelope is the encoding of a command in the log. Exactly one field is set.
 	envelope struct {
 		BeginTenure       *beginTenure       `msgpack:"b,omitempty"`
@@ -73,6 +94,8 @@
 		ReplaceExceptions *replaceExceptions `msgpack:"x,omitempty"`
 		GrantRun          *grantRun          `msgpack:"g,omitempty"`
 		RecordRun         *recordRun         `msgpack:"r,omitempty"`
+		StartRollout      *startRollout      `msgpack:"s,omitempty"`
+		AdvanceRollout    *advanceRollout    `msgpack:"a,omitempty"`
 	}
 
 	// result is the outcome of applying a command.
@@ -80,6 +103,9 @@
 		Fault   *fault.Error `msgpack:"f,omitempty"`
 		Version uint64       `msgpack:"v,omitempty"`
 		Grant   *Grant       `msgpack:"g,omitempty"`
+		// Rollout is the newest rollout of the pool of a startRollout command, and Version is set only
+		// if the command started it.
+		Rollout *operator.Rollout `msgpack:"o,omitempty"`
 	}
 )
 
@@ -90,6 +116,8 @@
 func (replaceExceptions) isCommand() {}
 func (grantRun) isCommand()          {}
 func (recordRun) isCommand()         {}
+func (startRollout) isCommand()      {}
+func (advanceRollout) isCommand()    {}
 
 func encodeCommands(commands []command) ([]byte, error) {
 	envelopes := make([]envelope, 0, len(commands))
@@ -116,6 +144,10 @@
 		envelope.GrantRun = &command
 	case recordRun:
 		envelope.RecordRun = &command
+	case startRollout:
+		envelope.StartRollout = &command
+	case advanceRollout:
+		envelope.AdvanceRollout = &command
 	}
 	return envelope
 }
@@ -136,6 +168,10 @@
 		return *envelope.GrantRun, nil
 	case envelope.RecordRun != nil:
 		return *envelope.RecordRun, nil
+	case envelope.StartRollout != nil:
+		return *envelope.StartRollout, nil
+	case envelope.AdvanceRollout != nil:
+		return *envelope.AdvanceRollout, nil
 	}
 	return nil, errors.New("the log holds a command that this release doesn't know; run a newer release")
 }
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -24,8 +24,11 @@
 	maximumViewConflicts = 8
 )
 
-// Run removes entries whose leases have expired, until ctx ends.
+// Run removes entries whose leases have expired and moves rollouts from phase to phase, until ctx ends.
 func (service *Service) Run(ctx context.Context) {
+	if service.rollouts != nil {
+		go service.runRollouts(ctx)
+	}
 	ticker := time.NewTicker(expiryInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/control/linearizable_test.go
+++ b/internal/control/linearizable_test.go
@@ -10,10 +10,13 @@
 	"github.com/go-faster/errors"
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"gitlab.com/comfreythread/comfreythread/internal/bubble"
 	"gitlab.com/comfreythread/comfreythread/internal/control"
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/internal/metrics"
+	"gitlab.com/comfreythread/comfreythread/internal/policy"
 	"gitlab.com/comfreythread/comfreythread/internal/replica"
 	"gitlab.com/comfreythread/comfreythread/internal/standin"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
@@ -58,6 +61,7 @@
 		Dial: group.network.Dialer(controlIP(number)), Folder: "data", FileSystem: group.disks[number],
 	}, state)
 	service := control.NewService(newReplica, state)
+	service.EnableRollouts(control.RolloutOptions{Limits: policy.RolloutLimits{Share: 0.1, Slack: 50}, Logger: zap.NewNop(), Metrics: metrics.New()})
 	service.Register(server)
 	newReplica.Register(server)
 	listener, err := group.network.Listen(group.addresses[number])
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -75,6 +75,8 @@
 		ledgerBatcher batcher
 		viewBatcher   batcher
 		changeBatcher batcher
+		// rollouts is nil if rollouts are turned off.
+		rollouts *rolloutController
 
 		// lock must be acquired before the lock of state.
 		lock   sync.Mutex
@@ -113,6 +115,9 @@
 	handle(server, service.log, MethodReplicas, service.replicas)
 	handle(server, service.log, MethodDomain, service.domain)
 	handle(server, service.log, MethodExceptions, service.replaceExceptions)
+	handle(server, service.log, MethodRollout, service.startRollout)
+	handle(server, service.log, MethodRolloutState, service.rolloutState)
+	handle(server, service.log, MethodRolloutEvidence, service.rolloutEvidence)
 }
 
 // handle registers a method. If this replica doesn't lead, the reply names the leader; if none is
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -65,6 +65,10 @@
 		return result{Grant: stateData.Ledger.grant(&command)}
 	case recordRun:
 		stateData.Ledger.record(&command.Request)
+	case startRollout:
+		return stateData.Tables.startRollout(&command)
+	case advanceRollout:
+		return stateData.Tables.advanceRollout(&command)
 	}
 	return result{}
 }
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -84,6 +84,7 @@
 		change.Tables.FailureDomainsOut = newest.Tables.FailureDomainsOut
 		newest.Declared, newest.Source = change.Declared, change.Source
 	}
+	change.Tables.Rollouts = rolloutsOfPools(newest.Tables.Rollouts, change.Tables.Pools)
 	return tablesData.add(change, operator.VersionedTables{ChangeID: change.ID, Tables: change.Tables, Declared: newest.Declared, Source: newest.Source})
 }
 
@@ -179,10 +180,11 @@
 }
 
 // digest returns a hash of a change without its ID, so that a resend is distinguished from another
-// change under the same ID.
+// change under the same ID. The hash leaves out the rollouts, which only control writes.
 func digest(change *operator.Change) [sha256.Size]byte {
 	content := *change
 	content.ID = ""
+	content.Tables.Rollouts = nil
 	encoded, _ := msgpack.Marshal(&content)
 	return sha256.Sum256(encoded)
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -41,6 +41,9 @@
 		targetWords        *prometheus.CounterVec
 		permits            *prometheus.CounterVec
 		relayedAttempts    *prometheus.CounterVec
+		rolloutOrders      *prometheus.CounterVec
+		rolloutPhases      *prometheus.CounterVec
+		rolloutGrants      prometheus.Counter
 	}
 )
 
@@ -72,6 +75,9 @@
 		targetWords:        counter("target_words_total", "What targets of HTTP routes said of themselves in answers.", "word"),
 		permits:            counter("permits_total", "Permits for requests to targets with a rate limit.", "result"),
 		relayedAttempts:    counter("relayed_attempts_total", "Attempts at targets of HTTP routes that this entry made through other entries.", "result"),
+		rolloutOrders:      counter("rollout_orders_total", "Orders of rollouts, by what became of them.", "outcome"),
+		rolloutPhases:      counter("rollout_phases_total", "Phases that rollouts entered after the first.", "phase"),
+		rolloutGrants:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "rollout_grants_total", Help: "Grants of requests to new releases that entries got."}),
 		directoryUnequal:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "directory_unequal_seconds", Help: "Time since the directory was last equal to a peer's."}),
 	}
 	metrics.registry.MustRegister(
@@ -80,6 +86,7 @@
 		metrics.tablesVersion, metrics.viewNumber, metrics.fenced,
 		metrics.targetsMoved, metrics.directoryChanges, metrics.directoryExchanges, metrics.directoryUnequal, metrics.logLinesLeftOut,
 		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync, metrics.missingParts, metrics.panics, metrics.targetWords, metrics.permits, metrics.relayedAttempts,
+		metrics.rolloutOrders, metrics.rolloutPhases, metrics.rolloutGrants,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
@@ -120,6 +127,16 @@
 // target, by result.
 func (metrics *Metrics) RelayedAttempts() *prometheus.CounterVec { return metrics.relayedAttempts }
 
+// RolloutOrders counts the orders of rollouts that this replica handled as leader, by outcome: started, resent,
+// conflict or refused.
+func (metrics *Metrics) RolloutOrders() *prometheus.CounterVec { return metrics.rolloutOrders }
+
+// RolloutPhases counts the phase changes of rollouts that this replica made as leader, by the phase entered.
+func (metrics *Metrics) RolloutPhases() *prometheus.CounterVec { return metrics.rolloutPhases }
+
+// RolloutGrants counts the grants of requests to new releases that this replica gave as leader.
+func (metrics *Metrics) RolloutGrants() prometheus.Counter { return metrics.rolloutGrants }
+
 // DroppedAnswers counts dropped answers, by reason: for example late, damaged, or for another
 // attempt.
 func (metrics *Metrics) DroppedAnswers() *prometheus.CounterVec { return metrics.droppedAnswers }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -24,6 +24,8 @@
 		AddReplica(ctx context.Context, replica *operator.Replica) (*operator.EmptyReply, error)
 		RemoveReplica(ctx context.Context, id string) (*operator.EmptyReply, error)
 		SetDomainOut(ctx context.Context, change *operator.DomainChange) (*operator.ChangeReply, error)
+		StartRollout(ctx context.Context, order *operator.RolloutOrder) (*operator.Rollout, error)
+		Rollout(ctx context.Context, pool string) (*operator.Rollout, error)
 	}
 
 	// Server handles the requests of operators.
@@ -46,6 +48,8 @@
 	engine.DELETE("/v1/replicas/:id", server.removeReplica)
 	engine.PUT("/v1/failure-domains/:name/out", server.domainOutHandler(true))
 	engine.DELETE("/v1/failure-domains/:name/out", server.domainOutHandler(false))
+	engine.POST("/v1/rollouts", server.startRollout)
+	engine.GET("/v1/rollouts/:pool", server.rollout)
 }
 
 func (server *Server) change(ginContext *gin.Context) {
@@ -110,6 +114,25 @@
 	}
 }
 
+func (server *Server) startRollout(ginContext *gin.Context) {
+	order := new(operator.RolloutOrder)
+	if err := web.Decode(ginContext, order); err != nil {
+		web.RespondError(ginContext, err)
+		return
+	}
+	if err := order.Check(); err != nil {
+		web.RespondError(ginContext, err)
+		return
+	}
+	rollout, err := server.control.StartRollout(ginContext.Request.Context(), order)
+	respond(ginContext, rollout, err)
+}
+
+func (server *Server) rollout(ginContext *gin.Context) {
+	rollout, err := server.control.Rollout(ginContext.Request.Context(), ginContext.Param("pool"))
+	respond(ginContext, rollout, err)
+}
+
 func respond[Body any](ginContext *gin.Context, body *Body, err error) {
 	if err != nil {
 		web.RespondError(ginContext, err)
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -17,6 +17,7 @@
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
+	"gitlab.com/comfreythread/comfreythread/internal/policy"
 	"gitlab.com/comfreythread/comfreythread/internal/replica"
 	"gitlab.com/comfreythread/comfreythread/internal/settings"
 )
@@ -58,8 +59,14 @@
 	}, state)
 }
 
-func newControlService(replica *replica.Replica, state *control.State) *control.Service {
-	return control.NewService(replica, state)
+func newControlService(settings *settings.Settings, replica *replica.Replica, state *control.State, metrics *metrics.Metrics, logger *zap.Logger) *control.Service {
+	service := control.NewService(replica, state)
+	if rollouts := settings.Rollouts; rollouts != nil {
+		service.EnableRollouts(control.RolloutOptions{
+			Limits: policy.RolloutLimits{Share: rollouts.Share, Slack: rollouts.Slack}, Logger: logger, Metrics: metrics,
+		})
+	}
+	return service
 }
 
 func newRegistry(logger *zap.Logger) *httptarget.Registry {
--- a/internal/verb/operate_test.go
+++ b/internal/verb/operate_test.go
@@ -78,6 +78,9 @@
 			{verb.ExitOK, "luzon           out", []string{"status"}},
 			{verb.ExitOK, "luzon is in as of version 6", []string{"domain", "in", "--name", "luzon"}},
 			{verb.ExitFailed, "the name is missing or too long", []string{"domain", "out", "--name", strings.Repeat("x", 1000)}},
+			{verb.ExitFailed, "rollouts are not turned on", []string{"rollout", "start", "--pool", "cards", "--release", "v2", "--duration", "1m"}},
+			{verb.ExitFailed, "the duration is missing or out of range", []string{"rollout", "start", "--pool", "cards", "--release", "v2", "--duration", "2h"}},
+			{verb.ExitFailed, "never had a rollout", []string{"rollout", "status", "--pool", "cards"}},
 			{verb.ExitFailed, "is not IP:port", []string{"replica", "add", "--name", "x", "--peer-address", "here"}},
 		} {
 			code, output := runVerb(append(step.arguments, "--address", address)...)
--- a/internal/verb/table.go
+++ b/internal/verb/table.go
@@ -42,6 +42,7 @@
 		getCommand,
 		statusCommand,
 		domainCommand,
+		rolloutCommand,
 		replicaCommand,
 		queryCommand,
 		explainCommand,
