--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -421,7 +421,7 @@
 	switch {
 	case verdict.Decision == policy.RolloutBad:
 		return operator.PhaseRolledBack, verdict.Reason
-	case followed && now.Sub(trackedRollout.followedSince) >= completionDelay && policy.RolloutMayEnd(elapsed, duration):
+	case followed && verdict.Clear && now.Sub(trackedRollout.followedSince) >= completionDelay && policy.RolloutMayEnd(elapsed, duration):
 		return operator.PhaseCompleted, "every entry uses the release, and it is good: " + trackedRollout.history.Describe()
 	case verdict.Decision == policy.RolloutTimedOut:
 		return operator.PhaseRolledBack, verdict.Reason
--- a/internal/policy/rollout_verdict.go
+++ b/internal/policy/rollout_verdict.go
@@ -111,6 +111,8 @@
 	RolloutVerdict struct {
 		Decision RolloutDecision
 		Reason   string
+		// Clear is true if there is enough evidence and none of it is suspicious, whatever the time.
+		Clear bool
 	}
 
 	// RolloutHistory is the evidence of a rollout in slices of time. The zero value holds none.
@@ -211,7 +213,7 @@
 }
 
 // Judge decides on a rollout that has taken the time elapsed of its duration. RolloutGood only concerns a
-// trial. A shift may be completed once RolloutMayEnd is true, unless the decision is RolloutBad.
+// trial. A shift may be completed once RolloutMayEnd is true and the verdict is clear.
 func (rolloutHistory *RolloutHistory) Judge(elapsed, duration time.Duration) RolloutVerdict {
 	reference := rolloutHistory.reference()
 	finding, groups := rolloutHistory.test(reference)
@@ -227,15 +229,15 @@
 	case part >= rolloutTimeout && lacking != "":
 		return RolloutVerdict{Decision: RolloutTimedOut, Reason: "time ran out: " + lacking}
 	case part >= rolloutTimeout:
-		return RolloutVerdict{Decision: RolloutTimedOut, Reason: "time ran out before every entry used the new release"}
+		return RolloutVerdict{Decision: RolloutTimedOut, Clear: true, Reason: "time ran out before every entry used the new release"}
 	case lacking != "":
 		return RolloutVerdict{Reason: lacking}
 	case part < rolloutEarliestGood:
-		return RolloutVerdict{Reason: "the release is good so far"}
+		return RolloutVerdict{Clear: true, Reason: "the release is good so far"}
 	case part > rolloutLatestGood:
-		return RolloutVerdict{Reason: "too little time is left to complete the rollout"}
+		return RolloutVerdict{Clear: true, Reason: "too little time is left to complete the rollout"}
 	}
-	return RolloutVerdict{Decision: RolloutGood, Reason: rolloutHistory.Describe()}
+	return RolloutVerdict{Decision: RolloutGood, Clear: true, Reason: rolloutHistory.Describe()}
 }
 
 // Describe returns the totals of the evidence in words.
