--- a/internal/policy/rollout_verdict.go
+++ b/internal/policy/rollout_verdict.go
@@ -23,6 +23,12 @@
 	RolloutTimedOut
 )
 
+const (
+	narrow rolloutWidth = iota
+	ofRoute
+	ofAll
+)
+
 const (
 	// A release may turn bad late or under load, so the decision that it is good is made no sooner than
 	// at rolloutEarliestGood of the duration. After rolloutLatestGood the shift could not be completed.
@@ -131,13 +137,17 @@
 		counts             [rolloutTests]float64
 	}
 
-	// rolloutStratum identifies answers of other releases: those of one slice or of all, on one route or
-	// on all (""), from one locality or from all ("").
+	// rolloutStratum identifies answers of other releases: those of one slice or of all, and of one route
+	// and locality, of one route, or of all.
 	rolloutStratum struct {
 		slice           int
+		width           rolloutWidth
 		route, locality string
 	}
 
+	// rolloutWidth is narrow for answers on one route from one locality.
+	rolloutWidth int
+
 	// rolloutReference holds the answers of other releases by stratum.
 	rolloutReference map[rolloutStratum]*rolloutCounts
 
@@ -258,31 +268,39 @@
 	for number := range rolloutHistory.slices {
 		for index := range rolloutHistory.slices[number].Cells {
 			cell := &rolloutHistory.slices[number].Cells[index]
-			if cell.New {
-				continue
-			}
-			var counts rolloutCounts
-			counts.add(cell)
-			for _, slice := range []int{number, allSlices} {
-				reference.add(rolloutStratum{slice: slice, route: cell.Route, locality: cell.Locality}, &counts)
-				reference.add(rolloutStratum{slice: slice, route: cell.Route}, &counts)
-				reference.add(rolloutStratum{slice: slice}, &counts)
+			if !cell.New {
+				reference.counts(rolloutStratum{slice: number, route: cell.Route, locality: cell.Locality}).add(cell)
 			}
 		}
 	}
+	// The narrowest strata are added up to the wider ones, because there are fewer of them than cells.
+	for stratum, counts := range maps.Clone(reference) {
+		always := stratum
+		always.slice = allSlices
+		reference.counts(always).addCounts(counts)
+		for _, slice := range []int{stratum.slice, allSlices} {
+			reference.counts(rolloutStratum{slice: slice, width: ofRoute, route: stratum.route}).addCounts(counts)
+			reference.counts(rolloutStratum{slice: slice, width: ofAll}).addCounts(counts)
+		}
+	}
 	return reference
 }
 
-func (rolloutReference rolloutReference) add(stratum rolloutStratum, added *rolloutCounts) {
+// counts returns the counts of a stratum, which it adds if they are missing.
+func (rolloutReference rolloutReference) counts(stratum rolloutStratum) *rolloutCounts {
 	counts := rolloutReference[stratum]
 	if counts == nil {
 		counts = &rolloutCounts{}
 		rolloutReference[stratum] = counts
 	}
-	counts.answers += added.answers
-	counts.latencies += added.latencies
-	for test := range counts.counts {
-		counts.counts[test] += added.counts[test]
+	return counts
+}
+
+func (rolloutCounts *rolloutCounts) addCounts(added *rolloutCounts) {
+	rolloutCounts.answers += added.answers
+	rolloutCounts.latencies += added.latencies
+	for test := range rolloutCounts.counts {
+		rolloutCounts.counts[test] += added.counts[test]
 	}
 }
 
@@ -291,10 +309,10 @@
 // because a fault of both sides ends. Latencies are compared in the same locality first, because they
 // depend on the distance.
 func (rolloutReference rolloutReference) shares(slice int, route, locality string) (shares [rolloutTests]float64) {
-	whole, ofRoute := rolloutStratum{slice: slice, route: route, locality: locality}, rolloutStratum{slice: slice, route: route}
-	wholeAlways, ofRouteAlways := whole, ofRoute
-	wholeAlways.slice, ofRouteAlways.slice = allSlices, allSlices
-	for _, stratum := range []rolloutStratum{whole, ofRoute, {slice: slice}, wholeAlways, ofRouteAlways, {slice: allSlices}} {
+	whole, onRoute := rolloutStratum{slice: slice, route: route, locality: locality}, rolloutStratum{slice: slice, width: ofRoute, route: route}
+	wholeAlways, onRouteAlways := whole, onRoute
+	wholeAlways.slice, onRouteAlways.slice = allSlices, allSlices
+	for _, stratum := range []rolloutStratum{whole, onRoute, {slice: slice, width: ofAll}, wholeAlways, onRouteAlways, {slice: allSlices, width: ofAll}} {
 		if counts := rolloutReference[stratum]; counts != nil && counts.answers >= minimumRolloutReference {
 			shares[0] = counts.counts[0] / counts.answers
 			break
@@ -303,9 +321,9 @@
 	for test := 1; test < rolloutTests; test++ {
 		shares[test] = 1
 	}
-	for _, stratum := range []rolloutStratum{whole, wholeAlways, ofRoute, ofRouteAlways} {
+	for _, stratum := range []rolloutStratum{whole, wholeAlways, onRoute, onRouteAlways} {
 		minimum := float64(minimumRolloutReference)
-		if stratum == ofRouteAlways {
+		if stratum == onRouteAlways {
 			minimum = minimumRolloutLastReference
 		}
 		if counts := rolloutReference[stratum]; counts != nil && counts.latencies >= minimum {
@@ -515,7 +533,7 @@
 
 // lacking returns what the evidence lacks for the decision that the release is good, or "".
 func (rolloutHistory *RolloutHistory) lacking(reference rolloutReference, groups map[string]rolloutGroup) string {
-	always := reference[rolloutStratum{slice: allSlices}]
+	always := reference[rolloutStratum{slice: allSlices, width: ofAll}]
 	if always == nil || always.answers < minimumRolloutReference {
 		return "too few answers of other releases to compare with"
 	}
@@ -527,12 +545,12 @@
 		return fmt.Sprintf("too few answers of the release to exclude failures: %.0f of %.0f failed", answers.bad, answers.total)
 	}
 	for stratum, counts := range reference {
-		if stratum.slice != allSlices || stratum.route == "" || stratum.locality != "" || counts.answers*rolloutRouteParts < always.answers {
+		if stratum.slice != allSlices || stratum.width != ofRoute || counts.answers*rolloutRouteParts < always.answers {
 			continue
 		}
 		expected := counts.answers / always.answers * answers.total
-		if ofRoute := groups[stratum.route].sum(0); ofRoute.total < min(minimumRolloutRouteAnswers, math.Ceil(expected/2)) {
-			return fmt.Sprintf("too few answers of the release on route %q: %.0f", stratum.route, ofRoute.total)
+		if onRoute := groups[stratum.route].sum(0); onRoute.total < min(minimumRolloutRouteAnswers, math.Ceil(expected/2)) {
+			return fmt.Sprintf("too few answers of the release on route %q: %.0f", stratum.route, onRoute.total)
 		}
 	}
 	return lackingLatencies(groups[""])
