Synchronize the flag of a test's refusing dialer

The probe of the link reads it in the background while the test heals the link; the race detector reported this in about one of a hundred runs. What the test checks is unchanged.

--- a/internal/httptarget/link_test.go
+++ b/internal/httptarget/link_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,16 +24,16 @@
 // refusingSender returns a sender all of whose connections are refused until the returned function is
 // called.
 func refusingSender() (sender *Sender, heal func()) {
-	refused := true
+	var healed atomic.Bool
 	sender = NewSender(dialect.Default(), func(context.Context, string, string) (net.Conn, error) {
-		if refused {
+		if !healed.Load() {
 			return nil, syscall.ECONNREFUSED
 		}
 		near, _ := net.Pipe()
 		return near, nil
 	})
 	sender.UseRelay(noRelay{})
-	return sender, func() { refused = false }
+	return sender, func() { healed.Store(true) }
 }
 
 // Guards against a refusal that leaves open whether the request ran, though no entry could send it.
