Route attempts by the releases of a rollout, and report to control

An entry follows the rollouts in its tables and in the replies to its reports. In a trial it sends only the first attempt of a request that spends a grant to the new release. Unused grants are returned with each report, because control counts only those of its latest reply, which may get lost. Without settings.Rollouts the tracker doesn't exist.

A release that appears beside another one without an order is held for 3 s. This is a property of the directory, which sees a release when its first target is announced and not only when a request comes.

--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -84,6 +84,8 @@
 		// availableAt is when the first of the targets may be asked that were left out, because they
 		// pause or their rate limits have no room; zero if none was.
 		availableAt time.Time
+		// releases is the part of the dispatch that rollouts decide on.
+		releases releases
 		// lastFailure is why the latest attempt that failed gave no part, as a label value.
 		lastFailure string
 	}
@@ -128,6 +130,7 @@
 		call: call, pool: pool, repeatable: !call.route.NeverRepeat,
 		softDeadline: call.startedAt.Add(softDeadline), hardDeadline: hardDeadline,
 	}
+	dispatch.releases.admission = call.server.options.Rollouts.Begin(pool, call.route.Kind)
 	now := time.Now()
 	for _, target := range call.server.directory.Pool(pool) {
 		if !call.isEligible(target) {
@@ -143,10 +146,12 @@
 			}
 			continue
 		}
+		dispatch.releases.anyFresh = dispatch.releases.anyFresh || condition.Fresh
 		dispatch.targets = append(dispatch.targets, target)
 		dispatch.candidates = append(dispatch.candidates, call.server.candidate(target, &condition))
 	}
 	dispatch.order = policy.Rank(dispatch.candidates, randomNumbers(len(dispatch.candidates)))
+	dispatch.arrange()
 	dispatch.outcomes = make(chan finishedAttempt, maximumAttempts)
 	return dispatch
 }
@@ -348,6 +353,7 @@
 // rankUntried ranks the remaining targets again by their current condition.
 func (dispatch *dispatch) rankUntried() {
 	now := time.Now()
+	dispatch.restoreOmitted()
 	untried := dispatch.order[dispatch.next:]
 	candidates := make([]policy.Candidate, len(untried))
 	for position, index := range untried {
@@ -360,6 +366,7 @@
 		ranked[position] = untried[chosen]
 	}
 	copy(untried, ranked)
+	dispatch.arrange()
 }
 
 // mayAttempt reports whether another attempt is allowed by the route and the time left,
@@ -396,7 +403,9 @@
 		return false
 	}
 	if dispatch.next > 0 {
-		dispatch.rankUntried()
+		if dispatch.rankUntried(); dispatch.next >= len(dispatch.order) {
+			return false
+		}
 	}
 	server := dispatch.call.server
 	pool := dispatch.call.routeIndex.routes.Pool(dispatch.pool)
@@ -405,7 +414,7 @@
 			return false
 		}
 	}
-	target := dispatch.targets[dispatch.order[dispatch.next]]
+	target, sending := dispatch.targets[dispatch.order[dispatch.next]], dispatch.newSending(dispatch.order[dispatch.next])
 	dispatch.lock.Lock()
 	dispatch.sentAttempts = append(dispatch.sentAttempts, sentAttempt{target: target.ID(), elapsed: time.Since(dispatch.call.startedAt), expectedLatency: dispatch.candidates[dispatch.order[dispatch.next]].ExpectedLatency(), trigger: trigger})
 	dispatch.lock.Unlock()
@@ -414,6 +423,7 @@
 	dispatch.arrivals++
 	dispatch.possibleRuns++
 	dispatch.inFlight++
+	dispatch.arrange()
 	dispatch.call.attempts.Add(1)
 	server.requestMetrics.countAttempt(dispatch.pool, trigger)
 	limit := server.connectionLimit(pool, target)
@@ -427,7 +437,7 @@
 			outcome = &httptarget.Refused{Reason: httptarget.Limited}
 			return
 		}
-		outcome = server.sender.Send(ctx, target, &dispatch.call.request, dispatch.hardDeadline, limit)
+		outcome = dispatch.send(ctx, sending, limit)
 		server.requestMetrics.observeAttempt(server.locality(target.FailureDomain()), outcome, time.Since(startedAt))
 	})
 	return true
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -22,6 +22,7 @@
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
 	"gitlab.com/comfreythread/comfreythread/internal/permit"
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
+	"gitlab.com/comfreythread/comfreythread/internal/rollout"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
@@ -60,6 +61,8 @@
 		Regions map[string]string
 		Headers dialect.Headers
 		Budget  policy.BudgetLimits
+		// Rollouts is nil if rollouts are turned off.
+		Rollouts *rollout.Tracker
 	}
 
 	// Server forwards requests of HTTP routes. Create it with NewServer.
--- a/internal/httptarget/directory.go
+++ b/internal/httptarget/directory.go
@@ -24,6 +24,8 @@
 		// ended holds the latest start of each target that has ended, by target ID, so
 		// that an outdated record of another registry doesn't bring the target back.
 		ended map[string]endedStart
+		// releases holds the releases that the targets of each pool have, by pool and release.
+		releases map[string]map[string]*seenRelease
 		// synced is true once a registry has replied.
 		synced bool
 	}
@@ -47,7 +49,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory(logger *zap.Logger) *Directory {
-	return &Directory{logger: logger, sources: map[string]*source{}, targets: map[string]*Target{}, pools: map[string][]*Target{}, ended: map[string]endedStart{}}
+	return &Directory{logger: logger, sources: map[string]*source{}, targets: map[string]*Target{}, pools: map[string][]*Target{}, ended: map[string]endedStart{}, releases: map[string]map[string]*seenRelease{}}
 }
 
 // Synced reports whether any registry has replied, so that the directory can be
@@ -300,6 +302,7 @@
 		}
 	}
 	directory.pools = pools
+	directory.updateReleases(time.Now())
 }
 
 // supersedes reports whether a target started after another one at the same
--- a/internal/httptarget/target.go
+++ b/internal/httptarget/target.go
@@ -51,11 +51,13 @@
 		foundAt time.Time
 
 		// The lock guards the fields below, except the record's ID, pool, address,
-		// failure domain and start, which never change.
+		// failure domain, release and start, which never change.
 		lock      sync.Mutex
 		record    Record
 		silent    bool
 		coldUntil time.Time
+		// freshUntil is the time before which the target's release counts as fresh.
+		freshUntil time.Time
 
 		latency    time.Duration
 		deviation  time.Duration
@@ -91,6 +93,8 @@
 	Condition struct {
 		Slots int
 		Cold  bool
+		// Fresh is true if the target's release has just appeared beside another one of the pool.
+		Fresh bool
 		// Suspect is true while the target is avoided after a failure.
 		Suspect bool
 		// FailureShare is the share, 0 to 1, of recent attempts that failed.
@@ -131,6 +135,9 @@
 // Pool returns the name of the target's pool.
 func (target *Target) Pool() string { return target.record.Pool }
 
+// Release returns the version of the target's software, or "" if unknown.
+func (target *Target) Release() string { return target.record.Release }
+
 // StartedAt returns when the target's process started, as its record has it.
 func (target *Target) StartedAt() int64 { return target.record.StartedAt }
 
@@ -144,7 +151,7 @@
 	target.decayCounts(now)
 	condition := Condition{
 		FailureShare: target.losses / (target.answers + target.losses + lossPrior),
-		Slots:        target.record.Slots, Cold: now.Before(target.coldUntil), Suspect: now.Before(target.suspectUntil),
+		Slots:        target.record.Slots, Cold: now.Before(target.coldUntil), Fresh: now.Before(target.freshUntil), Suspect: now.Before(target.suspectUntil),
 		Measured: !target.measuredAt.IsZero(), Latency: target.latency, UsualLatency: target.latency + deviationFactor*target.deviation,
 		Running: len(target.attemptStarts), Connected: target.connections.idleCount() > 0,
 		Limited: target.limit.named, Leaving: target.leaving, AvailableAt: target.availableAt(),
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -41,6 +41,9 @@
 		targetWords        *prometheus.CounterVec
 		permits            *prometheus.CounterVec
 		relayedAttempts    *prometheus.CounterVec
+		rolloutAttempts    *prometheus.CounterVec
+		rolloutGrants      *prometheus.CounterVec
+		rolloutReports     *prometheus.CounterVec
 	}
 )
 
@@ -72,6 +75,9 @@
 		targetWords:        counter("target_words_total", "What targets of HTTP routes said of themselves in answers.", "word"),
 		permits:            counter("permits_total", "Permits for requests to targets with a rate limit.", "result"),
 		relayedAttempts:    counter("relayed_attempts_total", "Attempts at targets of HTTP routes that this entry made through other entries.", "result"),
+		rolloutAttempts:    counter("rollout_attempts_total", "Attempts that reached targets of pools with a rollout in progress, by its phase and by whether the target has the new release.", "phase", "side"),
+		rolloutGrants:      counter("rollout_grants_total", "Grants of attempts at the new release of a rollout.", "event"),
+		rolloutReports:     counter("rollout_reports_total", "Reports of rollouts to control.", "result"),
 		directoryUnequal:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "directory_unequal_seconds", Help: "Time since the directory was last equal to a peer's."}),
 	}
 	metrics.registry.MustRegister(
@@ -80,6 +86,7 @@
 		metrics.tablesVersion, metrics.viewNumber, metrics.fenced,
 		metrics.targetsMoved, metrics.directoryChanges, metrics.directoryExchanges, metrics.directoryUnequal, metrics.logLinesLeftOut,
 		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync, metrics.missingParts, metrics.panics, metrics.targetWords, metrics.permits, metrics.relayedAttempts,
+		metrics.rolloutAttempts, metrics.rolloutGrants, metrics.rolloutReports,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
@@ -120,6 +127,17 @@
 // target, by result.
 func (metrics *Metrics) RelayedAttempts() *prometheus.CounterVec { return metrics.relayedAttempts }
 
+// RolloutAttempts counts the attempts that reached targets of pools with a rollout in progress, by phase and by
+// side: new or other.
+func (metrics *Metrics) RolloutAttempts() *prometheus.CounterVec { return metrics.rolloutAttempts }
+
+// RolloutGrants counts the grants of attempts at the new release of a rollout by event: received, spent, or returned
+// to control with a report.
+func (metrics *Metrics) RolloutGrants() *prometheus.CounterVec { return metrics.rolloutGrants }
+
+// RolloutReports counts the reports of rollouts to control by result: received or failed.
+func (metrics *Metrics) RolloutReports() *prometheus.CounterVec { return metrics.rolloutReports }
+
 // DroppedAnswers counts dropped answers, by reason: for example late, damaged, or for another
 // attempt.
 func (metrics *Metrics) DroppedAnswers() *prometheus.CounterVec { return metrics.droppedAnswers }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -21,6 +21,7 @@
 	"gitlab.com/comfreythread/comfreythread/internal/permit"
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
 	"gitlab.com/comfreythread/comfreythread/internal/relay"
+	"gitlab.com/comfreythread/comfreythread/internal/rollout"
 	"gitlab.com/comfreythread/comfreythread/internal/settings"
 	"gitlab.com/comfreythread/comfreythread/internal/web"
 )
@@ -48,7 +49,7 @@
 		return fx.Options()
 	}
 	return fx.Module("gateway",
-		fx.Provide(dialect.Default, httptarget.NewDirectory, newSender, newPermits, newRelay, newGateway, newGatewayServer),
+		fx.Provide(dialect.Default, httptarget.NewDirectory, newSender, newPermits, newRelay, newRollouts, newGateway, newGatewayServer),
 		fx.Invoke((*permit.Permits).Register, registerRelay, runWatcher, runConnectionKeeper, startGateway),
 	)
 }
@@ -73,11 +74,23 @@
 	relay.Register(server, gateway.ConnectionLimit)
 }
 
-func newGateway(settings *settings.Settings, headers dialect.Headers, board *blackboard.Board, directory *httptarget.Directory, sender *httptarget.Sender, permits *permit.Permits, logger *zap.Logger, metrics *metrics.Metrics) *httpcaller.Server {
+// newRollouts returns the tracker of rollouts, which runs until the entry stops, or nil if they are turned off.
+func newRollouts(settings *settings.Settings, board *blackboard.Board, client *control.Client, logger *zap.Logger, metrics *metrics.Metrics, lifecycle fx.Lifecycle) *rollout.Tracker {
+	if settings.Rollouts == nil {
+		return nil
+	}
+	tracker := rollout.New(settings.Name, uint64(time.Now().UnixNano()), board, client, logger, metrics)
+	ctx, cancel := context.WithCancel(context.Background())
+	lifecycle.Append(fx.StartStopHook(func() { go tracker.Run(ctx) }, cancel))
+	return tracker
+}
+
+func newGateway(settings *settings.Settings, headers dialect.Headers, board *blackboard.Board, directory *httptarget.Directory, sender *httptarget.Sender, permits *permit.Permits, rollouts *rollout.Tracker, logger *zap.Logger, metrics *metrics.Metrics) *httpcaller.Server {
 	gateway := settings.Gateway
 	server := httpcaller.NewServer(httpcaller.Options{
 		Name: settings.Name, FailureDomain: settings.FailureDomain, Region: settings.Region, Regions: gateway.Regions, Headers: headers,
-		Budget: policy.BudgetLimits{Ratio: gateway.RetryRatio, Slack: gateway.RetrySlack, Window: gateway.RetryWindow.Std()},
+		Budget:   policy.BudgetLimits{Ratio: gateway.RetryRatio, Slack: gateway.RetrySlack, Window: gateway.RetryWindow.Std()},
+		Rollouts: rollouts,
 	}, board, directory, sender, permits, logger, metrics)
 	metrics.GaugeFunc("http_requests_in_flight", "Requests of HTTP routes in progress.", func() float64 { return float64(server.InFlight()) })
 	metrics.GaugeFuncVec("retry_budget_left", "Hedges and retries that this entry may still send to a pool at this moment.", "pool", server.BudgetsLeft)
