--- a/internal/httpcaller/fleet_test.go
+++ b/internal/httpcaller/fleet_test.go
@@ -30,6 +30,7 @@
 	"gitlab.com/comfreythread/comfreythread/internal/permit"
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
 	"gitlab.com/comfreythread/comfreythread/internal/relay"
+	"gitlab.com/comfreythread/comfreythread/internal/rollout"
 	"gitlab.com/comfreythread/comfreythread/internal/standin"
 	"gitlab.com/comfreythread/comfreythread/internal/tcp"
 	"gitlab.com/comfreythread/comfreythread/pkg/duration"
@@ -54,6 +55,8 @@
 		entries  []*fleetEntry
 		targets  []*fleetTarget
 		tables   *operator.Tables
+		// reporter is the control that the entries report rollouts to, or nil if those are turned off.
+		reporter rollout.Reporter
 	}
 
 	fleetEntry struct {
@@ -75,6 +78,8 @@
 		// refuses requests, or "".
 		leaving atomic.Bool
 		pause   atomic.Pointer[string]
+		// bad answers in place of the target while its release is bad.
+		bad atomic.Pointer[http.Handler]
 
 		lock     sync.Mutex
 		arrivals []arrival
@@ -93,13 +98,20 @@
 // entry knows the targets. It must be called in a bubble.
 func newFleet(t *testing.T, entries, targets int) *fleet {
 	t.Helper()
-	fleet := &fleet{network: new(standin.Network), registry: httptarget.NewRegistry(1, zap.NewNop())}
+	return newFleetOfReleases(t, entries, make([]string, targets), nil)
+}
+
+// newFleetOfReleases is like newFleet, with a target of each of the given releases. If the reporter isn't
+// nil, rollouts are turned on.
+func newFleetOfReleases(t *testing.T, entries int, releases []string, reporter rollout.Reporter) *fleet {
+	t.Helper()
+	fleet := &fleet{network: new(standin.Network), registry: httptarget.NewRegistry(1, zap.NewNop()), reporter: reporter}
 	fleet.network.SetLatency(func(string, string) time.Duration { return time.Millisecond })
 	fleet.tables = &operator.Tables{Routes: []operator.Route{ordersRoute()}, Pools: []operator.Pool{pool("p")}}
 	fleet.tables.Routes[0].HTTP.Timeout, fleet.tables.Routes[0].HTTP.TargetLatency = duration.Of(fleetDeadline), duration.Of(fleetDeadline/4)
 	fleet.serve(t, registryAddress, fleet.registry.Register)
-	for number := range targets {
-		fleet.addTarget(t, number)
+	for number, release := range releases {
+		fleet.addTarget(t, number, release)
 	}
 	for number := range entries {
 		ip := fmt.Sprintf("10.0.1.%d", number+1)
@@ -127,7 +139,7 @@
 	t.Cleanup(peers.Stop)
 }
 
-func (fleet *fleet) addTarget(t *testing.T, number int) {
+func (fleet *fleet) addTarget(t *testing.T, number int, release string) {
 	t.Helper()
 	target := &fleetTarget{ip: targetNetwork + strconv.Itoa(number+1)}
 	listener, err := fleet.network.Listen(target.ip + ":80")
@@ -139,7 +151,7 @@
 	t.Cleanup(func() { _ = server.Close() })
 	fleet.targets = append(fleet.targets, target)
 	if err := fleet.registry.Announce(httptarget.Record{
-		ID: fmt.Sprint("target-", number+1), Pool: "p", Address: target.ip + ":80", FailureDomain: "nord-a",
+		ID: fmt.Sprint("target-", number+1), Pool: "p", Address: target.ip + ":80", FailureDomain: "nord-a", Release: release,
 		Slots: 4, State: httptarget.StateReady, StartedAt: 1, Revision: 1,
 	}); err != nil {
 		t.Fatal(err)
@@ -161,9 +173,15 @@
 	t.Cleanup(peers.Close)
 	sender := httptarget.NewSender(dialect.Default(), dial)
 	permits := permit.New(entry.member.ID, &entry.board, peers.Client, zap.NewNop(), entry.metrics)
+	var rollouts *rollout.Tracker
+	if fleet.reporter != nil {
+		rollouts = rollout.New(entry.member.ID, 1, &entry.board, fleet.reporter, zap.NewNop(), entry.metrics)
+		go rollouts.Run(ctx)
+	}
 	entry.server = httpcaller.NewServer(httpcaller.Options{
 		Name: entry.member.ID, FailureDomain: "nord-a", Region: "nord", Regions: map[string]string{"nord-a": "nord"}, Headers: dialect.Default(),
-		Budget: policy.BudgetLimits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		Budget:   policy.BudgetLimits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		Rollouts: rollouts,
 	}, &entry.board, directory, sender, permits, zap.NewNop(), entry.metrics)
 	relayed := relay.New(relay.Options{Self: entry.member.ID, FailureDomain: "nord-a", Region: "nord", Client: peers.Client}, &entry.board, directory, sender, zap.NewNop(), entry.metrics)
 	t.Cleanup(entry.server.Close)
@@ -213,6 +231,20 @@
 	ip, _, _ := net.SplitHostPort(request.RemoteAddr)
 	target.arrivals = append(target.arrivals, arrival{at: time.Now(), ip: ip})
 	target.lock.Unlock()
+	if bad := target.bad.Load(); bad != nil {
+		(*bad).ServeHTTP(writer, request)
+		return
+	}
+	target.answer(writer, request)
+}
+
+func (target *fleetTarget) setFault(fault standin.ReleaseFault) {
+	bad := fault.Handler(fleetRunTime, http.HandlerFunc(target.answer))
+	target.bad.Store(&bad)
+}
+
+func (target *fleetTarget) answer(writer http.ResponseWriter, request *http.Request) {
+	ip, _, _ := net.SplitHostPort(request.RemoteAddr)
 	time.Sleep(fleetRunTime)
 	headers := dialect.Default()
 	writer.Header().Set(headers.RequestID, request.Header.Get(headers.RequestID))
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -117,6 +117,9 @@
 		requestLog: newRequestLog(logger, metrics), metrics: metrics, requestMetrics: requestMetrics{metrics: metrics}, createdAt: time.Now(),
 	}
 	server.workers = newWorkers(server.recordPanic)
+	if options.Rollouts != nil {
+		directory.TrackReleases()
+	}
 	return server
 }
 
--- a/internal/httptarget/directory.go
+++ b/internal/httptarget/directory.go
@@ -26,6 +26,8 @@
 		ended map[string]endedStart
 		// releases holds the releases that the targets of each pool have, by pool and release.
 		releases map[string]map[string]*seenRelease
+		// tracksReleases is true if fresh releases are determined.
+		tracksReleases bool
 		// synced is true once a registry has replied.
 		synced bool
 	}
@@ -302,7 +304,9 @@
 		}
 	}
 	directory.pools = pools
-	directory.updateReleases(time.Now())
+	if directory.tracksReleases {
+		directory.updateReleases(time.Now())
+	}
 }
 
 // supersedes reports whether a target started after another one at the same
--- a/internal/httptarget/release.go
+++ b/internal/httptarget/release.go
@@ -27,6 +27,13 @@
 	}
 )
 
+// TrackReleases makes the directory determine from now on which releases are fresh.
+func (directory *Directory) TrackReleases() {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	directory.tracksReleases = true
+}
+
 // updateReleases forgets the releases that no target has any more, and determines which ones are
 // fresh. The lock must be held.
 func (directory *Directory) updateReleases(now time.Time) {
