Describe the entry side of rollouts, and turn rollouts on in the soak

The soak has no orders yet, because the operator's client for them isn't here; with rollouts turned on, restarted targets meet the rule for releases without an order.

--- a/internal/httpcaller/releases_test.go
+++ b/internal/httpcaller/releases_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -297,3 +298,34 @@
 		}
 	})
 }
+
+// Guards against a release that breaks off or never answers and yet looks like a good one, because such
+// attempts leave no evidence.
+func TestAttemptWithoutAnswerIsEvidence(t *testing.T) {
+	cases := map[string]struct {
+		handler  http.HandlerFunc
+		failures bool
+	}{
+		"broken off": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, true},
+		"hung":       {func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() }, false},
+	}
+	for name, expected := range cases {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				control := newGrantor(1)
+				fleet := newFleetOfReleases(t, 1, []string{oldRelease, newRelease}, control)
+				fleet.tables.Routes[0].NeverRepeat = true
+				bad := http.Handler(expected.handler)
+				fleet.targets[1].bad.Store(&bad)
+				fleet.setPhase(operator.PhaseTrial)
+				fleet.loadAll(1, 5*time.Second, 40)
+				time.Sleep(2 * fleetDeadline)
+				total, _ := control.totals()
+				answers, failures := countOf(total.Evidence.Cells, true)
+				if answers == 0 || answers+1 < total.Sent || (failures == answers) != expected.failures {
+					t.Errorf("of %d sends %d have an outcome, and %d failed", total.Sent, answers, failures)
+				}
+			})
+		})
+	}
+}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -28,6 +28,11 @@
 	peerPort    = 9090
 	gatewayPort = 8081
 
+	// rolloutShare, rolloutSlack and rollbackSpan are the settings of rollouts.
+	rolloutShare = 0.1
+	rolloutSlack = 50
+	rollbackSpan = 5 * time.Second
+
 	// stopSpan is the entries' stop_span setting.
 	stopSpan = 3 * time.Second
 	// stopLimit is how long a stop may take: the 30 s (reserve_span) for which a
@@ -57,6 +62,7 @@
 	return &process{binary: binary, folder: folder, settings: settings.Settings{
 		Name: name, FailureDomain: domain, Region: domain, LogLevel: "info",
 		HTTPAddress: fmt.Sprintf("%s:%d", ip, httpPort), PeerAddress: fmt.Sprintf("%s:%d", ip, peerPort), ControlReplicas: controlAddresses,
+		Rollouts: &settings.Rollouts{Share: rolloutShare, Slack: rolloutSlack, RollbackSpan: duration.Of(rollbackSpan)},
 	}}
 }
 
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -27,6 +27,8 @@
 	// recordFormat formats the pool and the record's number as a record of 16 bytes.
 	recordFormat    = "%-14s%02d"
 	recordsPerShard = 2
+	// firstRelease is the release of all targets.
+	firstRelease = "v1"
 )
 
 type (
@@ -106,7 +108,7 @@
 		standIn.lock.Lock()
 		standIn.revision++
 		announcement := &target.HTTPAnnouncement{
-			Address: standIn.proxy.address, Pool: standIn.pool, FailureDomain: standIn.domain, Slots: 4,
+			Address: standIn.proxy.address, Pool: standIn.pool, FailureDomain: standIn.domain, Release: firstRelease, Slots: 4,
 			State: standIn.state, StartedAt: standIn.startedAt, Revision: standIn.revision,
 		}
 		standIn.lock.Unlock()
