Report no unused grants, as a report gives them up

Control counts unused grants as ones that may still be spent, which these can't. The metric of an entry's grants gets a name of its own: control counts the grants that it gives.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -42,7 +42,7 @@
 		permits            *prometheus.CounterVec
 		relayedAttempts    *prometheus.CounterVec
 		rolloutAttempts    *prometheus.CounterVec
-		rolloutGrants      *prometheus.CounterVec
+		entryGrants        *prometheus.CounterVec
 		rolloutReports     *prometheus.CounterVec
 	}
 )
@@ -76,7 +76,7 @@
 		permits:            counter("permits_total", "Permits for requests to targets with a rate limit.", "result"),
 		relayedAttempts:    counter("relayed_attempts_total", "Attempts at targets of HTTP routes that this entry made through other entries.", "result"),
 		rolloutAttempts:    counter("rollout_attempts_total", "Attempts that reached targets of pools with a rollout in progress, by its phase and by whether the target has the new release.", "phase", "side"),
-		rolloutGrants:      counter("rollout_grants_total", "Grants of attempts at the new release of a rollout.", "event"),
+		entryGrants:        counter("rollout_entry_grants_total", "Grants of attempts at new releases, as this entry got and used them.", "event"),
 		rolloutReports:     counter("rollout_reports_total", "Reports of rollouts to control.", "result"),
 		directoryUnequal:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "directory_unequal_seconds", Help: "Time since the directory was last equal to a peer's."}),
 	}
@@ -86,7 +86,7 @@
 		metrics.tablesVersion, metrics.viewNumber, metrics.fenced,
 		metrics.targetsMoved, metrics.directoryChanges, metrics.directoryExchanges, metrics.directoryUnequal, metrics.logLinesLeftOut,
 		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync, metrics.missingParts, metrics.panics, metrics.targetWords, metrics.permits, metrics.relayedAttempts,
-		metrics.rolloutAttempts, metrics.rolloutGrants, metrics.rolloutReports,
+		metrics.rolloutAttempts, metrics.entryGrants, metrics.rolloutReports,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
@@ -131,9 +131,9 @@
 // side: new or other.
 func (metrics *Metrics) RolloutAttempts() *prometheus.CounterVec { return metrics.rolloutAttempts }
 
-// RolloutGrants counts the grants of attempts at the new release of a rollout by event: received, spent, or returned
+// EntryGrants counts the grants of attempts at the new releases of rollouts that this entry got, by event: received, spent, or returned
 // to control with a report.
-func (metrics *Metrics) RolloutGrants() *prometheus.CounterVec { return metrics.rolloutGrants }
+func (metrics *Metrics) EntryGrants() *prometheus.CounterVec { return metrics.entryGrants }
 
 // RolloutReports counts the reports of rollouts to control by result: received or failed.
 func (metrics *Metrics) RolloutReports() *prometheus.CounterVec { return metrics.rolloutReports }
--- a/internal/rollout/admission.go
+++ b/internal/rollout/admission.go
@@ -142,7 +142,7 @@
 			return false
 		default:
 			pool.grants--
-			admission.metrics.RolloutGrants().WithLabelValues(grantSpent).Inc()
+			admission.metrics.EntryGrants().WithLabelValues(grantSpent).Inc()
 		}
 	case operator.PhaseRolledBack:
 		return false
--- a/internal/rollout/report.go
+++ b/internal/rollout/report.go
@@ -79,23 +79,21 @@
 	return nil
 }
 
-// report returns what this entry has seen of the rollouts in progress. It returns the unused grants
-// to control: if they remained here and the reply was lost, control would count the grants of that
-// reply alone.
+// report returns what this entry has seen of the rollouts in progress. It gives up the unused grants, so
+// that the entry holds none until the reply: if they remained here and the reply was lost, control would
+// count the grants of that reply alone.
 func (tracker *Tracker) report() *control.RolloutReport {
 	report := &control.RolloutReport{Entry: tracker.entry, Incarnation: tracker.incarnation}
 	now := time.Now()
 	for name, pool := range tracker.pools() {
 		pool.lock.Lock()
 		if !pool.rollout.Phase.Final() && pool.requests+pool.sent > 0 {
-			unused := 0
 			if pool.holdsGrant(now) {
-				unused = pool.grants
+				tracker.metrics.EntryGrants().WithLabelValues(grantReturned).Add(float64(pool.grants))
 			}
-			tracker.metrics.RolloutGrants().WithLabelValues(grantReturned).Add(float64(unused))
 			pool.grants = 0
 			report.Pools = append(report.Pools, control.PoolRolloutReport{
-				Pool: name, StartedAt: pool.rollout.StartedAt, Requests: pool.requests, Sent: pool.sent, Unused: unused, Evidence: pool.evidence.copied(),
+				Pool: name, StartedAt: pool.rollout.StartedAt, Requests: pool.requests, Sent: pool.sent, Evidence: pool.evidence.copied(),
 			})
 		}
 		pool.lock.Unlock()
@@ -114,6 +112,6 @@
 	pool.advance(granted.Phase, "", fromReply)
 	if granted.Phase == operator.PhaseTrial && pool.rollout.Phase == operator.PhaseTrial && granted.Grants > 0 {
 		pool.grants, pool.grantsUntil = granted.Grants, askedAt.Add(granted.ValidFor)
-		tracker.metrics.RolloutGrants().WithLabelValues(grantReceived).Add(float64(granted.Grants))
+		tracker.metrics.EntryGrants().WithLabelValues(grantReceived).Add(float64(granted.Grants))
 	}
 }
