--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -44,6 +44,9 @@
 		rolloutAttempts    *prometheus.CounterVec
 		entryGrants        *prometheus.CounterVec
 		rolloutReports     *prometheus.CounterVec
+		rolloutOrders      *prometheus.CounterVec
+		rolloutPhases      *prometheus.CounterVec
+		rolloutGrants      prometheus.Counter
 	}
 )
 
@@ -78,6 +81,9 @@
 		rolloutAttempts:    counter("rollout_attempts_total", "Attempts that reached targets of pools with a rollout in progress, by its phase and by whether the target has the new release.", "phase", "side"),
 		entryGrants:        counter("rollout_entry_grants_total", "Grants of attempts at new releases, as this entry got and used them.", "event"),
 		rolloutReports:     counter("rollout_reports_total", "Reports of rollouts to control.", "result"),
+		rolloutOrders:      counter("rollout_orders_total", "Orders of rollouts, by what became of them.", "outcome"),
+		rolloutPhases:      counter("rollout_phases_total", "Phases that rollouts entered after the first.", "phase"),
+		rolloutGrants:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "rollout_grants_total", Help: "Grants of requests to new releases that entries got."}),
 		directoryUnequal:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "directory_unequal_seconds", Help: "Time since the directory was last equal to a peer's."}),
 	}
 	metrics.registry.MustRegister(
@@ -87,6 +93,7 @@
 		metrics.targetsMoved, metrics.directoryChanges, metrics.directoryExchanges, metrics.directoryUnequal, metrics.logLinesLeftOut,
 		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync, metrics.missingParts, metrics.panics, metrics.targetWords, metrics.permits, metrics.relayedAttempts,
 		metrics.rolloutAttempts, metrics.entryGrants, metrics.rolloutReports,
+		metrics.rolloutOrders, metrics.rolloutPhases, metrics.rolloutGrants,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
@@ -138,6 +145,16 @@
 // RolloutReports counts the reports of rollouts to control by result: received or failed.
 func (metrics *Metrics) RolloutReports() *prometheus.CounterVec { return metrics.rolloutReports }
 
+// RolloutOrders counts the orders of rollouts that this replica handled as leader, by outcome: started, resent,
+// conflict or refused.
+func (metrics *Metrics) RolloutOrders() *prometheus.CounterVec { return metrics.rolloutOrders }
+
+// RolloutPhases counts the phase changes of rollouts that this replica made as leader, by the phase entered.
+func (metrics *Metrics) RolloutPhases() *prometheus.CounterVec { return metrics.rolloutPhases }
+
+// RolloutGrants counts the grants of requests to new releases that this replica gave as leader.
+func (metrics *Metrics) RolloutGrants() prometheus.Counter { return metrics.rolloutGrants }
+
 // DroppedAnswers counts dropped answers, by reason: for example late, damaged, or for another
 // attempt.
 func (metrics *Metrics) DroppedAnswers() *prometheus.CounterVec { return metrics.droppedAnswers }
