--- a/internal/rollout/admission.go
+++ b/internal/rollout/admission.go
@@ -8,6 +8,7 @@
 
 	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
+	"gitlab.com/comfreythread/comfreythread/internal/policy"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
@@ -199,7 +200,7 @@
 	case failed:
 		cell.Failures++
 	case !cold:
-		cell.Latencies[latencyBucket(latency)]++
+		cell.Latencies[policy.RolloutLatencyBucket(latency)]++
 		if !cell.New {
 			pool.evidence.learnUsual(admission.route, locality, latency)
 		}
@@ -226,6 +227,6 @@
 	}
 	cell.Answers++
 	if !cold {
-		cell.Latencies[latencyBucket(elapsed)]++
+		cell.Latencies[policy.RolloutLatencyBucket(elapsed)]++
 	}
 }
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -19,9 +18,6 @@
 	overdueFactor = 3
 	// usualDivisor is the inverse of a sample's weight in the usual latency.
 	usualDivisor = 8
-	// firstBucket is the upper bound of the first latency bucket, as policy.RolloutLatencyBuckets
-	// describes it.
-	firstBucket = time.Millisecond
 )
 
 type (
@@ -81,12 +77,3 @@
 	})
 	return result
 }
-
-// latencyBucket returns the index of the bucket of a latency.
-func latencyBucket(latency time.Duration) int {
-	if latency <= firstBucket {
-		return 0
-	}
-	bucket := math.Ceil(2 * math.Log2(float64(latency)/float64(firstBucket)))
-	return min(policy.RolloutLatencyBuckets-1, int(bucket))
-}
