Order rollouts of good and bad releases in the soak

The targets of a pool of their own change their release again and again. The soak checks that no bad release is completed, gets more requests than its share and slack, or gets any long after its 50th failure.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -56,6 +56,7 @@
 	found = append(found, record.checkHarmfulRuns()...)
 	found = append(found, record.checkRetryBudgets()...)
 	found = append(found, record.checkLimits()...)
+	found = append(found, record.checkRollouts()...)
 	return append(found, record.checkVersions()...)
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
 const (
@@ -51,6 +53,54 @@
 	}
 }
 
+// releaseRecord returns a valid record of a rollout of the release v2, to which every twentieth of 2000
+// requests went, with the given fault.
+func releaseRecord(fault releaseFault) *record {
+	record := &record{rollouts: []rollout{{release: "v2", fault: fault, ordered: start, phase: operator.PhaseRolledBack}}}
+	for number := range 2000 {
+		run := targetRun{id: strconv.Itoa(number), pool: releasePool, release: "v1", at: start.Add(time.Duration(number) * time.Millisecond)}
+		if number%20 == 0 {
+			run.release, run.failed = "v2", fault.failureShare > 0
+		}
+		record.runs = append(record.runs, run)
+	}
+	return record
+}
+
+// Guards against a check of rollouts that finds nothing, and against one that reports good releases.
+func TestRolloutChecks(t *testing.T) {
+	lateRun := func(record *record) {
+		record.runs = append(record.runs, targetRun{id: "late", pool: releasePool, release: "v2", at: start.Add(8 * time.Second)})
+	}
+	manyRuns := func(record *record) {
+		for number := range record.runs[:400] {
+			record.runs[number].release = "v2"
+		}
+	}
+	complete := func(record *record) { record.rollouts[0].phase = operator.PhaseCompleted }
+	bad := releaseFault{failureShare: 1}
+	for name, test := range map[string]struct {
+		fault   releaseFault
+		change  func(record *record)
+		message string
+	}{
+		"nothing":         {bad, func(*record) {}, ""},
+		"late run":        {bad, lateRun, "after the 50. failure"},
+		"many runs":       {releaseFault{slowFactor: 2}, manyRuns, "are allowed"},
+		"completed":       {bad, complete, "was completed"},
+		"good, late run":  {releaseFault{}, lateRun, ""},
+		"good, many runs": {releaseFault{}, manyRuns, ""},
+		"good, completed": {releaseFault{}, complete, ""},
+	} {
+		record := releaseRecord(test.fault)
+		test.change(record)
+		found := strings.Join(record.checkRollouts(), "; ")
+		if (found == "") != (test.message == "") || !strings.Contains(found, test.message) {
+			t.Errorf("%s: found %q, not %q", name, found, test.message)
+		}
+	}
+}
+
 // TestEachCheckDetectsItsViolation puts one violation at a time into a valid record.
 func TestEachCheckDetectsItsViolation(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -29,6 +29,8 @@
 	routeSearch = "search"
 	routeOrder  = "order"
 	routeRead   = "read"
+	// routeRelease is the route of the pool whose releases change.
+	routeRelease = "release"
 	// routeHarmful is the route whose requests crash every target that runs them.
 	routeHarmful = "harmful"
 
@@ -55,11 +57,12 @@
 	}
 	search := newRoute(routeSearch, false)
 	search.Pool, search.HTTP.Gather = "", &operator.Gather{Top: topRecords, MinimumCoverage: 0.5}
-	result := operator.Tables{Routes: []operator.Route{search, newRoute(routeOrder, true), newRoute(routeRead, false), newRoute(routeHarmful, false), newRoute(versionRoute(declared), false)}}
+	result := operator.Tables{Routes: []operator.Route{search, newRoute(routeOrder, true), newRoute(routeRead, false), newRoute(routeHarmful, false), newRoute(versionRoute(declared), false), newRoute(routeRelease, false)}}
+	result.Routes[len(result.Routes)-1].Pool = releasePool
 	for shard := range shards {
 		result.Routes[0].HTTP.Gather.Pools = append(result.Routes[0].HTTP.Gather.Pools, shardPool(shard))
 	}
-	for _, name := range append([]string{orderPool}, result.Routes[0].HTTP.Gather.Pools...) {
+	for _, name := range append([]string{orderPool, releasePool}, result.Routes[0].HTTP.Gather.Pools...) {
 		result.Pools = append(result.Pools, operator.Pool{Name: name, Connections: 60, HTTP: &operator.HTTPPool{}})
 	}
 	return result
@@ -77,7 +80,7 @@
 func (soak *soak) runCaller(ctx context.Context, entry, caller int) {
 	client := &http.Client{Timeout: callerTimeout, Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
-	routes := []string{routeSearch, routeOrder, routeRead}
+	routes := []string{routeSearch, routeOrder, routeRead, routeRelease}
 	for number := 0; ctx.Err() == nil; number++ {
 		route := routes[number%len(routes)]
 		sent := soak.sendRequest(client, entry, route, fmt.Sprintf("%s-%d-%d-%d", route, entry, caller, number))
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -32,6 +32,9 @@
 	targetRun struct {
 		id, pool, target, proof string
 		at                      time.Time
+		// failed is true if the target answered with an error, and release is the target's.
+		failed  bool
+		release string
 	}
 
 	// outage is a period in which an entry was stopping as planned, or had a fault.
@@ -70,6 +73,7 @@
 		limits          []targetLimit
 		acknowledgments []acknowledgment
 		versionReads    []versionRead
+		rollouts        []rollout
 		failures        []string
 	}
 )
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
 const (
@@ -73,10 +75,13 @@
 		soak.entries = append(soak.entries, entry)
 	}
 	for _, pool := range tables(0).Pools {
+		if pool.Name == releasePool {
+			continue // its targets are started with each release
+		}
 		for _, domain := range domains {
 			last := 21 + len(soak.targets)
 			proxy := &proxy{address: fmt.Sprintf("%s:%d", ip(last), httpPort), upstreamAddress: fmt.Sprintf("%s:%d", ip(last), gatewayPort)}
-			soak.targets = append(soak.targets, &standIn{id: pool.Name + "." + domain, pool: pool.Name, domain: domain, proxy: proxy, record: &soak.record, controlAddresses: httpAddresses})
+			soak.targets = append(soak.targets, &standIn{id: pool.Name + "." + domain, pool: pool.Name, domain: domain, release: firstRelease, proxy: proxy, record: &soak.record, controlAddresses: httpAddresses})
 		}
 	}
 	return soak
@@ -111,6 +116,8 @@
 	faultContext, stopFaults := context.WithTimeout(ctx, length)
 	limits := rand.New(rand.NewPCG(soak.seed, 3))
 	load.Go(func() { soak.limitTargets(faultContext, limits) })
+	releases := rand.New(rand.NewPCG(soak.seed, 4))
+	load.Go(func() { soak.changeReleases(loadContext, faultContext, releases) })
 	soak.injectFaults(faultContext, random)
 	stopFaults()
 	soak.note("faults are over")
@@ -248,6 +255,15 @@
 			refused++
 		}
 	}
-	return fmt.Sprintf("%d requests: %d answered, %d refused as not run; %d runs, %d versions acknowledged, %d read", len(soak.record.requests), answered, refused,
-		len(soak.record.runs), len(soak.record.acknowledgments), len(soak.record.versionReads))
+	completed, bad := 0, 0
+	for _, ended := range soak.record.rollouts {
+		if ended.phase == operator.PhaseCompleted {
+			completed++
+		}
+		if ended.fault.isBad() {
+			bad++
+		}
+	}
+	return fmt.Sprintf("%d requests: %d answered, %d refused as not run; %d runs, %d versions acknowledged, %d read, %d rollouts, %d completed, %d of bad releases", len(soak.record.requests), answered, refused,
+		len(soak.record.runs), len(soak.record.acknowledgments), len(soak.record.versionReads), len(soak.record.rollouts), completed, bad)
 }
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,7 +28,7 @@
 	// recordFormat formats the pool and the record's number as a record of 16 bytes.
 	recordFormat    = "%-14s%02d"
 	recordsPerShard = 2
-	// firstRelease is the release of all targets.
+	// firstRelease is the release of all targets at the start.
 	firstRelease = "v1"
 )
 
@@ -50,6 +51,9 @@
 		state     target.HTTPState
 		// failing makes the target answer each run with an error.
 		failing bool
+		// release is the release of the target, and fault what is wrong with it.
+		release string
+		fault   releaseFault
 		// limit is the number of requests a second that the target names as its limit, or 0.
 		limit float64
 		// runCount is the number of runs so far, which makes each proof unique.
@@ -108,7 +112,7 @@
 		standIn.lock.Lock()
 		standIn.revision++
 		announcement := &target.HTTPAnnouncement{
-			Address: standIn.proxy.address, Pool: standIn.pool, FailureDomain: standIn.domain, Release: firstRelease, Slots: 4,
+			Address: standIn.proxy.address, Pool: standIn.pool, FailureDomain: standIn.domain, Release: standIn.release, Slots: 4,
 			State: standIn.state, StartedAt: standIn.startedAt, Revision: standIn.revision,
 		}
 		standIn.lock.Unlock()
@@ -134,17 +138,18 @@
 	standIn.lock.Lock()
 	standIn.runCount++
 	proof := fmt.Sprintf("%s/%s/%s/%d/%d", standIn.pool, standIn.id, id, standIn.startedAt, standIn.runCount)
-	failing := standIn.failing
+	failing := standIn.failing || rand.Float64() < standIn.fault.failureShare
+	span := time.Duration(max(1, standIn.fault.slowFactor)) * runDuration
 	if standIn.limit > 0 {
 		writer.Header().Set(headers.Limit, strconv.FormatFloat(standIn.limit, 'f', 1, 64))
 	}
 	standIn.lock.Unlock()
-	standIn.record.addRun(targetRun{id: id, pool: standIn.pool, target: standIn.id, proof: proof, at: time.Now()})
+	standIn.record.addRun(targetRun{id: id, pool: standIn.pool, target: standIn.id, proof: proof, at: time.Now(), failed: failing, release: standIn.release})
 	if strings.HasPrefix(id, routeHarmful) {
 		go standIn.restart(crashDowntime)
 		panic(http.ErrAbortHandler) // a crash closes the connection without an answer
 	}
-	time.Sleep(runDuration)
+	time.Sleep(span)
 	if failing {
 		writer.WriteHeader(http.StatusInternalServerError)
 		return
