--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -22,6 +22,7 @@
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
 	"gitlab.com/comfreythread/comfreythread/internal/permit"
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
+	"gitlab.com/comfreythread/comfreythread/internal/rollout"
 	"gitlab.com/comfreythread/comfreythread/internal/settings"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
@@ -63,6 +64,8 @@
 		Budget  policy.BudgetLimits
 		// Revocation defines how keys are treated without contact with control.
 		Revocation settings.Revocation
+		// Rollouts is nil if rollouts are turned off.
+		Rollouts *rollout.Tracker
 	}
 
 	// Server forwards requests of HTTP routes. Create it with NewServer.
@@ -122,6 +125,9 @@
 		requestLog: newRequestLog(logger, metrics), metrics: metrics, requestMetrics: requestMetrics{metrics: metrics}, createdAt: time.Now(),
 	}
 	server.workers = newWorkers(server.recordPanic)
+	if options.Rollouts != nil {
+		directory.TrackReleases()
+	}
 	return server
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -43,6 +43,9 @@
 		allotments         *prometheus.CounterVec
 		relayedAttempts    *prometheus.CounterVec
 		tenantRequests     *prometheus.CounterVec
+		rolloutAttempts    *prometheus.CounterVec
+		entryGrants        *prometheus.CounterVec
+		rolloutReports     *prometheus.CounterVec
 		rolloutOrders      *prometheus.CounterVec
 		rolloutPhases      *prometheus.CounterVec
 		rolloutGrants      prometheus.Counter
@@ -79,6 +82,9 @@
 		allotments:         counter("allotments_total", "Requests of tenants with a rate, by what was decided and how.", "result", "way"),
 		relayedAttempts:    counter("relayed_attempts_total", "Attempts at targets of HTTP routes that this entry made through other entries.", "result"),
 		tenantRequests:     counter("tenant_requests_total", "Requests of HTTP routes by tenant; those with the lowest rates together as other.", "tenant", "outcome"),
+		rolloutAttempts:    counter("rollout_attempts_total", "Attempts that reached targets of pools with a rollout in progress, by its phase and by whether the target has the new release.", "phase", "side"),
+		entryGrants:        counter("rollout_entry_grants_total", "Grants of attempts at new releases, as this entry got and used them.", "event"),
+		rolloutReports:     counter("rollout_reports_total", "Reports of rollouts to control.", "result"),
 		rolloutOrders:      counter("rollout_orders_total", "Orders of rollouts, by what became of them.", "outcome"),
 		rolloutPhases:      counter("rollout_phases_total", "Phases that rollouts entered after the first.", "phase"),
 		rolloutGrants:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "rollout_grants_total", Help: "Grants of requests to new releases that entries got."}),
@@ -90,6 +96,7 @@
 		metrics.tablesVersion, metrics.viewNumber, metrics.fenced,
 		metrics.targetsMoved, metrics.directoryChanges, metrics.directoryExchanges, metrics.directoryUnequal, metrics.logLinesLeftOut,
 		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync, metrics.missingParts, metrics.panics, metrics.targetWords, metrics.permits, metrics.allotments, metrics.relayedAttempts, metrics.tenantRequests,
+		metrics.rolloutAttempts, metrics.entryGrants, metrics.rolloutReports,
 		metrics.rolloutOrders, metrics.rolloutPhases, metrics.rolloutGrants,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -139,6 +146,17 @@
 // are counted together as other.
 func (metrics *Metrics) TenantRequests() *prometheus.CounterVec { return metrics.tenantRequests }
 
+// RolloutAttempts counts the attempts that reached targets of pools with a rollout in progress, by phase and by
+// side: new or other.
+func (metrics *Metrics) RolloutAttempts() *prometheus.CounterVec { return metrics.rolloutAttempts }
+
+// EntryGrants counts the grants of attempts at the new releases of rollouts that this entry got, by event: received, spent, or returned
+// to control with a report.
+func (metrics *Metrics) EntryGrants() *prometheus.CounterVec { return metrics.entryGrants }
+
+// RolloutReports counts the reports of rollouts to control by result: received or failed.
+func (metrics *Metrics) RolloutReports() *prometheus.CounterVec { return metrics.rolloutReports }
+
 // RolloutOrders counts the orders of rollouts that this replica handled as leader, by outcome: started, resent,
 // conflict or refused.
 func (metrics *Metrics) RolloutOrders() *prometheus.CounterVec { return metrics.rolloutOrders }
