--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -95,6 +95,8 @@
 		// availableAt is when the first of the targets may be asked that were left out, because they
 		// pause or their rate limits have no room; zero if none was.
 		availableAt time.Time
+		// releases is the part of the dispatch that rollouts decide on.
+		releases releases
 		// lastFailure is why the latest attempt that failed gave no part, as a label value.
 		lastFailure string
 	}
@@ -139,6 +141,7 @@
 		call: call, pool: pool, repeatable: !call.route.NeverRepeat,
 		softDeadline: call.startedAt.Add(softDeadline), hardDeadline: hardDeadline,
 	}
+	dispatch.releases.admission = call.server.options.Rollouts.Begin(pool, call.route.Kind)
 	dispatch.outcomes = make(chan finishedAttempt, maximumAttempts)
 	dispatch.rankTargets()
 	return dispatch
@@ -148,6 +151,7 @@
 func (dispatch *dispatch) rankTargets() {
 	call := dispatch.call
 	dispatch.targets, dispatch.candidates, dispatch.next, dispatch.availableAt = nil, nil, 0, time.Time{}
+	dispatch.releases = releases{admission: dispatch.releases.admission}
 	now := time.Now()
 	for _, target := range call.server.directory.Pool(dispatch.pool) {
 		if !call.isEligible(target) || slices.Contains(dispatch.possibleRunners, target) {
@@ -163,10 +167,12 @@
 			}
 			continue
 		}
+		dispatch.releases.anyFresh = dispatch.releases.anyFresh || condition.Fresh
 		dispatch.targets = append(dispatch.targets, target)
 		dispatch.candidates = append(dispatch.candidates, dispatch.candidate(target, &condition))
 	}
 	dispatch.order = policy.Rank(dispatch.candidates, randomNumbers(len(dispatch.candidates)))
+	dispatch.arrange()
 }
 
 // isEligible reports whether the tables allow sending requests of this route and tenant to target.
@@ -434,6 +440,7 @@
 // rankUntried ranks the remaining targets again by their current condition.
 func (dispatch *dispatch) rankUntried() {
 	now := time.Now()
+	dispatch.restoreOmitted()
 	untried := dispatch.order[dispatch.next:]
 	candidates := make([]policy.Candidate, len(untried))
 	for position, index := range untried {
@@ -446,6 +453,7 @@
 		ranked[position] = untried[chosen]
 	}
 	copy(untried, ranked)
+	dispatch.arrange()
 }
 
 // mayAttempt reports whether another attempt is allowed by the route and the time left,
@@ -490,7 +498,9 @@
 		return false
 	}
 	if dispatch.next > 0 {
-		dispatch.rankUntried()
+		if dispatch.rankUntried(); dispatch.next >= len(dispatch.order) {
+			return false
+		}
 	}
 	server := dispatch.call.server
 	pool := dispatch.call.routeIndex.routes.Pool(dispatch.pool)
@@ -499,7 +509,7 @@
 			return false
 		}
 	}
-	target := dispatch.targets[dispatch.order[dispatch.next]]
+	target, sending := dispatch.targets[dispatch.order[dispatch.next]], dispatch.newSending(dispatch.order[dispatch.next])
 	dispatch.lock.Lock()
 	dispatch.sentAttempts = append(dispatch.sentAttempts, sentAttempt{target: target.ID(), elapsed: time.Since(dispatch.call.startedAt), expectedLatency: dispatch.candidates[dispatch.order[dispatch.next]].ExpectedLatency(), trigger: trigger})
 	dispatch.lock.Unlock()
@@ -509,6 +519,7 @@
 	dispatch.possibleRuns++
 	dispatch.possibleRunners = append(dispatch.possibleRunners, target)
 	dispatch.inFlight++
+	dispatch.arrange()
 	dispatch.call.attempts.Add(1)
 	server.requestMetrics.countAttempt(dispatch.pool, trigger)
 	limit := server.connectionLimit(pool, target)
@@ -522,7 +533,7 @@
 			outcome = &httptarget.Refused{Reason: httptarget.Limited}
 			return
 		}
-		outcome = server.sender.Send(ctx, target, &dispatch.call.request, dispatch.hardDeadline, limit)
+		outcome = dispatch.send(ctx, sending, limit)
 		server.requestMetrics.observeAttempt(server.locality(target.FailureDomain()), outcome, time.Since(startedAt))
 	})
 	return true
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -22,6 +22,7 @@
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
 	"gitlab.com/comfreythread/comfreythread/internal/permit"
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
+	"gitlab.com/comfreythread/comfreythread/internal/rollout"
 	"gitlab.com/comfreythread/comfreythread/internal/settings"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
@@ -63,6 +64,8 @@
 		Budget  policy.BudgetLimits
 		// Revocation defines how keys are treated without contact with control.
 		Revocation settings.Revocation
+		// Rollouts is nil if rollouts are turned off.
+		Rollouts *rollout.Tracker
 	}
 
 	// Server forwards requests of HTTP routes. Create it with NewServer.
@@ -115,6 +118,8 @@
 		// stalledChanged is notified when one begins to wait; nil if nobody is interested.
 		stalledDispatches atomic.Int64
 		stalledChanged    chan struct{}
+		// reservedFor is the name of the tenant whose allotment counts the request, or "".
+		reservedFor string
 	}
 )
 
@@ -126,6 +131,9 @@
 		requestLog: newRequestLog(logger, metrics), metrics: metrics, requestMetrics: requestMetrics{metrics: metrics}, createdAt: time.Now(),
 	}
 	server.workers = newWorkers(server.recordPanic)
+	if options.Rollouts != nil {
+		directory.TrackReleases()
+	}
 	return server
 }
 
@@ -210,6 +218,10 @@
 		call.refuse(writer, policy.Harmful)
 		return
 	}
+	if refused, retryAfter := call.reserve(call.tenant); refused {
+		call.refuseOverAllotment(writer, retryAfter)
+		return
+	}
 	call.forward(writer)
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -40,8 +40,15 @@
 		panics             prometheus.Counter
 		targetWords        *prometheus.CounterVec
 		permits            *prometheus.CounterVec
+		allotments         *prometheus.CounterVec
 		relayedAttempts    *prometheus.CounterVec
 		tenantRequests     *prometheus.CounterVec
+		rolloutAttempts    *prometheus.CounterVec
+		entryGrants        *prometheus.CounterVec
+		rolloutReports     *prometheus.CounterVec
+		rolloutOrders      *prometheus.CounterVec
+		rolloutPhases      *prometheus.CounterVec
+		rolloutGrants      prometheus.Counter
 	}
 )
 
@@ -72,8 +79,15 @@
 		panics:             prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "panics_total", Help: "Tasks of requests and calls of peers that hit a defect of the program."}),
 		targetWords:        counter("target_words_total", "What targets of HTTP routes said of themselves in answers.", "word"),
 		permits:            counter("permits_total", "Permits for requests to targets with a rate limit.", "result"),
+		allotments:         counter("allotments_total", "Requests of tenants with a rate, by what was decided and how.", "result", "way"),
 		relayedAttempts:    counter("relayed_attempts_total", "Attempts at targets of HTTP routes that this entry made through other entries.", "result"),
 		tenantRequests:     counter("tenant_requests_total", "Requests of HTTP routes by tenant; those with the lowest rates together as other.", "tenant", "outcome"),
+		rolloutAttempts:    counter("rollout_attempts_total", "Attempts that reached targets of pools with a rollout in progress, by its phase and by whether the target has the new release.", "phase", "side"),
+		entryGrants:        counter("rollout_entry_grants_total", "Grants of attempts at new releases, as this entry got and used them.", "event"),
+		rolloutReports:     counter("rollout_reports_total", "Reports of rollouts to control.", "result"),
+		rolloutOrders:      counter("rollout_orders_total", "Orders of rollouts, by what became of them.", "outcome"),
+		rolloutPhases:      counter("rollout_phases_total", "Phases that rollouts entered after the first.", "phase"),
+		rolloutGrants:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "rollout_grants_total", Help: "Grants of requests to new releases that entries got."}),
 		directoryUnequal:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "directory_unequal_seconds", Help: "Time since the directory was last equal to a peer's."}),
 	}
 	metrics.registry.MustRegister(
@@ -81,7 +95,9 @@
 		metrics.queueWait, metrics.slotsInUse, metrics.coverage, metrics.latency,
 		metrics.tablesVersion, metrics.viewNumber, metrics.fenced,
 		metrics.targetsMoved, metrics.directoryChanges, metrics.directoryExchanges, metrics.directoryUnequal, metrics.logLinesLeftOut,
-		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync, metrics.missingParts, metrics.panics, metrics.targetWords, metrics.permits, metrics.relayedAttempts, metrics.tenantRequests,
+		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync, metrics.missingParts, metrics.panics, metrics.targetWords, metrics.permits, metrics.allotments, metrics.relayedAttempts, metrics.tenantRequests,
+		metrics.rolloutAttempts, metrics.entryGrants, metrics.rolloutReports,
+		metrics.rolloutOrders, metrics.rolloutPhases, metrics.rolloutGrants,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
@@ -118,6 +134,10 @@
 // or refused, by the target's home or, as granted_separately and refused_separately, by this entry without it.
 func (metrics *Metrics) Permits() *prometheus.CounterVec { return metrics.permits }
 
+// Allotments counts the requests of tenants with a rate, by result (granted or refused) and way: by credit, the word
+// of the tenant's home from before; asked, the home's reply; or separate, this entry's own part without the home.
+func (metrics *Metrics) Allotments() *prometheus.CounterVec { return metrics.allotments }
+
 // RelayedAttempts counts the attempts that this entry made through other entries because it had no link to the
 // target, by result.
 func (metrics *Metrics) RelayedAttempts() *prometheus.CounterVec { return metrics.relayedAttempts }
@@ -126,6 +146,27 @@
 // are counted together as other.
 func (metrics *Metrics) TenantRequests() *prometheus.CounterVec { return metrics.tenantRequests }
 
+// RolloutAttempts counts the attempts that reached targets of pools with a rollout in progress, by phase and by
+// side: new or other.
+func (metrics *Metrics) RolloutAttempts() *prometheus.CounterVec { return metrics.rolloutAttempts }
+
+// EntryGrants counts the grants of attempts at the new releases of rollouts that this entry got, by event: received, spent, or returned
+// to control with a report.
+func (metrics *Metrics) EntryGrants() *prometheus.CounterVec { return metrics.entryGrants }
+
+// RolloutReports counts the reports of rollouts to control by result: received or failed.
+func (metrics *Metrics) RolloutReports() *prometheus.CounterVec { return metrics.rolloutReports }
+
+// RolloutOrders counts the orders of rollouts that this replica handled as leader, by outcome: started, resent,
+// conflict or refused.
+func (metrics *Metrics) RolloutOrders() *prometheus.CounterVec { return metrics.rolloutOrders }
+
+// RolloutPhases counts the phase changes of rollouts that this replica made as leader, by the phase entered.
+func (metrics *Metrics) RolloutPhases() *prometheus.CounterVec { return metrics.rolloutPhases }
+
+// RolloutGrants counts the grants of requests to new releases that this replica gave as leader.
+func (metrics *Metrics) RolloutGrants() prometheus.Counter { return metrics.rolloutGrants }
+
 // DroppedAnswers counts dropped answers, by reason: for example late, damaged, or for another
 // attempt.
 func (metrics *Metrics) DroppedAnswers() *prometheus.CounterVec { return metrics.droppedAnswers }
