--- a/internal/httpcaller/limits.go
+++ b/internal/httpcaller/limits.go
@@ -5,20 +5,17 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
 	"gitlab.com/comfreythread/comfreythread/internal/permit"
+	"gitlab.com/comfreythread/comfreythread/internal/policy"
 	"gitlab.com/comfreythread/comfreythread/internal/web"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
 const (
-	// remoteConnections is the number of connections that each entry may open to a
-	// target of another failure domain: one idle connection and one more. The rest is
-	// reserved for the entries in the target's own failure domain, which send it most
-	// of its requests.
-	remoteConnections = 2
 	// maximumDeferral bounds how long a target is left out for another entry's word that its limit
 	// has no room.
 	maximumDeferral = 4 * time.Second
@@ -29,6 +26,31 @@
 	// set no limit. It is longer than callers usually keep connections open, so that
 	// few requests arrive while the connection is being closed.
 	defaultIdleTimeout = 2 * time.Minute
+	// sharedBudgetPrefix distinguishes the names of budgets from the IDs of targets, whose permits are
+	// counted in the same way.
+	sharedBudgetPrefix = "budget:"
+	// maximumDeniedBudgets bounds the budgets that are remembered as used up.
+	maximumDeniedBudgets = 8192
+)
+
+type (
+	// sharedBudgets holds until when budgets that all entries share have no room. The zero value works.
+	sharedBudgets struct {
+		lock        sync.Mutex
+		deniedUntil map[sharedBudgetKey]time.Time
+	}
+
+	// entriesByPlace counts the entries of one view.
+	entriesByPlace struct {
+		view               uint64
+		total              int
+		byDomain, byRegion map[string]int
+	}
+
+	sharedBudgetKey struct {
+		pool  string
+		hedge bool
+	}
 )
 
 // Limits returns the timeouts for callers that the tables in force set.
@@ -47,11 +69,12 @@
 	return limits
 }
 
-// ConnectionLimit returns the number of connections that this entry may open to a target.
+// ConnectionLimit returns the number of connections that this entry may open to a target; 0 means that
+// it uses those of another entry.
 func (server *Server) ConnectionLimit(target *httptarget.Target) int {
 	routeIndex := server.currentRouteIndex()
 	if routeIndex == nil {
-		return remoteConnections
+		return policy.ConnectionLimit(0, policy.OtherRegion, policy.EntryCounts{})
 	}
 	return server.connectionLimit(routeIndex.routes.Pool(target.Pool()), target)
 }
@@ -59,17 +82,39 @@
 // connectionLimit returns the number of connections that this entry may open to a
 // target of a pool.
 func (server *Server) connectionLimit(pool *operator.Pool, target *httptarget.Target) int {
-	if pool == nil || target.FailureDomain() != server.options.FailureDomain {
-		return remoteConnections
-	}
-	localEntries := 0
-	members := server.board.Membership().View().Members
-	for index := range members {
-		if members[index].FailureDomain == target.FailureDomain() {
-			localEntries++
+	connections := 0
+	if pool != nil {
+		connections = pool.Connections
+	}
+	return policy.ConnectionLimit(connections, server.localityOf(target.FailureDomain()), server.countEntries(target.FailureDomain()))
+}
+
+// countEntries counts the entries by their place as seen from a failure domain.
+func (server *Server) countEntries(domain string) policy.EntryCounts {
+	view := server.board.Membership().View()
+	counted := server.entriesByPlace.Load()
+	if counted == nil || counted.view != view.Number || counted.total != len(view.Members) {
+		counted = &entriesByPlace{view: view.Number, total: len(view.Members), byDomain: map[string]int{}, byRegion: map[string]int{}}
+		for index := range view.Members {
+			counted.byDomain[view.Members[index].FailureDomain]++
+			counted.byRegion[server.options.Regions[view.Members[index].FailureDomain]]++
 		}
+		server.entriesByPlace.Store(counted)
+	}
+	inDomain, inRegion := counted.byDomain[domain], counted.byRegion[server.options.Regions[domain]]
+	return policy.EntryCounts{Domain: inDomain, Region: inRegion - inDomain, Other: counted.total - inRegion}
+}
+
+// localityOf returns where a failure domain is, as seen from this entry.
+func (server *Server) localityOf(domain string) policy.Locality {
+	switch server.locality(domain) {
+	case localityDomain:
+		return policy.SameDomain
+	case localityRegion:
+		return policy.SameRegion
+	case localityFar:
 	}
-	return max(remoteConnections, (pool.Connections-remoteConnections*(len(members)-localEntries))/max(1, localEntries))
+	return policy.OtherRegion
 }
 
 // acquirePermit reports whether a request may be sent to a target, whose rate limit holds for all
@@ -91,6 +136,38 @@
 	return granted
 }
 
+// spendSharedBudget charges a hedge or retry to the part of a pool's budget that is counted for all entries
+// together, and reports whether it is allowed. A pool that had no room isn't asked for before there is some.
+func (server *Server) spendSharedBudget(ctx context.Context, pool string, isHedge bool) bool {
+	perSecond, burst, shared := server.options.Budget.SharedSlack(server.entryCount())
+	if !shared || !server.sharedBudgets.mayAsk(pool, isHedge, time.Now()) {
+		return false
+	}
+	granted, wait := server.permits.Acquire(ctx, &permit.Demand{TargetID: sharedBudgetPrefix + pool, PerSecond: perSecond, Burst: burst, Hedge: isHedge})
+	if !granted {
+		wait = min(max(0, wait), maximumDeferral)
+		server.sharedBudgets.deny(pool, isHedge, time.Now().Add(time.Duration((0.5+rand.Float64())*float64(wait))))
+	}
+	return granted
+}
+
+// mayAsk reports whether a pool's budget may have room at a time.
+func (sharedBudgets *sharedBudgets) mayAsk(pool string, isHedge bool, now time.Time) bool {
+	sharedBudgets.lock.Lock()
+	defer sharedBudgets.lock.Unlock()
+	return !now.Before(sharedBudgets.deniedUntil[sharedBudgetKey{pool: pool, hedge: isHedge}])
+}
+
+// deny records that a pool's budget has no room before a time.
+func (sharedBudgets *sharedBudgets) deny(pool string, isHedge bool, until time.Time) {
+	sharedBudgets.lock.Lock()
+	defer sharedBudgets.lock.Unlock()
+	if sharedBudgets.deniedUntil == nil || len(sharedBudgets.deniedUntil) >= maximumDeniedBudgets {
+		sharedBudgets.deniedUntil = map[sharedBudgetKey]time.Time{}
+	}
+	sharedBudgets.deniedUntil[sharedBudgetKey{pool: pool, hedge: isHedge}] = until
+}
+
 // coldRate returns the number of requests a second that all entries together may send to a target of
 // a pool in cold start. Zero means no limit.
 func coldRate(pool *operator.Pool) float64 {
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -76,6 +76,7 @@
 		sender         *httptarget.Sender
 		permits        *permit.Permits
 		budgets        *policy.Budgets
+		sharedBudgets  sharedBudgets
 		requestLog     *requestLog
 		metrics        *metrics.Metrics
 		requestMetrics requestMetrics
@@ -83,6 +84,7 @@
 		workers        *workers
 
 		cachedRouteIndex atomic.Pointer[routeIndex]
+		entriesByPlace   atomic.Pointer[entriesByPlace]
 		inFlight         atomic.Int64
 		stopping         atomic.Bool
 	}
@@ -112,6 +114,10 @@
 		fingerprint blackboard.Fingerprint
 		// answered is true if a target has answered the request.
 		answered atomic.Bool
+		// stalledDispatches counts the dispatches that wait without an attempt in progress, and
+		// stalledChanged is notified when one begins to wait; nil if nobody is interested.
+		stalledDispatches atomic.Int64
+		stalledChanged    chan struct{}
 		// reservedFor is the name of the tenant whose allotment counts the request, or "".
 		reservedFor string
 	}
