Admit the first request of a tenant at an entry without asking its home

An entry that has had no request of a tenant for a window admits one, and a home whose bucket becomes low tells all entries to ask.

--- a/internal/permit/account.go
+++ b/internal/permit/account.go
@@ -92,6 +92,8 @@
 		perSecond float64
 		// charged is what was counted for entries that couldn't be told to ask, since the bucket became low.
 		charged float64
+		// alerted is true if all entries have been told to ask since the bucket became low.
+		alerted bool
 		// started is true once no other entry counts the tenant's requests any more.
 		started bool
 		holders map[string]*holder
@@ -129,7 +131,7 @@
 				// The home asks itself each time, at no cost.
 				counted.holders[received.Entry].credit = 0
 			}
-			for entry, credit := range counted.revoke(time.Now()) {
+			for entry, credit := range counted.revoke(permits.board.Membership().View().Members, time.Now()) {
 				if revoked[entry] == nil {
 					revoked[entry] = map[string]int{}
 				}
@@ -171,13 +173,22 @@
 }
 
 // revoke takes the credit from all entries if the bucket is low, and returns the credits of those that have to
-// be told, by entry.
-func (account *account) revoke(now time.Time) map[string]int {
+// be told, by entry. Once for each time that the bucket becomes low, these are all entries, because each may have
+// a first credit.
+func (account *account) revoke(members []membership.Member, now time.Time) map[string]int {
 	if account.started && !account.allotment.Low(now) {
-		account.charged = 0
+		account.charged, account.alerted = 0, false
 		return nil
 	}
 	credits := map[string]int{}
+	if account.started && !account.alerted {
+		account.alerted = true
+		for index := range members {
+			if account.holders[members[index].ID] == nil {
+				credits[members[index].ID] = firstCredit
+			}
+		}
+	}
 	for entry, holder := range account.holders {
 		if holder.credit > 0 && now.Before(holder.creditUntil) {
 			credits[entry] = holder.credit
--- a/internal/permit/allotment.go
+++ b/internal/permit/allotment.go
@@ -32,6 +32,9 @@
 	// entry that the home couldn't tell to ask goes on admitting; a tenant whose requests come to an entry
 	// less often has to wait for the home's reply there.
 	creditSpan = 10 * time.Minute
+	// firstCredit is the credit of an entry that has had no request of a tenant for a window. Without it, each
+	// first request would wait for the home's reply, from another region after opening a connection.
+	firstCredit = 1
 	// creditMargin is how much longer the home assumes that a credit lasts.
 	creditMargin = 5 * time.Second
 	// unsureHomeRetries and unsureHomeDelay bound how long an entry waits for an agreement on who is the
@@ -345,8 +348,14 @@
 	permits.lock.Lock()
 	defer permits.lock.Unlock()
 	for _, tenant := range revocation.Tenants {
-		if used := permits.usages[tenant]; used != nil && used.home == revocation.Home {
-			used.credit, used.revokedOrder = 0, max(used.revokedOrder, revocation.Order)
+		home, found := permits.tenantHome(tenant)
+		if !found || home.ID != revocation.Home {
+			continue
+		}
+		used := permits.usage(tenant, &home)
+		used.credit, used.revokedOrder = 0, max(used.revokedOrder, revocation.Order)
+		if used.usedAt.IsZero() {
+			used.usedAt = time.Now()
 		}
 	}
 }
@@ -430,11 +439,32 @@
 		permits.usages[tenant] = used
 	}
 	if !used.countedBy(home) {
+		now := time.Now()
+		lastUsedAt := used.usedAt
 		*used = usage{home: home.ID, incarnation: home.Incarnation, session: rand.Uint64(), separate: used.separate, separateAt: used.separateAt}
+		if now.Sub(lastUsedAt) >= permits.limits.Window && permits.mayUseFirstCredit(tenant, now) {
+			used.credit, used.creditFrom = firstCredit, now
+		}
 	}
 	return used
 }
 
+// mayUseFirstCredit reports whether an entry may admit the first request of a tenant in a while before the home
+// has counted anything of it. After a restart of all entries, only so many do that as the tolerance covers.
+func (permits *Permits) mayUseFirstCredit(tenant string, now time.Time) bool {
+	if now.Sub(permits.createdAt) >= 2*permits.limits.Window {
+		return true
+	}
+	tables, _ := permits.board.InForce().Tables()
+	for index := range tables.Tenants {
+		if limited := &tables.Tenants[index]; limited.Name == tenant {
+			covered := policy.AllotmentFirstCredits(permits.limits.Tolerance(limited.RatePerSecond, max(0, limited.Burst)))
+			return rand.Float64()*float64(max(1, len(permits.board.Membership().View().Members))) < covered
+		}
+	}
+	return false
+}
+
 func (used *usage) countedBy(home *membership.Member) bool {
 	return used.home == home.ID && used.incarnation == home.Incarnation
 }
--- a/internal/policy/allotment.go
+++ b/internal/policy/allotment.go
@@ -29,6 +29,9 @@
 	// allotmentCreditSpan is the time for which one entry may send at the tenant's rate before its
 	// report has been answered: a batch of reports and a round trip between regions.
 	allotmentCreditSpan = 100 * time.Millisecond
+	// allotmentFirstShare is the share of the tolerance that entries may use which have just started and haven't
+	// heard of a home.
+	allotmentFirstShare = 0.5
 	// minimumTolerance is the tolerance below which entries always ask, because one request that
 	// isn't counted yet at each of a few entries would exceed it.
 	minimumTolerance = 5
@@ -62,6 +65,12 @@
 	return limits.Overage*(perSecond*limits.Window.Seconds()+burst) + limits.Slack
 }
 
+// AllotmentFirstCredits returns how many entries that have just started may admit one request before the home has
+// counted anything.
+func AllotmentFirstCredits(tolerance float64) float64 {
+	return allotmentFirstShare * tolerance
+}
+
 // SeparateRate returns the rate to pass to SeparateLimit.Take for an allotment. The limit draws separateShare
 // of it for all entries together, which stays below allotmentSeparateShare of the tolerance in a window.
 func (limits *AllotmentLimits) SeparateRate(perSecond, burst float64) float64 {
