Refuse commands that need a feature level until all replicas have shown it

Replicas show the level of their build in replies to the leader and register it with the generation of their disk. Tables with tenants are sent by a method that older builds lack, because these would drop the tenants. A call goes on past replicas of older builds that lack its method.

--- a/internal/control/batcher.go
+++ b/internal/control/batcher.go
@@ -28,6 +28,8 @@
 	// commands as one log entry.
 	batcher struct {
 		propose func(ctx context.Context, command []byte) ([]byte, error)
+		// check returns the reason to refuse a command before it is queued.
+		check func(command command) error
 		// window is how long a batch waits for further commands before it is proposed.
 		window time.Duration
 		// maximumInFlight is the maximum number of batches in flight.
@@ -51,6 +53,9 @@
 
 // submit queues a command and returns its result after the command is durable and applied.
 func (batcher *batcher) submit(ctx context.Context, command command) (*result, error) {
+	if err := batcher.check(command); err != nil {
+		return nil, err
+	}
 	submission := &submission{command: command, done: make(chan struct{})}
 	if err := batcher.enqueue(submission); err != nil {
 		return nil, err
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -184,7 +184,11 @@
 
 // Change changes the tables. Sending it again with the same change ID is safe.
 func (client *Client) Change(ctx context.Context, change *operator.Change) (*operator.ChangeReply, error) {
-	return call[operator.Change, operator.ChangeReply](ctx, client, MethodChange, change, attemptTimeout)
+	method := MethodChange
+	if requiredLevel(changeTables{Change: *change}) > 0 {
+		method = MethodLeveledChange
+	}
+	return call[operator.Change, operator.ChangeReply](ctx, client, method, change, attemptTimeout)
 }
 
 // SetDomainOut takes a failure domain out of service or puts it back.
@@ -264,9 +268,13 @@
 			return orEmpty(response.Body), nil
 		case err == nil:
 			leaderNamed = response.Leader != ""
-			lastErr = errors.Errorf("the replica at %s doesn't lead", peer.Address())
+			if !isUnavailable(lastErr) {
+				lastErr = errors.Errorf("the replica at %s doesn't lead", peer.Address())
+			}
 			client.chooseNextPeer(index, response.Leader)
-		case isFinal(err):
+		case isFinal(err) && !frame.IsUnknownMethod(err, method):
+			// A replica of an older build that lacks the method may be followed by a newer one that
+			// leads.
 			return nil, err
 		default:
 			lastErr = errors.Wrap(err, "ask the replica at "+peer.Address())
@@ -276,7 +284,7 @@
 			break
 		}
 	}
-	return nil, fault.New(fault.Unavailable, fmt.Sprintf("no control replica answered as leader; the last attempt: %s", lastErr),
+	return nil, fault.New(fault.Unavailable, fmt.Sprintf("no control replica accepted the call as leader; the last error: %s", lastErr),
 		"check that a quorum of control VMs is up and reachable, then try again")
 }
 
@@ -293,6 +301,13 @@
 	return body
 }
 
+// isUnavailable reports whether the error is the reason of a replica, which says more than that
+// another replica doesn't lead.
+func isUnavailable(err error) bool {
+	var typed *fault.Error
+	return errors.As(err, &typed) && typed.Kind == fault.Unavailable
+}
+
 // isFinal reports whether the error is one that every replica would return, so that a retry is
 // pointless.
 func isFinal(err error) bool {
--- a/internal/control/fake_replica_test.go
+++ b/internal/control/fake_replica_test.go
@@ -64,6 +64,15 @@
 	return fake.group.leaderSince
 }
 
+func (fake *fakeReplica) FeatureLevel() int {
+	fake.group.lock.Lock()
+	defer fake.group.lock.Unlock()
+	if fake.group.leader != fake.number {
+		return 0
+	}
+	return fake.group.featureLevel
+}
+
 func (fake *fakeReplica) AwaitLeader(context.Context) string { return "" }
 
 func (fake *fakeReplica) Status() replica.Status { return replica.Status{} }
--- a/internal/control/leases_test.go
+++ b/internal/control/leases_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+	"gitlab.com/comfreythread/comfreythread/internal/replica"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
@@ -27,13 +28,15 @@
 type (
 	// group is a replicated log whose replicas may freeze before and after each call.
 	group struct {
-		lock             sync.Mutex
-		random           *rand.Rand
-		faultsEnded      bool
-		log              [][]byte
-		term             uint64
-		leader           int
-		leaderSince      time.Time
+		lock        sync.Mutex
+		random      *rand.Rand
+		faultsEnded bool
+		log         [][]byte
+		term        uint64
+		leader      int
+		leaderSince time.Time
+		// featureLevel is the lowest feature level of the replicas as the leader knows it.
+		featureLevel     int
 		startedProcesses uint64
 		replicas         []*fakeReplica
 	}
@@ -55,7 +58,7 @@
 }
 
 func newGroup(seed uint64) *group {
-	group := &group{random: rand.New(rand.NewPCG(seed, 1)), leader: -1}
+	group := &group{random: rand.New(rand.NewPCG(seed, 1)), leader: -1, featureLevel: replica.LevelRollouts}
 	for number := range 3 {
 		fake := &fakeReplica{group: group, number: number, state: &State{}}
 		fake.service = NewService(fake, fake.state)
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -14,6 +14,9 @@
 	MethodRenew = "control.renew"
 	// MethodChange changes the tables.
 	MethodChange = "control.change"
+	// MethodLeveledChange changes the tables like MethodChange. Changes that need a feature level are
+	// sent by it, because builds without feature levels would drop a part of them and lack the method.
+	MethodLeveledChange = "control.leveled_change"
 	// MethodTables reads one version of the tables.
 	MethodTables = "control.tables"
 	// MethodStatus reads the status of control.
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -55,6 +55,9 @@
 		// LeadingSince returns the time since which this replica has led without interruption; it
 		// is zero if the replica doesn't lead.
 		LeadingSince() time.Time
+		// FeatureLevel returns the lowest feature level of all replicas of the group, as far as
+		// this replica knows as the leader; it is 0 if this replica doesn't lead.
+		FeatureLevel() int
 		// AwaitLeader returns the leader's peer address once one is known, or "" if ctx ends first.
 		AwaitLeader(ctx context.Context) string
 		// Status returns the state of the replica group as seen by this replica.
@@ -94,11 +97,12 @@
 
 // NewService returns the service of a control replica with the given log and state.
 func NewService(log Log, state *State) *Service {
+	checkLevel := func(command command) error { return checkFeatureLevel(log, command) }
 	return &Service{
 		log: log, state: state,
-		ledgerBatcher: batcher{propose: log.Propose, maximumInFlight: 1, maximumBatchSize: maximumBatch},
-		viewBatcher:   batcher{propose: log.Propose, maximumInFlight: maximumViewEditsInFlight, maximumBatchSize: maximumBatch, window: viewWindow},
-		changeBatcher: batcher{propose: log.Propose, maximumInFlight: maximumChangesInFlight, maximumBatchSize: 1},
+		ledgerBatcher: batcher{propose: log.Propose, check: checkLevel, maximumInFlight: 1, maximumBatchSize: maximumBatch},
+		viewBatcher:   batcher{propose: log.Propose, check: checkLevel, maximumInFlight: maximumViewEditsInFlight, maximumBatchSize: maximumBatch, window: viewWindow},
+		changeBatcher: batcher{propose: log.Propose, check: checkLevel, maximumInFlight: maximumChangesInFlight, maximumBatchSize: 1},
 	}
 }
 
@@ -106,6 +110,7 @@
 func (service *Service) Register(server *frame.Server) {
 	handle(server, service.log, MethodRenew, service.renew)
 	handle(server, service.log, MethodChange, service.change)
+	handle(server, service.log, MethodLeveledChange, service.change)
 	handle(server, service.log, MethodTables, service.tables)
 	handle(server, service.log, MethodStatus, service.status)
 	handle(server, service.log, MethodGrant, service.grant)
--- a/internal/frame/server.go
+++ b/internal/frame/server.go
@@ -205,7 +205,7 @@
 	method, found := server.methods[call.Method]
 	server.lock.Unlock()
 	if !found {
-		_ = link.write(&message{Type: typeReply, CallID: call.CallID, Fault: fault.New(fault.NotFound, "method "+call.Method+" is unknown", "run the same release on all VMs and give the peer the right role")})
+		_ = link.write(&message{Type: typeReply, CallID: call.CallID, Fault: fault.New(fault.NotFound, unknownMethodMessage(call.Method), "run the same release on all VMs and give the peer the right role")})
 		return
 	}
 	ctx, admitted := calls.begin(call)
@@ -303,3 +303,14 @@
 		delete(callTable.cancels, callID)
 	}
 }
+
+// IsUnknownMethod reports whether a call failed because the peer's build lacks the method. Builds of
+// other releases recognize the fault by its kind and message, so neither may change.
+func IsUnknownMethod(err error, method string) bool {
+	var typed *fault.Error
+	return errors.As(err, &typed) && typed.Kind == fault.NotFound && typed.Message == unknownMethodMessage(method)
+}
+
+func unknownMethodMessage(method string) string {
+	return "method " + method + " is unknown"
+}
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -74,6 +74,9 @@
 		// latest ones registered by other replicas.
 		Generation      diskGeneration            `msgpack:"b"`
 		PeerGenerations map[string]diskGeneration `msgpack:"o"`
+		// PeerLevels are the feature levels that other replicas registered with their generations.
+		// A replica that isn't listed has level 0.
+		PeerLevels map[string]int `msgpack:"l,omitempty"`
 	}
 
 	// diskGeneration identifies how recent a disk is. Its number grows at each start and at regular
@@ -108,8 +111,10 @@
 	core struct {
 		id      string
 		address string
-		sizes   sizes
-		peers   []string
+		// level is the feature level of this replica's build.
+		level int
+		sizes sizes
+		peers []string
 		// joinOnly replicas never bootstrap a group. selfManaged groups need no operator to add
 		// newcomers and to replace members that have been unreachable for long.
 		joinOnly    bool
@@ -392,7 +397,7 @@
 
 func (core *core) recordHardState() {
 	hard := core.hardState
-	hard.PeerGenerations = maps.Clone(core.PeerGenerations)
+	hard.PeerGenerations, hard.PeerLevels = maps.Clone(core.PeerGenerations), maps.Clone(core.PeerLevels)
 	core.out.hard = &hard
 }
 
--- a/internal/replica/durable.go
+++ b/internal/replica/durable.go
@@ -31,6 +31,9 @@
 
 func (core *core) statusOf(member member) MemberStatus {
 	status := MemberStatus{ID: member.ID, Address: member.Address, Voter: member.Voter}
+	if core.role == roleLeader {
+		status.Level = core.memberLevel(member.ID)
+	}
 	switch {
 	case member.ID == core.id:
 		status.Match = core.durable
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -179,6 +179,23 @@
 func ipFromAddress(address string) string { return address[:len(address)-len(":90")] }
 
 var _ = ginkgo.Describe("a group of replicas", func() {
+	// An order of a rollout would otherwise be refused for as long as the VM of a killed leader is down.
+	ginkgo.It("knows its feature level under a new leader while the old one is down", func() {
+		withGroup(3, 12*time.Millisecond, func(expect gomega.Gomega, group *group) {
+			first := group.propose("one")
+			time.Sleep(time.Second)
+			for address, replica := range group.replicas {
+				expect.Expect(replica.FeatureLevel() > 0).To(gomega.Equal(address == first), address)
+			}
+			// Within this time each replica registers its level with a new generation of its disk.
+			time.Sleep(10 * time.Second)
+			group.crash(first)
+			second := group.propose("two")
+			time.Sleep(time.Second)
+			expect.Expect(group.replicas[second].FeatureLevel()).To(gomega.Equal(replica.LevelRollouts))
+		})
+	})
+
 	ginkgo.It("replicates commands, follows a new leader after a planned stop, and reports the leader", func() {
 		withGroup(3, 12*time.Millisecond, func(expect gomega.Gomega, group *group) {
 			first := group.propose("one")
--- a/internal/replica/install.go
+++ b/internal/replica/install.go
@@ -79,18 +79,18 @@
 // already committed here, or this part completes the snapshot.
 func (core *core) receiveInstall(now time.Time, envelope *envelope, request *installRequest) {
 	if request.Term < core.Term || request.Term == core.Term && core.role == roleLeader {
-		core.sendAfterSync(envelope.from, envelope.fromAddress, appendReply{Term: core.Term, RequestTerm: request.Term, Rejected: true, Last: core.log.lastIndex(), Stamp: request.Stamp})
+		core.sendAfterSync(envelope.from, envelope.fromAddress, appendReply{Term: core.Term, RequestTerm: request.Term, Rejected: true, Last: core.log.lastIndex(), Stamp: request.Stamp, Level: core.level})
 		return
 	}
 	core.follow(now, request.Term, envelope.from, envelope.fromAddress)
 	core.resetElectionTimer(now)
-	reply := installReply{Term: core.Term, RequestTerm: request.Term, Index: request.Snapshot.Index, Stamp: request.Stamp}
+	reply := installReply{Term: core.Term, RequestTerm: request.Term, Index: request.Snapshot.Index, Stamp: request.Stamp, Level: core.level}
 	incoming := &core.incoming
 	if incoming.from != envelope.from || incoming.leaderTerm != request.Term || incoming.index != request.Snapshot.Index {
 		*incoming = incomingSnapshot{from: envelope.from, leaderTerm: request.Term, index: request.Snapshot.Index}
 	}
 	if request.Snapshot.Index <= core.commit {
-		core.sendAfterSync(envelope.from, envelope.fromAddress, appendReply{Term: core.Term, RequestTerm: request.Term, Match: request.Snapshot.Index, Last: core.log.lastIndex(), Stamp: request.Stamp})
+		core.sendAfterSync(envelope.from, envelope.fromAddress, appendReply{Term: core.Term, RequestTerm: request.Term, Match: request.Snapshot.Index, Last: core.log.lastIndex(), Stamp: request.Stamp, Level: core.level})
 		return
 	}
 	if request.Offset == len(incoming.data) {
@@ -98,7 +98,7 @@
 		if request.Done {
 			core.install(request, incoming.data)
 			*incoming = incomingSnapshot{}
-			core.sendAfterSync(envelope.from, envelope.fromAddress, appendReply{Term: core.Term, RequestTerm: request.Term, Match: request.Snapshot.Index, Last: core.log.lastIndex(), Stamp: request.Stamp})
+			core.sendAfterSync(envelope.from, envelope.fromAddress, appendReply{Term: core.Term, RequestTerm: request.Term, Match: request.Snapshot.Index, Last: core.log.lastIndex(), Stamp: request.Stamp, Level: core.level})
 			return
 		}
 	}
@@ -141,7 +141,7 @@
 		return
 	}
 	progress := core.progressOf(envelope.from)
-	progress.acknowledgedStamp = max(progress.acknowledgedStamp, reply.Stamp)
+	progress.recordReply(reply.Stamp, reply.Level)
 	if progress.sendingSnapshot == nil || progress.sendingSnapshot.Index != reply.Index || reply.Offset > len(progress.sendingSnapshot.Data) {
 		return
 	}
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -149,7 +149,7 @@
 func (core *core) sendGeneration() {
 	for _, member := range core.members() {
 		if member.ID != core.id {
-			core.sendAfterSync(member.ID, member.Address, generationReport{Generation: core.Generation})
+			core.sendAfterSync(member.ID, member.Address, generationReport{Generation: core.Generation, Level: core.level})
 		}
 	}
 }
@@ -162,6 +162,7 @@
 			core.PeerGenerations = map[string]diskGeneration{}
 		}
 		core.PeerGenerations[envelope.from] = report.Generation
+		core.registerLevel(envelope.from, report.Level)
 		core.recordHardState()
 	}
 	core.sendAfterSync(envelope.from, envelope.fromAddress, reply)
--- a/internal/replica/message.go
+++ b/internal/replica/message.go
@@ -30,6 +30,8 @@
 	// generationReport registers the generation of the sender's disk.
 	generationReport struct {
 		Generation diskGeneration `msgpack:"m"`
+		// Level is the feature level of the sender.
+		Level int `msgpack:"v,omitempty"`
 	}
 
 	// generationReply returns the reported generation, so that a late reply is recognised.
@@ -92,6 +94,8 @@
 		// Last is the last index of the replica's log.
 		Last  uint64        `msgpack:"l"`
 		Stamp time.Duration `msgpack:"s"`
+		// Level is the feature level of the replica.
+		Level int `msgpack:"v,omitempty"`
 	}
 
 	// installRequest carries the part of a snapshot that begins at the byte Offset.
@@ -111,6 +115,8 @@
 		// Offset is the number of bytes received so far.
 		Offset int           `msgpack:"o"`
 		Stamp  time.Duration `msgpack:"s"`
+		// Level is the feature level of the replica.
+		Level int `msgpack:"v,omitempty"`
 	}
 
 	// timeoutNow asks a replica to stand for election at once.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -86,6 +86,8 @@
 	publishedState struct {
 		status       Status
 		leadingSince time.Time
+		// featureLevel is the lowest feature level of the group's members if this replica leads.
+		featureLevel int
 		// leaderChanged is closed once a state with another leader is published.
 		leaderChanged chan struct{}
 	}
@@ -180,6 +182,12 @@
 	return replica.published.Load().leadingSince
 }
 
+// FeatureLevel returns the lowest feature level of all replicas of the group, as far as this replica
+// knows as the leader; it is 0 if the replica doesn't lead.
+func (replica *Replica) FeatureLevel() int {
+	return replica.published.Load().featureLevel
+}
+
 // AwaitLeader returns the leader's peer address once this replica knows a leader, or "" if ctx ends
 // or the replica stops first.
 func (replica *Replica) AwaitLeader(ctx context.Context) string {
--- a/internal/replica/replication.go
+++ b/internal/replica/replication.go
@@ -26,7 +26,9 @@
 		// acknowledgedStamp is the stamp of the latest message that was answered, zero if there is none.
 		// matchStamp is the stamp of the last message sent before the reply that set match.
 		acknowledgedStamp time.Duration
-		matchStamp        time.Duration
+		// level is the replica's feature level in the reply to that message.
+		level      int
+		matchStamp time.Duration
 		// sendingSnapshot is the snapshot being sent, or nil.
 		sendingSnapshot *snapshot
 		snapshotOffset  int
@@ -164,12 +166,12 @@
 
 func (core *core) receiveAppend(now time.Time, envelope *envelope, request *appendRequest) {
 	if request.Term < core.Term || request.Term == core.Term && core.role == roleLeader {
-		core.sendAfterSync(envelope.from, envelope.fromAddress, appendReply{Term: core.Term, RequestTerm: request.Term, Rejected: true, Last: core.log.lastIndex(), Stamp: request.Stamp})
+		core.sendAfterSync(envelope.from, envelope.fromAddress, appendReply{Term: core.Term, RequestTerm: request.Term, Rejected: true, Last: core.log.lastIndex(), Stamp: request.Stamp, Level: core.level})
 		return
 	}
 	core.follow(now, request.Term, envelope.from, envelope.fromAddress)
 	core.resetElectionTimer(now)
-	reply := appendReply{Term: core.Term, RequestTerm: request.Term, Stamp: request.Stamp, Match: request.Prev + uint64(len(request.Entries))}
+	reply := appendReply{Term: core.Term, RequestTerm: request.Term, Stamp: request.Stamp, Match: request.Prev + uint64(len(request.Entries)), Level: core.level}
 	prev, prevTerm, entries := request.Prev, request.PrevTerm, request.Entries
 	if prev < core.commit {
 		// Committed entries are equal in every leader's log.
@@ -228,7 +230,7 @@
 		return
 	}
 	progress := core.progressOf(envelope.from)
-	progress.acknowledgedStamp = max(progress.acknowledgedStamp, reply.Stamp)
+	progress.recordReply(reply.Stamp, reply.Level)
 	if reply.Rejected {
 		core.backtrack(member, progress, reply)
 	} else {
--- a/internal/replica/replies.go
+++ b/internal/replica/replies.go
@@ -89,7 +89,7 @@
 		LeaderID: core.leaderID, LeaderAddress: core.leaderPeerAddress, Applied: core.applied,
 	}}
 	if leading {
-		published.leadingSince = core.leadingSince
+		published.leadingSince, published.featureLevel = core.leadingSince, core.featureLevel()
 	}
 	for _, member := range core.members() {
 		published.status.Replicas = append(published.status.Replicas, core.statusOf(member))
@@ -101,6 +101,9 @@
 		defer close(previous.leaderChanged)
 	}
 	driver.replica.published.Store(published)
+	if published.featureLevel != previous.featureLevel && leading && previous.status.Leading {
+		driver.replica.options.Logger.Info("feature level of the group", zap.Int("from", previous.featureLevel), zap.Int("to", published.featureLevel))
+	}
 	driver.logGroupChange(&previous.status, &published.status)
 }
 
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -27,5 +27,7 @@
 		// entries that it lacks. Only the leader knows them for other replicas.
 		Match uint64
 		Lag   uint64
+		// Level is the feature level of the replica's build. Only the leader knows it.
+		Level int
 	}
 )
