--- a/Makefile
+++ b/Makefile
@@ -77,3 +77,21 @@
 soak: SEED := $(if $(filter file,$(origin SEED)),$(shell date +%s),$(SEED))
 soak: build
 	$(GO) run ./internal/soak --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS) --span $(MINUTES)m
+
+OLD ?= 96531af
+OLD_SOURCE = $(or $(TMPDIR),/tmp)/comfreythread-$(OLD)
+GOLDEN_PACKAGES = control entry frame httptarget permit relay replica
+
+.PHONY: golden old-source
+# Takes the source of an earlier build from the repository's history.
+old-source:
+	rm -rf $(OLD_SOURCE)
+	mkdir -p $(OLD_SOURCE)
+	git archive $(OLD) | tar -x -C $(OLD_SOURCE)
+
+# Writes the fixtures of the messages and stored types of build OLD.
+golden: old-source
+	cp -r internal/golden $(OLD_SOURCE)/internal/
+	$(foreach package,$(GOLDEN_PACKAGES),cp internal/$(package)/golden_test.go $(OLD_SOURCE)/internal/$(package)/;)
+	cd $(OLD_SOURCE) && $(GO) test -p 2 $(addprefix ./internal/,$(GOLDEN_PACKAGES)) -count=1 -run '^TestEncodingOf$(OLD)$$' -golden-write
+	$(foreach package,$(GOLDEN_PACKAGES),mkdir -p internal/$(package)/testdata/golden && cp $(OLD_SOURCE)/internal/$(package)/testdata/golden/$(OLD).txt internal/$(package)/testdata/golden/;)
