--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -199,24 +199,27 @@
 // open.
 func fillParts(value reflect.Value, name string, depth int) {
 	kind := value.Kind()
-	switch {
-	case kind == reflect.Pointer:
+	if kind == reflect.Pointer {
 		value.Set(reflect.New(value.Type().Elem()))
 		fill(value.Elem(), name, depth)
-	case kind == reflect.Slice:
+	}
+	if kind == reflect.Slice {
 		value.Set(reflect.MakeSlice(value.Type(), 1, 1))
 		fill(value.Index(0), name, depth)
-	case kind == reflect.Array:
+	}
+	if kind == reflect.Array {
 		for index := range value.Len() {
 			fill(value.Index(index), fmt.Sprint(name, index), depth)
 		}
-	case kind == reflect.Map:
+	}
+	if kind == reflect.Map {
 		key, element := reflect.New(value.Type().Key()).Elem(), reflect.New(value.Type().Elem()).Elem()
 		fill(key, name, depth)
 		fill(element, name, depth)
 		value.Set(reflect.MakeMap(value.Type()))
 		value.SetMapIndex(key, element)
-	case kind == reflect.Struct:
+	}
+	if kind == reflect.Struct {
 		for index := range value.NumField() {
 			if field := value.Type().Field(index); field.IsExported() {
 				fill(value.Field(index), field.Name, depth)
