--- a/Makefile
+++ b/Makefile
@@ -95,3 +95,11 @@
 	$(foreach package,$(GOLDEN_PACKAGES),cp internal/$(package)/golden_test.go $(OLD_SOURCE)/internal/$(package)/;)
 	cd $(OLD_SOURCE) && $(GO) test -p 2 $(addprefix ./internal/,$(GOLDEN_PACKAGES)) -count=1 -run '^TestEncodingOf$(OLD)$$' -golden-write
 	$(foreach package,$(GOLDEN_PACKAGES),mkdir -p internal/$(package)/testdata/golden && cp $(OLD_SOURCE)/internal/$(package)/testdata/golden/$(OLD).txt internal/$(package)/testdata/golden/;)
+
+.PHONY: upgrade
+# Runs processes of build OLD and of this one beside each other: under faults, and with rolling restarts
+# from one to the other and back.
+upgrade: SEED := $(if $(filter file,$(origin SEED)),$(shell date +%s),$(SEED))
+upgrade: build old-source
+	cd $(OLD_SOURCE) && $(GO) build -o $(CURDIR)/bin/comfreythread-$(OLD) ./cmd/comfreythread
+	$(GO) run ./internal/soak --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS) --span $(MINUTES)m --old-binary bin/comfreythread-$(OLD)
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -166,6 +166,9 @@
 	if err := service.log.Confirm(ctx); err != nil {
 		return nil, err
 	}
+	if err := checkFeatureLevel(service.log, changeTables{Change: *change}); err != nil {
+		return nil, err
+	}
 	change.DryRun = false
 	version, err := service.state.CheckChange(change)
 	if err != nil {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -125,6 +125,11 @@
 func (soak *soak) stopEntry(entry int, paused time.Duration) {
 	soak.entryLocks[entry].Lock()
 	defer soak.entryLocks[entry].Unlock()
+	soak.stopAndStartEntry(entry, paused)
+}
+
+// stopAndStartEntry does the work of stopEntry while the entry's lock is held.
+func (soak *soak) stopAndStartEntry(entry int, paused time.Duration) {
 	stopped := soak.entries[entry]
 	soak.record.recordOutage(entry, true, func() {
 		stopped.signal(syscall.SIGTERM)
@@ -179,6 +184,11 @@
 func (soak *soak) stopControl(number int) {
 	soak.controlLocks[number].Lock()
 	defer soak.controlLocks[number].Unlock()
+	soak.stopAndStartControl(number)
+}
+
+// stopAndStartControl does the work of stopControl while the replica's lock is held.
+func (soak *soak) stopAndStartControl(number int) {
 	soak.controls[number].signal(syscall.SIGTERM)
 	if !soak.controls[number].awaitExit(stopLimit) {
 		soak.record.addFailure(fmt.Sprintf("control %d didn't stop within %s", number, stopLimit))
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -27,6 +27,7 @@
 			&cli.IntFlag{Name: "jobs", Value: 1, Usage: "number of concurrent soaks, with six processes each"},
 			&cli.DurationFlag{Name: "span", Value: time.Minute, Usage: "time during which faults are injected for each seed"},
 			&cli.StringFlag{Name: "binary", Value: "bin/comfreythread", Usage: "path of the comfreythread program"},
+			&cli.StringFlag{Name: "old-binary", Usage: "path of the program of an earlier build, which every process runs at first and changes from and to"},
 			&cli.StringFlag{Name: "folder", Value: "soak-logs", Usage: "folder for the logs of failed seeds"},
 		},
 		Action: soakSeeds,
@@ -44,6 +45,12 @@
 	if err != nil {
 		return err
 	}
+	oldBinary := command.String("old-binary")
+	if oldBinary != "" {
+		if oldBinary, err = filepath.Abs(oldBinary); err != nil {
+			return err
+		}
+	}
 	seeds := make(chan uint64)
 	var jobs sync.WaitGroup
 	var lock sync.Mutex
@@ -51,7 +58,7 @@
 	for range command.Int("jobs") {
 		jobs.Go(func() {
 			for seed := range seeds {
-				if soakSeed(ctx, seed, binary, command.String("folder"), command.Duration("span"), command.Root().Writer) {
+				if soakSeed(ctx, seed, binary, oldBinary, command.String("folder"), command.Duration("span"), command.Root().Writer) {
 					continue
 				}
 				lock.Lock()
@@ -73,7 +80,7 @@
 
 // soakSeed runs the soak of one seed and reports whether all promises held. It keeps the folder
 // of a failed seed.
-func soakSeed(ctx context.Context, seed uint64, binary, folder string, length time.Duration, output io.Writer) bool {
+func soakSeed(ctx context.Context, seed uint64, binary, oldBinary, folder string, length time.Duration, output io.Writer) bool {
 	folder = filepath.Join(folder, fmt.Sprint("seed-", seed))
 	if err := os.RemoveAll(folder); err != nil {
 		_, _ = fmt.Fprintln(output, err)
@@ -90,6 +97,7 @@
 	}
 	defer func() { _ = notes.Close() }()
 	soak := newSoak(seed, binary, folder, notes)
+	soak.useOldBuild(oldBinary)
 	violations := soak.run(ctx, length)
 	for _, violation := range violations {
 		soak.note("VIOLATION %s", violation)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -38,6 +38,9 @@
 		newestDeclared atomic.Uint64
 		faultsRunning  sync.WaitGroup
 		started        time.Time
+		// newBinary and oldBinary are the programs of the two builds that processes change between;
+		// oldBinary is empty if there is one build only.
+		newBinary, oldBinary string
 
 		// Locks are acquired in this order, and those of an array by ascending index.
 		diskLock     sync.Mutex
@@ -57,7 +60,7 @@
 // addresses depend on the process ID and the seed, so that concurrent soaks don't share them.
 func newSoak(seed uint64, binary, folder string, notes io.Writer) *soak {
 	number := os.Getpid()*16 + int(seed%16)
-	soak := &soak{seed: seed, addressPrefix: fmt.Sprintf("127.%d.%d.", 1+number%250, number/250%250), notes: notes, started: time.Now()}
+	soak := &soak{seed: seed, addressPrefix: fmt.Sprintf("127.%d.%d.", 1+number%250, number/250%250), notes: notes, started: time.Now(), newBinary: binary}
 	ip := func(last int) string { return fmt.Sprint(soak.addressPrefix, last) }
 	var peerAddresses, httpAddresses []string
 	for number := range domainCount {
@@ -111,8 +114,11 @@
 	faultContext, stopFaults := context.WithTimeout(ctx, length)
 	limits := rand.New(rand.NewPCG(soak.seed, 3))
 	load.Go(func() { soak.limitTargets(faultContext, limits) })
+	rolls := rand.New(rand.NewPCG(soak.seed, 4))
+	load.Go(func() { soak.changeBuilds(faultContext, rolls) })
 	soak.injectFaults(faultContext, random)
 	stopFaults()
+	soak.rollBuilds(ctx, rolls)
 	soak.note("faults are over")
 	soak.change(ctx, random)
 	if problem := soak.awaitHealthy(ctx); problem != "" {
--- a/pkg/operator/tables.go
+++ b/pkg/operator/tables.go
@@ -34,12 +34,15 @@
 		// HTTPLimits limit the requests of callers of HTTP routes; nil means
 		// the defaults.
 		HTTPLimits *HTTPLimits `json:"http_limits,omitempty"`
+		// The encoding leaves out fields that are later than 96531af while they are empty, because
+		// the digest by which control recognizes a resent change must not depend on the build.
+
 		// Rollouts holds the newest rollout of each pool that had one. Only
 		// control writes it: a change keeps the rollouts in force.
-		Rollouts []Rollout `json:"rollouts,omitempty"`
+		Rollouts []Rollout `json:"rollouts,omitempty" msgpack:",omitempty"`
 		// Tenants are the teams that may send HTTP requests; without any, every
 		// caller may.
-		Tenants []Tenant `json:"tenants,omitempty"`
+		Tenants []Tenant `json:"tenants,omitempty" msgpack:",omitempty"`
 	}
 
 	// Tenant is a team that sends HTTP requests under keys of its own.
@@ -100,7 +103,7 @@
 		// means all.
 		Regions []string `json:"regions,omitempty"`
 		// Public lets callers without a key use the route.
-		Public bool `json:"public,omitempty"`
+		Public bool `json:"public,omitempty" msgpack:",omitempty"`
 	}
 
 	// WeightedPool is a pool in a split, with its relative weight.
