--- a/Makefile
+++ b/Makefile
@@ -93,8 +93,12 @@
 golden: old-source
 	cp -r internal/golden $(OLD_SOURCE)/internal/
 	$(foreach package,$(GOLDEN_PACKAGES),cp internal/$(package)/golden_test.go $(OLD_SOURCE)/internal/$(package)/;)
-	cd $(OLD_SOURCE) && $(GO) test -p 2 $(addprefix ./internal/,$(GOLDEN_PACKAGES)) -count=1 -run '^TestEncodingOf$(OLD)$$' -golden-write
+	cp internal/control/stored_data_test.go $(OLD_SOURCE)/internal/control/
+	cd $(OLD_SOURCE) && $(GO) test -p 2 $(addprefix ./internal/,$(GOLDEN_PACKAGES)) -count=1 -run '^Test(Encoding|Data)Of$(OLD)$$' -golden-write
 	$(foreach package,$(GOLDEN_PACKAGES),mkdir -p internal/$(package)/testdata/golden && cp $(OLD_SOURCE)/internal/$(package)/testdata/golden/$(OLD).txt internal/$(package)/testdata/golden/;)
+	rm -rf internal/control/testdata/stored/$(OLD)
+	mkdir -p internal/control/testdata/stored
+	cp -r $(OLD_SOURCE)/internal/control/testdata/stored/$(OLD) internal/control/testdata/stored/
 
 .PHONY: upgrade
 # Runs processes of build OLD and of this one beside each other: under faults, and with rolling restarts
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -36,6 +36,11 @@
 	timeType = reflect.TypeFor[time.Time]()
 )
 
+// Writing reports whether the tests write the fixtures of this build.
+func Writing() bool {
+	return *write
+}
+
 // Check compares the encoding of the types of the given values with that of the build whose fixtures
 // are in testdata/golden/BUILD.txt, by the names of the types. A fixture is the encoding of a value
 // whose fields all differ from zero and depend on the names of the fields. The present code must
