--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -11,6 +11,7 @@
 
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
 	"gitlab.com/comfreythread/comfreythread/internal/membership"
+	"gitlab.com/comfreythread/comfreythread/internal/replica"
 	"gitlab.com/comfreythread/comfreythread/internal/tcp"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
@@ -136,6 +137,7 @@
 	lease, err := call[Renewal, Lease](ctx, client, MethodRenew, shortened, attemptTimeout)
 	if err == nil && lease.UnknownMember {
 		full := *renewal
+		full.Level = replica.BuildLevel
 		lease, err = call[Renewal, Lease](ctx, client, MethodRenew, &full, attemptTimeout)
 	}
 	if err != nil {
@@ -149,7 +151,7 @@
 	client.lock.Lock()
 	defer client.lock.Unlock()
 	shortened := *renewal
-	shortened.GroupHash = client.groupHash
+	shortened.GroupHash, shortened.Level = client.groupHash, replica.BuildLevel
 	if shortened.Member == client.member {
 		shortened.Brief = true
 		shortened.Member = membership.Member{ID: renewal.Member.ID, Incarnation: renewal.Member.Incarnation, Stopping: renewal.Member.Stopping, Leaving: renewal.Member.Leaving, Reserve: renewal.Member.Reserve}
--- a/internal/control/feature_level.go
+++ b/internal/control/feature_level.go
@@ -1,29 +1,66 @@
 // Commands that older builds don't know are accepted only while the whole replica group knows them: an
-// older replica would skip such a command, or drop a part of it, and might lead later.
+// older replica would skip such a command, or drop a part of it, and might lead later. Entries of older
+// builds get no lease under tables that they can't keep to.
 
 package control
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"strings"
+	"time"
 
 	"gitlab.com/comfreythread/comfreythread/internal/replica"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
 // requiredLevel returns the feature level that all replicas need to apply a command.
 func requiredLevel(command command) int {
 	switch command := command.(type) {
 	case changeTables:
-		if len(command.Change.Tables.Tenants) > 0 {
-			return replica.LevelRollouts
-		}
-		return 0
+		return tablesLevel(&command.Change.Tables)
 	default:
 		return 0
 	}
 }
 
+// tablesLevel returns the feature level that replicas and entries need to keep to the tables.
+func tablesLevel(tables *operator.Tables) int {
+	if len(tables.Tenants) > 0 {
+		return replica.LevelRollouts
+	}
+	return 0
+}
+
+// checkEntryLevels returns the reason to refuse a change while entries that wouldn't keep to its
+// tables hold a lease: they would get no further one, and serve nothing any more.
+func (service *Service) checkEntryLevels(ctx context.Context, change *operator.Change) error {
+	required := tablesLevel(&change.Tables)
+	if required == 0 {
+		return nil
+	}
+	tenure, err := service.currentTenure(ctx)
+	if err != nil {
+		return err
+	}
+	service.lock.Lock()
+	defer service.lock.Unlock()
+	var below []string
+	for key, holder := range tenure.holders {
+		if holder.live(time.Now()) && holder.level < required {
+			below = append(below, key.id)
+		}
+	}
+	if len(below) == 0 {
+		return nil
+	}
+	slices.Sort(below)
+	return fault.New(fault.Unavailable, fmt.Sprintf("these tables need feature level %d, which these entries lack: %s", required, strings.Join(below, ", ")),
+		"run the newer build on these entries, then try again")
+}
+
 // checkFeatureLevel returns the reason to refuse a command that not all replicas of the group would
 // apply. A replica that doesn't lead knows no levels, so its caller is sent to the leader.
 func checkFeatureLevel(log Log, command command) error {
--- a/internal/control/feature_level_test.go
+++ b/internal/control/feature_level_test.go
@@ -10,6 +10,7 @@
 
 	"gitlab.com/comfreythread/comfreythread/internal/bubble"
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/internal/membership"
 	"gitlab.com/comfreythread/comfreythread/internal/replica"
 	"gitlab.com/comfreythread/comfreythread/internal/standin"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
@@ -34,7 +35,7 @@
 		_, err := leader.change(t.Context(), tenantChange())
 		expect.Expect(errors.As(err, &refusal)).To(gomega.BeTrue(), "%v", err)
 		expect.Expect(refusal.Kind).To(gomega.Equal(fault.Unavailable))
-		expect.Expect(group.log).To(gomega.BeEmpty())
+		expect.Expect(leader.state.Newest().Version).To(gomega.BeZero())
 		var notLeading *replica.NotLeadingError
 		_, err = follower.change(t.Context(), tenantChange())
 		expect.Expect(errors.As(err, &notLeading)).To(gomega.BeTrue(), "%v", err)
@@ -49,6 +50,38 @@
 	})
 }
 
+// TestTenantsNeedTheLevelOfEntries checks that tables with tenants are refused while an entry of an older
+// build holds a lease, and that such an entry gets no lease under them. It would serve without keys.
+func TestTenantsNeedTheLevelOfEntries(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		group := newGroup(1)
+		group.faultsEnded = true
+		group.elect(0)
+		leader := group.replicas[0].service
+		renewal := Renewal{Member: membership.Member{ID: "entry", Incarnation: 1}}
+		_, err := leader.renew(t.Context(), &renewal)
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		var refusal *fault.Error
+		for _, dryRun := range []bool{true, false} {
+			change := tenantChange()
+			change.DryRun = dryRun
+			_, err = leader.change(t.Context(), change)
+			expect.Expect(errors.As(err, &refusal)).To(gomega.BeTrue(), "%v", err)
+			expect.Expect(refusal.Kind).To(gomega.Equal(fault.Unavailable))
+		}
+		time.Sleep(2 * LeaseDuration)
+		_, err = leader.change(t.Context(), tenantChange())
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = leader.renew(t.Context(), &renewal)
+		expect.Expect(errors.As(err, &refusal)).To(gomega.BeTrue(), "%v", err)
+		expect.Expect(refusal.Kind).To(gomega.Equal(fault.Unavailable))
+		renewal.Level = replica.LevelRollouts
+		_, err = leader.renew(t.Context(), &renewal)
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+	})
+}
+
 // TestOlderReplicasDontEndACall checks that a call of a method that older builds lack reaches a newer
 // leader past an older replica, fails with a retryable error if an older replica leads, and that
 // tables with tenants never reach an older replica, which would drop the tenants.
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -186,6 +186,10 @@
 	case admitted:
 	}
 	newest := service.state.Newest()
+	if required := tablesLevel(&newest.Tables); renewal.Level < required {
+		return nil, nil, fault.New(fault.Unavailable,
+			fmt.Sprintf("the tables need feature level %d, and entry %q has level %d", required, renewal.Member.ID, renewal.Level), "run the newer build on this entry")
+	}
 	tenure.grant(now, renewal, &view, newest.Version)
 	lease := &Lease{Duration: LeaseDuration, TablesVersion: newest.Version, SettledView: tenure.settled(now, &view)}
 	if renewal.TablesVersion < newest.Version {
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -62,6 +62,8 @@
 		GroupHash uint64 `msgpack:"g,omitempty"`
 		// AcceptsDelta is true if the reply may contain Delta in place of View.
 		AcceptsDelta bool `msgpack:"d,omitempty"`
+		// Level is the feature level of the entry's build.
+		Level int `msgpack:"f,omitempty"`
 	}
 
 	// Lease is the reply to a Renewal. Tables and View are nil if the entry already has the
--- a/internal/control/tenure.go
+++ b/internal/control/tenure.go
@@ -65,6 +65,8 @@
 		version uint64
 		// oldestView is the oldest view that the holder may act on.
 		oldestView uint64
+		// level is the feature level of the holder's build.
+		level int
 	}
 
 	// admission states what must happen before a process gets a lease.
@@ -132,7 +134,7 @@
 		}
 		tenure.holders[key] = leaseHolder
 	}
-	leaseHolder.expiry = now.Add(safeLeaseDuration)
+	leaseHolder.expiry, leaseHolder.level = now.Add(safeLeaseDuration), renewal.Level
 	leaseHolder.version = max(leaseHolder.version, renewal.TablesVersion)
 	leaseHolder.oldestView = max(leaseHolder.oldestView, renewal.ReleasedView)
 }
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -106,7 +106,7 @@
 // initCore creates a core from durable state, or that of a new replica if state is nil.
 func (driver *driver) initCore(now time.Time, state *durableState) error {
 	options := &driver.replica.options
-	core := &core{id: newID(options.Name), address: options.Address, level: buildLevel, sizes: defaultSizes(), peers: append([]string(nil), options.Peers...),
+	core := &core{id: newID(options.Name), address: options.Address, level: BuildLevel, sizes: defaultSizes(), peers: append([]string(nil), options.Peers...),
 		joinOnly: options.JoinOnly, selfManaged: options.SelfManaged, random: driver.random}
 	if len(core.peers) == 0 {
 		core.peers = []string{core.address}
--- a/internal/replica/feature_level.go
+++ b/internal/replica/feature_level.go
@@ -10,8 +10,8 @@
 	// LevelRollouts is the level from which on a build knows rollouts and tables with tenants.
 	LevelRollouts = 1
 
-	// buildLevel is the feature level of this build. Builds before feature levels have level 0.
-	buildLevel = LevelRollouts
+	// BuildLevel is the feature level of this build, of its replicas and its entries. Builds before feature levels have level 0.
+	BuildLevel = LevelRollouts
 )
 
 // featureLevel returns the lowest feature level of all members, voters or not, as far as this leader
--- a/internal/replica/simulation_actions_test.go
+++ b/internal/replica/simulation_actions_test.go
@@ -96,7 +96,7 @@
 
 func (simulation *simulation) newCore(node *node) *core {
 	return &core{
-		id: fmt.Sprint(node.address, "#", simulation.nextNumber), address: node.address, peers: slices.Clone(simulation.peers), sizes: simulation.sizes, level: buildLevel,
+		id: fmt.Sprint(node.address, "#", simulation.nextNumber), address: node.address, peers: slices.Clone(simulation.peers), sizes: simulation.sizes, level: BuildLevel,
 		random: rand.New(rand.NewPCG(simulation.random.Uint64(), 1)),
 	}
 }
--- a/internal/soak/builds.go
+++ b/internal/soak/builds.go
@@ -58,22 +58,18 @@
 }
 
 // rollForward gives all processes the new build, the control replicas first. Tables with tenants must
-// be refused while a replica is of the old build, and accepted afterwards.
+// be refused while a replica or an entry is of the old build, and accepted afterwards.
 func (soak *soak) rollForward(ctx context.Context, random *rand.Rand, replace func(number int, binary string)) {
 	for number := range soak.controls {
 		replace(number, soak.newBinary)
-		if number < len(soak.controls)-1 {
-			soak.expectTenantsRefused(ctx, number)
-		}
+		soak.expectTenantsRefused(ctx, number)
 		soak.change(ctx, random)
 	}
-	if !soak.retry(ctx, func(ctx context.Context) error { return soak.tryTenants(ctx, 0) }) {
-		soak.record.addFailure("tables with tenants were refused by a group of the new build")
-	}
-	soak.changeTenants(ctx)
 	for number := range soak.entries {
+		soak.expectTenantsRefused(ctx, 0)
 		soak.replaceEntry(number, soak.newBinary)
 	}
+	soak.changeTenants(ctx)
 	// Tables without tenants must be in force before a process of the old build starts.
 	soak.change(ctx, random)
 }
@@ -82,6 +78,7 @@
 func (soak *soak) rollBack(ctx context.Context, random *rand.Rand) {
 	for number := range soak.entries {
 		soak.replaceEntry(number, soak.oldBinary)
+		soak.change(ctx, random)
 	}
 	for number := range soak.controls {
 		soak.replaceControl(number, soak.oldBinary)
@@ -124,7 +121,7 @@
 		defer cancel()
 		return soak.tryTenants(limited, control) != nil
 	}) && ctx.Err() == nil {
-		soak.record.addFailure("tables with tenants were accepted by a group with a replica of the old build")
+		soak.record.addFailure("tables with tenants were accepted although a process was of the old build")
 	}
 }
 
@@ -138,7 +135,7 @@
 		_, err := client.Change(ctx, change)
 		return err
 	}) {
-		soak.record.addFailure("tables with tenants were refused by a group of the new build")
+		soak.record.addFailure("tables with tenants were refused although all processes are of the new build")
 		return
 	}
 	soak.record.addAcknowledgment(declared)
