--- a/internal/control/feature_level.go
+++ b/internal/control/feature_level.go
@@ -34,10 +34,10 @@
 	return 0
 }
 
-// checkEntryLevels returns the reason to refuse a change while entries that wouldn't keep to its
-// tables hold a lease: they would get no further one, and serve nothing any more.
-func (service *Service) checkEntryLevels(ctx context.Context, change *operator.Change) error {
-	required := tablesLevel(&change.Tables)
+// checkEntryLevels returns the reason to refuse a command while entries that don't know its effect
+// hold a lease. Under tables with tenants they would get no further one, and serve nothing any more.
+func (service *Service) checkEntryLevels(ctx context.Context, command command) error {
+	required := requiredLevel(command)
 	if required == 0 {
 		return nil
 	}
@@ -57,7 +57,7 @@
 		return nil
 	}
 	slices.Sort(below)
-	return fault.New(fault.Unavailable, fmt.Sprintf("these tables need feature level %d, which these entries lack: %s", required, strings.Join(below, ", ")),
+	return fault.New(fault.Unavailable, fmt.Sprintf("this needs feature level %d, which these entries lack: %s", required, strings.Join(below, ", ")),
 		"run the newer build on these entries, then try again")
 }
 
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -155,7 +155,7 @@
 	if change.DryRun {
 		return service.dryRun(ctx, change)
 	}
-	if err := service.checkEntryLevels(ctx, change); err != nil {
+	if err := service.checkEntryLevels(ctx, changeTables{Change: *change}); err != nil {
 		return nil, err
 	}
 	result, err := service.changeBatcher.submit(ctx, changeTables{Change: *change})
@@ -172,7 +172,7 @@
 	if err := checkFeatureLevel(service.log, changeTables{Change: *change}); err != nil {
 		return nil, err
 	}
-	if err := service.checkEntryLevels(ctx, change); err != nil {
+	if err := service.checkEntryLevels(ctx, changeTables{Change: *change}); err != nil {
 		return nil, err
 	}
 	change.DryRun = false
