--- a/Makefile
+++ b/Makefile
@@ -77,3 +77,33 @@
 soak: SEED := $(if $(filter file,$(origin SEED)),$(shell date +%s),$(SEED))
 soak: build
 	$(GO) run ./internal/soak --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS) --span $(MINUTES)m
+
+OLD ?= 96531af
+OLD_SOURCE = $(or $(TMPDIR),/tmp)/comfreythread-$(OLD)
+GOLDEN_PACKAGES = control entry frame httptarget permit relay replica
+
+.PHONY: golden old-source
+# Takes the source of an earlier build from the repository's history.
+old-source:
+	rm -rf $(OLD_SOURCE)
+	mkdir -p $(OLD_SOURCE)
+	git archive $(OLD) | tar -x -C $(OLD_SOURCE)
+
+# Writes the fixtures of the messages and stored types of build OLD.
+golden: old-source
+	cp -r internal/golden $(OLD_SOURCE)/internal/
+	$(foreach package,$(GOLDEN_PACKAGES),cp internal/$(package)/golden_test.go $(OLD_SOURCE)/internal/$(package)/;)
+	cp internal/control/stored_data_test.go $(OLD_SOURCE)/internal/control/
+	cd $(OLD_SOURCE) && $(GO) test -p 2 $(addprefix ./internal/,$(GOLDEN_PACKAGES)) -count=1 -run '^Test(Encoding|Data)Of$(OLD)$$' -golden-write
+	$(foreach package,$(GOLDEN_PACKAGES),mkdir -p internal/$(package)/testdata/golden && cp $(OLD_SOURCE)/internal/$(package)/testdata/golden/$(OLD).txt internal/$(package)/testdata/golden/;)
+	rm -rf internal/control/testdata/stored/$(OLD)
+	mkdir -p internal/control/testdata/stored
+	cp -r $(OLD_SOURCE)/internal/control/testdata/stored/$(OLD) internal/control/testdata/stored/
+
+.PHONY: upgrade
+# Runs processes of build OLD and of this one beside each other: under faults, and with rolling restarts
+# from one to the other and back.
+upgrade: SEED := $(if $(filter file,$(origin SEED)),$(shell date +%s),$(SEED))
+upgrade: build old-source
+	cd $(OLD_SOURCE) && $(GO) build -o $(CURDIR)/bin/comfreythread-$(OLD) ./cmd/comfreythread
+	$(GO) run ./internal/soak --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS) --span $(MINUTES)m --old-binary bin/comfreythread-$(OLD)
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -14,6 +14,9 @@
 	MethodRenew = "control.renew"
 	// MethodChange changes the tables.
 	MethodChange = "control.change"
+	// MethodLeveledChange changes the tables like MethodChange. Changes that need a feature level are
+	// sent by it, because builds without feature levels would drop a part of them and lack the method.
+	MethodLeveledChange = "control.leveled_change"
 	// MethodTables reads one version of the tables.
 	MethodTables = "control.tables"
 	// MethodStatus reads the status of control.
@@ -59,6 +62,8 @@
 		GroupHash uint64 `msgpack:"g,omitempty"`
 		// AcceptsDelta is true if the reply may contain Delta in place of View.
 		AcceptsDelta bool `msgpack:"d,omitempty"`
+		// Level is the feature level of the entry's build.
+		Level int `msgpack:"f,omitempty"`
 	}
 
 	// Lease is the reply to a Renewal. Tables and View are nil if the entry already has the
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -122,7 +122,8 @@
 		return nil, err
 	}
 	replaces := controller.replaceable(time.Now(), tenure, service.state.Newest(), order.Pool)
-	result, err := service.changeBatcher.submit(ctx, startRollout{Order: *order, Now: time.Now(), Replaces: replaces})
+	start := startRollout{Order: *order, Now: time.Now(), Replaces: replaces}
+	result, err := service.submitRollout(ctx, &start)
 	if err != nil {
 		controller.logRefused(order, err)
 		return nil, err
@@ -141,6 +142,24 @@
 	return result.Rollout, nil
 }
 
+// submitRollout submits an order to the log. One that changes nothing is answered without that, so that an order
+// sent again is acknowledged also while the group hasn't shown its feature level to a new leader.
+func (service *Service) submitRollout(ctx context.Context, start *startRollout) (*result, error) {
+	if err := service.log.Confirm(ctx); err != nil {
+		return nil, err
+	}
+	if reply, settled := service.state.checkRollout(start); settled {
+		if reply.Fault != nil {
+			return nil, reply.Fault
+		}
+		return &reply, nil
+	}
+	if err := service.checkEntryLevels(ctx, *start); err != nil {
+		return nil, err
+	}
+	return service.changeBatcher.submit(ctx, *start)
+}
+
 // logRefused logs an order that was refused. It leaves out those that another replica or a later
 // attempt may still accept.
 func (rolloutController *rolloutController) logRefused(order *operator.RolloutOrder, err error) {
--- a/internal/control/rollout_state.go
+++ b/internal/control/rollout_state.go
@@ -35,9 +35,9 @@
 	return kept
 }
 
-// startRollout adds the rollout that is ordered, or replaces the pool's last one. An order that was
-// sent before is answered with the rollout that it started.
-func (tablesData *tablesData) startRollout(command *startRollout) result {
+// checkRollout returns the reply to an order that changes nothing: the rollout that it ordered before, or the
+// reason to refuse it. Otherwise it returns false and the start of the rollout.
+func (tablesData *tablesData) checkRollout(command *startRollout) (reply result, startedAt time.Time, settled bool) {
 	newest, order := tablesData.newest(), &command.Order
 	last := newest.Tables.Rollout(order.Pool)
 	started := command.Now
@@ -45,11 +45,11 @@
 		sameOrder := last.Release == order.Release && last.Duration == order.Duration
 		switch {
 		case sameOrder && (last.Phase != operator.PhaseRolledBack || !command.Replaces.Equal(last.StartedAt)):
-			return result{Rollout: last}
+			return result{Rollout: last}, started, true
 		case !last.Phase.Final():
 			return result{Fault: fault.New(fault.Conflict,
 				fmt.Sprintf("pool %q has a rollout of release %q over %s in progress", order.Pool, last.Release, last.Duration),
-				"order again once that rollout is completed or rolled back")}
+				"order again once that rollout is completed or rolled back")}, started, true
 		case !started.After(last.StartedAt):
 			// The clock of this leader is behind. The start must differ, because it identifies
 			// the rollout.
@@ -57,8 +57,19 @@
 		}
 	}
 	if !slices.ContainsFunc(newest.Tables.Pools, func(pool operator.Pool) bool { return pool.Name == order.Pool }) {
-		return result{Fault: fault.New(fault.BadRequest, fmt.Sprintf("pool %q is unknown", order.Pool), "name a pool of the tables in force")}
+		return result{Fault: fault.New(fault.BadRequest, fmt.Sprintf("pool %q is unknown", order.Pool), "name a pool of the tables in force")}, started, true
 	}
+	return result{}, started, false
+}
+
+// startRollout adds the rollout that is ordered, or replaces the pool's last one. An order that was
+// sent before is answered with the rollout that it started.
+func (tablesData *tablesData) startRollout(command *startRollout) result {
+	reply, started, settled := tablesData.checkRollout(command)
+	if settled {
+		return reply
+	}
+	order := &command.Order
 	rollout := operator.Rollout{
 		Pool: order.Pool, Release: order.Release, Duration: order.Duration,
 		StartedAt: started.UTC(), Phase: operator.PhaseTrial, Reason: rolloutOrdered,
@@ -110,3 +121,11 @@
 	defer state.lock.RUnlock()
 	return state.data.Tables.phaseVersion(rollout)
 }
+
+// checkRollout is like that of tablesData. It doesn't apply the command.
+func (state *State) checkRollout(command *startRollout) (reply result, settled bool) {
+	state.lock.RLock()
+	defer state.lock.RUnlock()
+	reply, _, settled = state.data.Tables.checkRollout(command)
+	return reply, settled
+}
--- a/pkg/operator/tables.go
+++ b/pkg/operator/tables.go
@@ -34,12 +34,11 @@
 		// HTTPLimits limit the requests of callers of HTTP routes; nil means
 		// the defaults.
 		HTTPLimits *HTTPLimits `json:"http_limits,omitempty"`
+		// The encoding leaves out fields that are later than 96531af while they are empty, because
+		// the digest by which control recognizes a resent change must not depend on the build.
+
 		// Rollouts holds the newest rollout of each pool that had one. Only
 		// control writes it: a change keeps the rollouts in force.
-		//
-		// The msgpack tags of Rollouts, Tenants and HTTPRoute.Public leave out empty
-		// values, so that tables without them have the encoding, and a change of them
-		// the digest, that builds without these fields compute.
 		Rollouts []Rollout `json:"rollouts,omitempty" msgpack:",omitempty"`
 		// Tenants are the teams that may send HTTP requests; without any, every
 		// caller may.
