--- a/internal/httpcaller/request_log.go
+++ b/internal/httpcaller/request_log.go
@@ -57,6 +57,9 @@
 	if call.tenant != nil {
 		extra = append(extra, zap.String("tenant", call.tenant.Name))
 	}
+	if call.wait != nil {
+		extra = append(extra, call.wait.fields()...)
+	}
 	return append(extra, zap.String("request", call.request.ID), zap.String("route", call.routeKind()), zap.Duration("elapsed", time.Since(call.startedAt)),
 		zap.Duration("limit", call.timeout), zap.Int64("attempts", call.attempts.Load()), zap.Uint64("tables", version))
 }
--- a/internal/httpcaller/request_metrics.go
+++ b/internal/httpcaller/request_metrics.go
@@ -71,6 +71,7 @@
 
 // observeRequest observes the outcome and duration of a finished request.
 func (requestMetrics *requestMetrics) observeRequest(call *call, outcome, reason string) {
+	call.outcome = outcome
 	requestMetrics.metrics.HTTPRequests().WithLabelValues(call.routeKind(), outcome, reason).Observe(time.Since(call.startedAt).Seconds())
 	if call.tenant != nil {
 		requestMetrics.tenants.count(requestMetrics.metrics.TenantRequests(), call.tenant.Name, outcome)
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -78,6 +78,7 @@
 		requestMetrics requestMetrics
 		createdAt      time.Time
 		workers        *workers
+		admission      *admission
 
 		cachedRouteIndex atomic.Pointer[routeIndex]
 		inFlight         atomic.Int64
@@ -89,6 +90,9 @@
 		tables  *operator.Tables
 		routes  *policy.Routes
 		tenants *policy.Tenants
+		// resources maps each route to the name of what its requests compete for.
+		resources map[*operator.Route]string
+		weights   tenantWeights
 	}
 
 	// call is one request in progress.
@@ -109,6 +113,10 @@
 		fingerprint blackboard.Fingerprint
 		// answered is true if a target has answered the request.
 		answered atomic.Bool
+		// outcome is that of the request in metrics, once it has ended.
+		outcome string
+		// wait is nil unless the request met a limit of requests in progress.
+		wait *wait
 	}
 )
 
@@ -117,7 +125,7 @@
 func NewServer(options Options, board *blackboard.Board, directory *httptarget.Directory, sender *httptarget.Sender, permits *permit.Permits, logger *zap.Logger, metrics *metrics.Metrics) *Server {
 	server := &Server{
 		options: options, board: board, directory: directory, sender: sender, permits: permits, budgets: policy.NewBudgets(options.Budget),
-		requestLog: newRequestLog(logger, metrics), metrics: metrics, requestMetrics: requestMetrics{metrics: metrics}, createdAt: time.Now(),
+		requestLog: newRequestLog(logger, metrics), metrics: metrics, requestMetrics: requestMetrics{metrics: metrics}, createdAt: time.Now(), admission: newAdmission(),
 	}
 	server.workers = newWorkers(server.recordPanic)
 	return server
@@ -207,10 +215,20 @@
 	call.forward(writer)
 }
 
+// forward sends the request to targets once it is admitted.
 func (call *call) forward(writer http.ResponseWriter) {
-	if call.route.HTTP.Gather != nil {
+	release, refusal, retryAfter := call.server.admit(call.ctx, call)
+	if release != nil {
+		defer release()
+	}
+	switch {
+	case call.ctx.Err() != nil:
+		call.abort()
+	case refusal != 0:
+		call.refuseFor(writer, refusal, retryAfter)
+	case call.route.HTTP.Gather != nil:
 		call.gather(writer)
-	} else {
+	default:
 		call.forwardOne(writer)
 	}
 }
@@ -223,7 +241,8 @@
 	}
 	cached := server.cachedRouteIndex.Load()
 	if cached == nil || cached.tables != tables {
-		cached = &routeIndex{tables: tables, routes: policy.NewRoutes(tables), tenants: policy.NewTenants(tables)}
+		cached = &routeIndex{tables: tables, routes: policy.NewRoutes(tables), tenants: policy.NewTenants(tables), resources: resourcesOf(tables), weights: newTenantWeights(tables)}
+		server.admission.forgetExcept(cached.resources)
 		server.requestMetrics.tenants.update(server.metrics.TenantRequests(), tables.Tenants)
 		server.cachedRouteIndex.Store(cached)
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -42,6 +42,9 @@
 		permits            *prometheus.CounterVec
 		relayedAttempts    *prometheus.CounterVec
 		tenantRequests     *prometheus.CounterVec
+		admissionWaiting   prometheus.Gauge
+		admissionWait      *prometheus.HistogramVec
+		admissionRefusals  *prometheus.CounterVec
 	}
 )
 
@@ -74,6 +77,9 @@
 		permits:            counter("permits_total", "Permits for requests to targets with a rate limit.", "result"),
 		relayedAttempts:    counter("relayed_attempts_total", "Attempts at targets of HTTP routes that this entry made through other entries.", "result"),
 		tenantRequests:     counter("tenant_requests_total", "Requests of HTTP routes by tenant; those with the lowest rates together as other.", "tenant", "outcome"),
+		admissionWaiting:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "admission_waiting", Help: "Requests of HTTP routes that wait for a place."}),
+		admissionWait:      histogram("admission_wait_seconds", "Time that requests of HTTP routes waited for a place, by what ended it.", prometheus.ExponentialBuckets(0.001, 2, 14), "end"),
+		admissionRefusals:  counter("admission_refusals_total", "Requests of HTTP routes that were refused while a limit of requests in progress was reached.", "reason"),
 		directoryUnequal:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "directory_unequal_seconds", Help: "Time since the directory was last equal to a peer's."}),
 	}
 	metrics.registry.MustRegister(
@@ -82,6 +88,7 @@
 		metrics.tablesVersion, metrics.viewNumber, metrics.fenced,
 		metrics.targetsMoved, metrics.directoryChanges, metrics.directoryExchanges, metrics.directoryUnequal, metrics.logLinesLeftOut,
 		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync, metrics.missingParts, metrics.panics, metrics.targetWords, metrics.permits, metrics.relayedAttempts, metrics.tenantRequests,
+		metrics.admissionWaiting, metrics.admissionWait, metrics.admissionRefusals,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
@@ -126,6 +133,17 @@
 // are counted together as other.
 func (metrics *Metrics) TenantRequests() *prometheus.CounterVec { return metrics.tenantRequests }
 
+// AdmissionWaiting is the number of requests of HTTP routes that wait for a place.
+func (metrics *Metrics) AdmissionWaiting() prometheus.Gauge { return metrics.admissionWaiting }
+
+// AdmissionWait observes the time that requests of HTTP routes waited for a place, by what ended it: admitted,
+// displaced, expired or left.
+func (metrics *Metrics) AdmissionWait() *prometheus.HistogramVec { return metrics.admissionWait }
+
+// AdmissionRefusals counts requests of HTTP routes that were refused while a limit of requests in progress was
+// reached, by reason: late, full, displaced, expired or stopping.
+func (metrics *Metrics) AdmissionRefusals() *prometheus.CounterVec { return metrics.admissionRefusals }
+
 // DroppedAnswers counts dropped answers, by reason: for example late, damaged, or for another
 // attempt.
 func (metrics *Metrics) DroppedAnswers() *prometheus.CounterVec { return metrics.droppedAnswers }
