--- a/internal/httpcaller/admission.go
+++ b/internal/httpcaller/admission.go
@@ -85,7 +85,7 @@
 func newAdmission() *admission {
 	return &admission{
 		queue: policy.NewWaitQueue(policy.MaximumWaiting), waits: map[*policy.WaitItem]*wait{}, resources: map[string]*places{},
-		entry: places{concurrency: policy.NewConcurrency(entryFloor, entryRoutes)},
+		entry: places{concurrency: policy.NewConcurrency(policy.ConcurrencyBounds{Floor: entryFloor, Ample: policy.MaximumInFlight, Routes: entryRoutes})},
 	}
 }
 
@@ -346,7 +346,7 @@
 func (admission *admission) hasPlace(resource string) bool {
 	found := admission.resources[resource]
 	if found == nil {
-		found = &places{concurrency: policy.NewConcurrency(policy.MinimumConcurrency, 1)}
+		found = &places{concurrency: policy.NewConcurrency(policy.ConcurrencyBounds{Floor: policy.MinimumConcurrency, Ample: policy.AmpleConcurrency, Routes: 1})}
 		admission.resources[resource] = found
 	}
 	return found.hasRoom() && admission.entry.hasRoom()
--- a/internal/policy/concurrency.go
+++ b/internal/policy/concurrency.go
@@ -12,6 +12,9 @@
 	// MinimumConcurrency is the least limit of a pool. An entry among 80 sees at most a few requests a second
 	// of each route, of which even pauses of 300 ms leave fewer than this in progress.
 	MinimumConcurrency = 8
+	// AmpleConcurrency is the limit of a pool without overload. A larger one would admit, before the first slow answers
+	// show an overload, more requests than targets can run in the time that callers have.
+	AmpleConcurrency = 128
 	// concurrencyWindow is the least time over which latencies are judged. The median over a second isn't
 	// moved by a target that pauses for 200 or 300 ms.
 	concurrencyWindow = time.Second
@@ -27,7 +30,7 @@
 	risenFactor = 2
 	risenMargin = 30 * time.Millisecond
 	// leastShrinkFactor is the strongest reduction of a limit in one window.
-	leastShrinkFactor = 0.5
+	leastShrinkFactor = 0.2
 	// growthFactor and growthStep define the growth of a limit in a window in which it was reached,
 	// unreachedGrowthFactor and unreachedGrowthStep that in other windows.
 	growthFactor          = 1.15
@@ -39,14 +42,20 @@
 )
 
 type (
-	// Concurrency derives a limit from the latencies of the requests that it admits. It starts without a
-	// limit, which is MaximumInFlight. Create it with NewConcurrency.
+	// ConcurrencyBounds bounds a limit.
+	ConcurrencyBounds struct {
+		// Floor is the least limit. Ample is the limit at first and after an overload; beyond it the limit grows, up to
+		// MaximumInFlight, only while it is reached.
+		Floor, Ample int
+		// Routes is the number of routes whose latencies must have risen together for the limit to shrink.
+		Routes int
+	}
+
+	// Concurrency derives a limit from the latencies of the requests that it admits. Create it with NewConcurrency.
 	Concurrency struct {
-		floor int
-		// leastRoutes is the number of routes whose latencies must have risen together for the limit to shrink.
-		leastRoutes int
-		limit       float64
-		routes      map[string]*routeLatency
+		bounds ConcurrencyBounds
+		limit  float64
+		routes map[string]*routeLatency
 		// windowStart is when the current window began, and peak the highest number of requests in progress in it.
 		windowStart time.Time
 		peak        int
@@ -67,10 +76,9 @@
 	}
 )
 
-// NewConcurrency returns the limit of a pool or an entry, which never falls below floor. It shrinks only while the
-// latencies of at least leastRoutes routes rise together.
-func NewConcurrency(floor, leastRoutes int) *Concurrency {
-	return &Concurrency{floor: floor, leastRoutes: leastRoutes, limit: MaximumInFlight, routes: map[string]*routeLatency{}}
+// NewConcurrency returns the limit of a pool or an entry.
+func NewConcurrency(bounds ConcurrencyBounds) *Concurrency {
+	return &Concurrency{bounds: bounds, limit: float64(bounds.Ample), routes: map[string]*routeLatency{}}
 }
 
 // Limit returns how many requests may be in progress.
@@ -80,8 +88,8 @@
 
 // SetFloor sets the least limit.
 func (concurrency *Concurrency) SetFloor(floor int) {
-	concurrency.floor = min(floor, MaximumInFlight)
-	concurrency.limit = max(concurrency.limit, float64(concurrency.floor))
+	concurrency.bounds.Floor = min(floor, MaximumInFlight)
+	concurrency.limit = max(concurrency.limit, float64(concurrency.bounds.Floor))
 }
 
 // Begin records that a request was admitted, with which inProgress are in progress.
@@ -142,7 +150,7 @@
 	}
 	reached := float64(concurrency.peak) >= concurrency.limit-1
 	switch {
-	case excess > 1 && judged >= concurrency.leastRoutes && concurrency.peak > concurrency.floor:
+	case excess > 1 && judged >= concurrency.bounds.Routes && concurrency.peak > concurrency.bounds.Floor:
 		concurrency.limit = min(concurrency.limit, float64(concurrency.peak)) * max(leastShrinkFactor, 1/excess)
 	case excess > 1:
 		// With so few requests in progress this entry isn't what saturates the targets, and too few routes don't
@@ -150,9 +158,9 @@
 	case reached:
 		concurrency.limit = concurrency.limit*growthFactor + growthStep
 	default:
-		concurrency.limit = concurrency.limit*unreachedGrowthFactor + unreachedGrowthStep
+		concurrency.limit = max(concurrency.limit, min(float64(concurrency.bounds.Ample), concurrency.limit*unreachedGrowthFactor+unreachedGrowthStep))
 	}
-	concurrency.limit = min(MaximumInFlight, max(float64(concurrency.floor), concurrency.limit))
+	concurrency.limit = min(MaximumInFlight, max(float64(concurrency.bounds.Floor), concurrency.limit))
 	concurrency.windowStart, concurrency.peak = now, 0
 }
 
--- a/internal/policy/wait_queue.go
+++ b/internal/policy/wait_queue.go
@@ -91,7 +91,9 @@
 		waiting int
 		classes map[waitClassKey]*waitClass
 		flows   map[string]*waitFlow
-		kinds   map[string]*servedShare
+		// weight is the sum of the weights of flows.
+		weight float64
+		kinds  map[string]*servedShare
 		// virtualTime is the start tag of the latest request that was taken up.
 		virtualTime float64
 		// nextReturn is when the next of the callers that are refused should return.
@@ -277,10 +279,6 @@
 func (waitQueue *WaitQueue) class(item *WaitItem, now time.Time) *waitClass {
 	resource := waitQueue.resource(item.Resource)
 	key := waitClassKey{tenant: item.Tenant, kind: item.Kind, priority: item.Priority}
-	if class := resource.classes[key]; class != nil {
-		class.flow.weight = item.Weight
-		return class
-	}
 	flow, kind := resource.flows[item.Tenant], resource.kinds[item.Kind]
 	if flow == nil {
 		flow = &waitFlow{shares: servedShare{countedAt: now}}
@@ -290,7 +288,11 @@
 		kind = &servedShare{countedAt: now}
 		resource.kinds[item.Kind] = kind
 	}
+	resource.weight += item.Weight - flow.weight
 	flow.weight = item.Weight
+	if class := resource.classes[key]; class != nil {
+		return class
+	}
 	return &waitClass{key: key, resource: resource, flow: flow, kind: kind}
 }
 
@@ -310,16 +312,18 @@
 	}
 	waitQueue.forgotAt = now
 	for name, resource := range waitQueue.resources {
-		if resource.waiting > 0 {
-			continue
+		flows, kinds := map[*waitFlow]bool{}, map[*servedShare]bool{}
+		for _, class := range resource.classes {
+			flows[class.flow], kinds[class.kind] = true, true
 		}
 		for tenant, flow := range resource.flows {
-			if flow.shares.decay(now); flow.shares.offered < forgottenCount {
+			if flow.shares.decay(now); flow.shares.offered < forgottenCount && !flows[flow] {
 				delete(resource.flows, tenant)
+				resource.weight -= flow.weight
 			}
 		}
 		for kind, shares := range resource.kinds {
-			if shares.decay(now); shares.offered < forgottenCount {
+			if shares.decay(now); shares.offered < forgottenCount && !kinds[shares] {
 				delete(resource.kinds, kind)
 			}
 		}
@@ -390,18 +394,16 @@
 	return waitClass.items[0]
 }
 
-// relativeShare returns the lower of the served shares of the tenant and the kind, relative to that of all. A request
-// counts as served by the mean share before any has been, so that the first one of a tenant isn't starved.
+// relativeShare returns the lower of the served shares of the tenant and the kind, relative to that of all. The tenant's counts
+// only while it is served less than its weight entitles it to, so that it isn't raised by requests beyond its rate.
 func (waitClass *waitClass) relativeShare(mean float64, now time.Time) float64 {
-	if mean == 0 {
-		return 1
+	relative, flow, all := waitClass.kind.relative(mean, now), waitClass.flow, &waitClass.resource.shares
+	tenants := flow.shares.relative(mean, now)
+	all.decay(now)
+	if tenants < relative && flow.shares.served/flow.weight < all.served/waitClass.resource.weight {
+		return tenants
 	}
-	lowest := math.Inf(1)
-	for _, shares := range []*servedShare{&waitClass.flow.shares, waitClass.kind} {
-		shares.decay(now)
-		lowest = min(lowest, (shares.served+mean)/(shares.offered+1)/mean)
-	}
-	return lowest
+	return relative
 }
 
 func (waitClass *waitClass) isStarved(mean float64, now time.Time) bool {
@@ -427,6 +429,16 @@
 	return servedShare.served / max(1, servedShare.offered)
 }
 
+// relative returns the share relative to mean. One more request counts as served by the mean share, so that the first
+// one isn't starved.
+func (servedShare *servedShare) relative(mean float64, now time.Time) float64 {
+	if mean == 0 {
+		return 1
+	}
+	servedShare.decay(now)
+	return (servedShare.served + mean) / (servedShare.offered + 1) / mean
+}
+
 func (servedShare *servedShare) decay(now time.Time) {
 	passed := now.Sub(servedShare.countedAt)
 	if passed <= 0 {
