--- a/internal/httpcaller/admission.go
+++ b/internal/httpcaller/admission.go
@@ -7,6 +7,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -242,7 +243,8 @@
 // observe records the latency of a request that ended, and reports whether that ended a window of its resource. The lock
 // must be held.
 func (admission *admission) observe(call *call, places *places, latency time.Duration, now time.Time) bool {
-	answered := call.outcome == outcomeAnswered
+	// Errors may come faster than any answer, and would lower the best latency.
+	answered := call.outcome == outcomeAnswered && call.status < http.StatusBadRequest
 	if call.outcome == outcomePartial && now.Sub(call.startedAt) >= call.route.HTTP.TargetLatency.Std()-policy.ResponseMargin {
 		latency *= censoredFactor
 	}
@@ -261,7 +263,10 @@
 	}
 	wait.item.ObjectiveUntil = wait.item.ServeUntil
 	if objective := call.route.HTTP.TargetLatency.Std(); objective > 0 && objective < call.timeout {
-		wait.item.ObjectiveUntil = call.startedAt.Add(objective - policy.ResponseMargin - expected)
+		// An objective that is missed without any wait no longer decides the order.
+		if until := call.startedAt.Add(objective - policy.ResponseMargin - expected); until.After(now) {
+			wait.item.ObjectiveUntil = until
+		}
 	}
 	if call.tenant != nil {
 		wait.item.Tenant = call.tenant.Name
@@ -307,6 +312,24 @@
 	close(wait.decided)
 }
 
+// retryDelay returns the delay after which the caller of a refused request may retry. While others wait for the same pools,
+// it returns behind them.
+func (call *call) retryDelay(reason policy.Reason) time.Duration {
+	delay := policy.RetryAfter(reason, rand.Float64())
+	if reason != policy.NoRoom && reason != policy.TooLate {
+		return delay
+	}
+	admission, resource := call.server.admission, call.routeIndex.resources[call.route]
+	admission.lock.Lock()
+	defer admission.lock.Unlock()
+	waiting := admission.queue.WaitingFor(resource)
+	if waiting == 0 {
+		return delay
+	}
+	interval := admission.interval(resource)
+	return admission.queue.ReturnDelay(resource, time.Duration(waiting+1)*interval, interval, call.remaining(), rand.Float64(), time.Now())
+}
+
 // giveBack gives a place back and takes up requests that wait. The lock must be held.
 func (admission *admission) giveBack(resource string, now time.Time) {
 	admission.resources[resource].inProgress--
--- a/internal/httpcaller/fleet_test.go
+++ b/internal/httpcaller/fleet_test.go
@@ -75,6 +75,8 @@
 		// refuses requests, or "".
 		leaving atomic.Bool
 		pause   atomic.Pointer[string]
+		// slowness is added to fleetRunTime, in nanoseconds.
+		slowness atomic.Int64
 
 		lock     sync.Mutex
 		arrivals []arrival
@@ -214,7 +216,7 @@
 	ip, _, _ := net.SplitHostPort(request.RemoteAddr)
 	target.arrivals = append(target.arrivals, arrival{at: time.Now(), ip: ip, header: request.Header})
 	target.lock.Unlock()
-	time.Sleep(fleetRunTime)
+	time.Sleep(fleetRunTime + time.Duration(target.slowness.Load()))
 	headers := dialect.Default()
 	writer.Header().Set(headers.RequestID, request.Header.Get(headers.RequestID))
 	writer.Header().Set(headers.Proof, "proof-"+target.ip)
--- a/internal/httpcaller/respond.go
+++ b/internal/httpcaller/respond.go
@@ -61,7 +61,7 @@
 
 // refuse responds that the request has not run, and after what delay to retry it.
 func (call *call) refuse(writer http.ResponseWriter, reason policy.Reason) {
-	call.refuseFor(writer, reason, policy.RetryAfter(reason, rand.Float64()))
+	call.refuseFor(writer, reason, call.retryDelay(reason))
 }
 
 // refuseUntil is like refuse, but for targets that pause it names a delay until a time.
@@ -132,6 +132,7 @@
 
 func (call *call) writeResponse(writer http.ResponseWriter, status int, body []byte) {
 	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	call.status = status
 	writer.WriteHeader(status)
 	if _, err := writer.Write(body); err != nil {
 		call.server.requestLog.writeFailed(call, err)
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -113,8 +113,9 @@
 		fingerprint blackboard.Fingerprint
 		// answered is true if a target has answered the request.
 		answered atomic.Bool
-		// outcome is that of the request in metrics, once it has ended.
+		// outcome is that of the request in metrics, and status that of the response, once it has ended.
 		outcome string
+		status  int
 		// wait is nil unless the request met a limit of requests in progress.
 		wait *wait
 	}
