--- a/internal/httpcaller/admission_test.go
+++ b/internal/httpcaller/admission_test.go
@@ -63,6 +63,20 @@
 	return full
 }
 
+// waiting returns the number of requests that wait.
+func (full *fullServer) waiting() int {
+	full.admission.lock.Lock()
+	defer full.admission.lock.Unlock()
+	return full.admission.queue.Waiting()
+}
+
+// inProgress returns the number of requests in progress at the pool and at the entry.
+func (full *fullServer) inProgress() (pool, entry int) {
+	full.admission.lock.Lock()
+	defer full.admission.lock.Unlock()
+	return full.admission.resources["p"].inProgress, full.admission.entry.inProgress
+}
+
 // call returns a request of a route, by its index.
 func (full *fullServer) call(route int) *call {
 	return &call{server: full.Server, routeIndex: full.index, route: &full.index.tables.Routes[route], startedAt: time.Now(), timeout: time.Second}
@@ -99,8 +113,8 @@
 		if refused.refusal != policy.TooLate || refused.wait.result != waitExpired || refused.after > time.Second || refused.after < 500*time.Millisecond || refused.retryAfter > (time.Second-refused.after)/3 {
 			t.Errorf("the other request: %+v, expected a refusal in time to retry", refused)
 		}
-		if full.admission.resources["p"].inProgress != policy.MinimumConcurrency || len(full.admission.waits) != 0 {
-			t.Errorf("%d in progress, %d waits", full.admission.resources["p"].inProgress, len(full.admission.waits))
+		if pool, _ := full.inProgress(); pool != policy.MinimumConcurrency || full.waiting() != 0 {
+			t.Errorf("%d in progress, %d waiting", pool, full.waiting())
 		}
 	})
 }
@@ -117,12 +131,12 @@
 			if takenUp {
 				full.release[0]()
 			}
-			if left := <-leaving; left.release != nil || left.refusal != 0 || left.wait.result != waitLeft || full.admission.queue.Waiting() != 0 {
-				t.Errorf("%+v, %d waiting", left, full.admission.queue.Waiting())
+			if left := <-leaving; left.release != nil || left.refusal != 0 || left.wait.result != waitLeft || full.waiting() != 0 {
+				t.Errorf("%+v, %d waiting", left, full.waiting())
 			}
 		}
-		if places := full.admission.resources["p"]; places.inProgress != policy.MinimumConcurrency-1 || full.admission.entry.inProgress != places.inProgress {
-			t.Errorf("%d in progress, %d at the entry", places.inProgress, full.admission.entry.inProgress)
+		if pool, entry := full.inProgress(); pool != policy.MinimumConcurrency-1 || entry != pool {
+			t.Errorf("%d in progress, %d at the entry", pool, entry)
 		}
 	})
 }
@@ -161,14 +175,14 @@
 			default:
 			}
 		}
-		if waiting := full.admission.queue.Waiting(); waiting == 0 || waiting > policy.MaximumWaiting {
+		if waiting := full.waiting(); waiting == 0 || waiting > policy.MaximumWaiting {
 			t.Errorf("%d waiting", waiting)
 		}
 		if len(delays) < 10 {
 			t.Errorf("the callers return at %d different times", len(delays))
 		}
 		time.Sleep(time.Second)
-		if waiting := full.admission.queue.Waiting(); waiting != 0 {
+		if waiting := full.waiting(); waiting != 0 {
 			t.Errorf("%d wait beyond their time", waiting)
 		}
 	})
