--- a/internal/httpcaller/admission.go
+++ b/internal/httpcaller/admission.go
@@ -149,6 +149,9 @@
 func (server *Server) admit(ctx context.Context, call *call) (release func(), refusal policy.Reason, retryAfter time.Duration) {
 	admission, resource := server.admission, call.routeIndex.resources[call.route]
 	admission.lock.Lock()
+	if admission.resources[resource] == nil {
+		admission.resources[resource] = server.newPlaces(call.route)
+	}
 	if admission.hasPlace(resource) {
 		admission.take(resource)
 		admission.lock.Unlock()
@@ -226,6 +229,13 @@
 	}
 }
 
+// newPlaces returns the places of the pools of a route.
+func (server *Server) newPlaces(route *operator.Route) *places {
+	places := &places{concurrency: policy.NewConcurrency(policy.ConcurrencyBounds{Ample: policy.AmpleConcurrency, Routes: 1})}
+	places.concurrency.SetFloor(server.floor(route, time.Now()))
+	return places
+}
+
 // floor returns the least limit of the pools of a route, by the slots of the pool that has the fewest.
 func (server *Server) floor(route *operator.Route, now time.Time) int {
 	fewest := math.MaxInt
@@ -367,12 +377,7 @@
 
 // hasPlace reports whether a resource and the entry have a free place. The lock must be held.
 func (admission *admission) hasPlace(resource string) bool {
-	found := admission.resources[resource]
-	if found == nil {
-		found = &places{concurrency: policy.NewConcurrency(policy.ConcurrencyBounds{Floor: policy.MinimumConcurrency, Ample: policy.AmpleConcurrency, Routes: 1})}
-		admission.resources[resource] = found
-	}
-	return found.hasRoom() && admission.entry.hasRoom()
+	return admission.resources[resource].hasRoom() && admission.entry.hasRoom()
 }
 
 // take takes a place. The lock must be held.
--- a/internal/httpcaller/admission_test.go
+++ b/internal/httpcaller/admission_test.go
@@ -47,7 +47,7 @@
 	}}
 	server := NewServer(Options{Headers: dialect.Default()}, new(blackboard.Board), httptarget.NewDirectory(zap.NewNop()), httptarget.NewSender(dialect.Default(), nil), nil, zap.NewNop(), metrics.New())
 	full := &fullServer{Server: server, index: &routeIndex{tables: tables, resources: resourcesOf(tables), weights: newTenantWeights(tables)}}
-	server.admission.hasPlace("p")
+	server.admission.resources["p"] = server.newPlaces(&tables.Routes[0])
 	concurrency := server.admission.resources["p"].concurrency
 	for _, latency := range []time.Duration{10 * time.Millisecond, 200 * time.Millisecond} {
 		for sample := range 30 {
--- a/internal/policy/overload_test.go
+++ b/internal/policy/overload_test.go
@@ -331,6 +331,57 @@
 	}
 }
 
+// Guards against a pool's limit that falls because of one slow route, and an entry's because of one slow pool.
+func TestLimitFallsOnlyIfRoutesRiseTogether(t *testing.T) {
+	const fast, slow = 20 * time.Millisecond, 300 * time.Millisecond
+	for _, row := range []struct {
+		leastRoutes int
+		latencies   map[string]time.Duration
+		falls       bool
+	}{
+		{1, map[string]time.Duration{"a": slow, "b": fast}, false}, {1, map[string]time.Duration{"a": slow, "b": slow}, true},
+		{2, map[string]time.Duration{"a": slow}, false}, {2, map[string]time.Duration{"a": slow, "b": slow}, true}, {2, map[string]time.Duration{"a": slow, "b": fast}, false},
+	} {
+		concurrency := policy.NewConcurrency(policy.ConcurrencyBounds{Floor: policy.MinimumConcurrency, Ample: policy.AmpleConcurrency, Routes: row.leastRoutes})
+		now, lowest := time.Unix(1e9, 0), policy.MaximumInFlight
+		for _, isSlow := range []bool{false, true} {
+			for range 100 {
+				now = now.Add(50 * time.Millisecond)
+				concurrency.Begin(30)
+				for route, latency := range row.latencies {
+					if !isSlow {
+						latency = fast
+					}
+					concurrency.Observe(route, latency, true, now)
+				}
+				lowest = min(lowest, concurrency.Limit())
+			}
+		}
+		if falls := lowest < policy.AmpleConcurrency; falls != row.falls {
+			t.Errorf("%+v: lowest limit %d", row, lowest)
+		}
+	}
+}
+
+// Guards against requests for one pool that wait behind those for another, whose places are all taken.
+func TestPoolsDontWaitForEachOther(t *testing.T) {
+	now, queue := time.Unix(1e9, 0), policy.NewWaitQueue(policy.MaximumWaiting)
+	items := map[string]*policy.WaitItem{}
+	for _, resource := range []string{"p", "q"} {
+		items[resource] = &policy.WaitItem{Resource: resource, Kind: resource, Weight: 1, ObjectiveUntil: now.Add(time.Second), ServeUntil: now.Add(time.Second)}
+		if offer := queue.Offer(items[resource], time.Millisecond, now); offer.Position != 0 {
+			t.Errorf("position %d at %s", offer.Position, resource)
+		}
+	}
+	hasPlace := func(resource string) bool { return resource == "q" }
+	if next := queue.Next(now, hasPlace); next != items["q"] {
+		t.Errorf("next %+v", next)
+	}
+	if next := queue.Next(now, hasPlace); next != nil {
+		t.Errorf("next %+v without a place", next)
+	}
+}
+
 // Guards against a limit that stays low after an overload: all targets are slower by 8 times for 20 s.
 func TestLimitGrowsBackAfterOverload(t *testing.T) {
 	for _, after := range []time.Duration{2 * time.Second, 5 * time.Second} {
