--- a/internal/httpcaller/overload_test.go
+++ b/internal/httpcaller/overload_test.go
@@ -44,52 +44,58 @@
 
 // Guards against an overload in which nothing waits in order and requests are refused late or without the time to
 // return, and against a limit that still binds 5 s after it: for 20 s the only target takes 400 ms instead of 5 ms for
-// each of 60 requests a second.
+// each of 60 requests or queries a second.
 func TestOverloadIsQueuedAndEnds(t *testing.T) {
-	bubble.Test(t, func(t *testing.T) {
-		fleet := newFleet(t, 1, 1)
-		entry, random := fleet.entries[0], rand.New(rand.NewPCG(1, 2))
-		entry.load(random, 30, 5*time.Second, "/orders/7")
-		fleet.targets[0].slowness.Store(int64(395 * time.Millisecond))
-		var lock sync.Mutex
-		var running sync.WaitGroup
-		statuses := map[int]int{}
-		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
-			time.Sleep(time.Duration(random.ExpFloat64() / 60 * float64(time.Second)))
-			running.Go(func() {
-				startedAt := time.Now()
-				response := entry.send("/orders/7")
-				lock.Lock()
-				defer lock.Unlock()
-				statuses[response.Code]++
-				if response.Code != http.StatusServiceUnavailable {
-					return
-				}
-				seconds, err := strconv.ParseFloat(response.Header().Get("Retry-After"), 64)
-				if left := fleetDeadline - time.Since(startedAt); err != nil || seconds > left.Seconds()/3+0.001 || !strings.Contains(response.Body.String(), `"not_run":true`) {
-					t.Errorf("refused with Retry-After %q, %v before the deadline: %s", response.Header().Get("Retry-After"), left, response.Body)
-				}
-			})
-		}
-		running.Wait()
-		waits, refusals, waiting := entry.admissions(t)
-		t.Logf("statuses %v, waits %v, refusals %v", statuses, waits, refusals)
-		if waits["admitted"] == 0 || refusals == 0 || waiting != 0 || statuses[http.StatusOK] < 300 {
-			t.Errorf("statuses %v, waits %v, %v refused, %v waiting", statuses, waits, refusals, waiting)
-		}
-		if ran, answered := len(fleet.targets[0].arrivals), statuses[http.StatusOK]; ran > answered+250 {
-			t.Errorf("%d requests reached the target for %d answers in the overload", ran, answered)
-		}
-		fleet.targets[0].slowness.Store(0)
-		entry.load(random, 60, 5*time.Second, "/orders/7")
-		_, before, _ := entry.admissions(t)
-		if after := entry.load(random, 60, 5*time.Second, "/orders/7"); len(after) != 1 || after[http.StatusOK] == 0 {
-			t.Errorf("statuses after the overload: %v", after)
-		}
-		if _, refusals, _ := entry.admissions(t); refusals != before {
-			t.Errorf("%v refused after the overload", refusals-before)
-		}
-	})
+	for _, path := range []string{"/orders/7", "/all/7"} {
+		t.Run(path, func(t *testing.T) { bubble.Test(t, func(t *testing.T) { checkOverload(t, path) }) })
+	}
+}
+
+func checkOverload(t *testing.T, path string) {
+	t.Helper()
+	fleet := newFleet(t, 1, 1)
+	fleet.addQuery()
+	entry, random := fleet.entries[0], rand.New(rand.NewPCG(1, 2))
+	entry.load(random, 30, 5*time.Second, path)
+	fleet.targets[0].slowness.Store(int64(395 * time.Millisecond))
+	var lock sync.Mutex
+	var running sync.WaitGroup
+	statuses := map[int]int{}
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
+		time.Sleep(time.Duration(random.ExpFloat64() / 60 * float64(time.Second)))
+		running.Go(func() {
+			startedAt := time.Now()
+			response := entry.send(path)
+			lock.Lock()
+			defer lock.Unlock()
+			statuses[response.Code]++
+			if response.Code != http.StatusServiceUnavailable {
+				return
+			}
+			seconds, err := strconv.ParseFloat(response.Header().Get("Retry-After"), 64)
+			if left := fleetDeadline - time.Since(startedAt); err != nil || seconds > left.Seconds()/3+0.001 || !strings.Contains(response.Body.String(), `"not_run":true`) {
+				t.Errorf("refused with Retry-After %q, %v before the deadline: %s", response.Header().Get("Retry-After"), left, response.Body)
+			}
+		})
+	}
+	running.Wait()
+	waits, refusals, waiting := entry.admissions(t)
+	t.Logf("statuses %v, waits %v, refusals %v", statuses, waits, refusals)
+	if waits["admitted"] == 0 || refusals == 0 || waiting != 0 || statuses[http.StatusOK] < 300 {
+		t.Errorf("statuses %v, waits %v, %v refused, %v waiting", statuses, waits, refusals, waiting)
+	}
+	if ran, answered := len(fleet.targets[0].arrivals), statuses[http.StatusOK]; ran > answered+250 {
+		t.Errorf("%d requests reached the target for %d answers in the overload", ran, answered)
+	}
+	fleet.targets[0].slowness.Store(0)
+	entry.load(random, 60, 5*time.Second, path)
+	_, before, _ := entry.admissions(t)
+	if after := entry.load(random, 60, 5*time.Second, path); len(after) != 1 || after[http.StatusOK] == 0 {
+		t.Errorf("statuses after the overload: %v", after)
+	}
+	if _, refusals, _ := entry.admissions(t); refusals != before {
+		t.Errorf("%v refused after the overload", refusals-before)
+	}
 }
 
 // Guards against work for callers that have gone: requests that wait are withdrawn when their callers leave, and never
--- a/internal/policy/overload_test.go
+++ b/internal/policy/overload_test.go
@@ -402,6 +402,28 @@
 	}
 }
 
+// Guards against a limit that grows only while it is reached, so that it binds at the next burst: after an overload of 20 s
+// there are 20 requests a second for 10 s.
+func TestLimitGrowsBackUnused(t *testing.T) {
+	load := newEntryLoad(9, 50*time.Second, func(since time.Duration) time.Duration {
+		if since > 20*time.Second && since < 40*time.Second {
+			return 400 * time.Millisecond
+		}
+		return 50 * time.Millisecond
+	})
+	kind := newKind("", "get", policy.Priority{}, 1, 60, 300*time.Millisecond, 3*time.Second)
+	kind.perSecond = func(since time.Duration) float64 {
+		if since > 40*time.Second {
+			return 20
+		}
+		return 60
+	}
+	load.run(kind)
+	if load.lowestLimit > 20 || load.concurrency.Limit() < policy.AmpleConcurrency/2 {
+		t.Errorf("limit %d after the overload, %d in it", load.concurrency.Limit(), load.lowestLimit)
+	}
+}
+
 // Guards against expired requests that are served, and against an urgent request that is refused for less urgent ones.
 func TestExpiredAndDisplacedRequests(t *testing.T) {
 	now := time.Unix(1e9, 0)
