--- a/internal/policy/concurrency.go
+++ b/internal/policy/concurrency.go
@@ -37,6 +37,8 @@
 	growthStep            = 1
 	unreachedGrowthFactor = 1.5
 	unreachedGrowthStep   = 4
+	// expectedLatencyFactor is the margin of expected latencies, because many requests take longer than the mean.
+	expectedLatencyFactor = 1.25
 	// latencyWeight is the weight of a new latency in the recent latency of a route.
 	latencyWeight = 0.1
 )
@@ -97,10 +99,10 @@
 	concurrency.peak = max(concurrency.peak, inProgress)
 }
 
-// ExpectedLatency returns the recent latency of a route, or zero if none was measured.
+// ExpectedLatency returns the recent latency of a route with a margin, or zero if none was measured.
 func (concurrency *Concurrency) ExpectedLatency(route string) time.Duration {
 	if measured := concurrency.routes[route]; measured != nil {
-		return measured.recent
+		return time.Duration(expectedLatencyFactor * float64(measured.recent))
 	}
 	return 0
 }
