--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -49,6 +49,9 @@
 		rolloutOrders      *prometheus.CounterVec
 		rolloutPhases      *prometheus.CounterVec
 		rolloutGrants      prometheus.Counter
+		admissionWaiting   prometheus.Gauge
+		admissionWait      *prometheus.HistogramVec
+		admissionRefusals  *prometheus.CounterVec
 	}
 )
 
@@ -88,6 +91,9 @@
 		rolloutOrders:      counter("rollout_orders_total", "Orders of rollouts, by what became of them.", "outcome"),
 		rolloutPhases:      counter("rollout_phases_total", "Phases that rollouts entered after the first.", "phase"),
 		rolloutGrants:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "rollout_grants_total", Help: "Grants of requests to new releases that entries got."}),
+		admissionWaiting:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "admission_waiting", Help: "Requests of HTTP routes that wait for a place."}),
+		admissionWait:      histogram("admission_wait_seconds", "Time that requests of HTTP routes waited for a place, by what ended it.", prometheus.ExponentialBuckets(0.001, 2, 14), "end"),
+		admissionRefusals:  counter("admission_refusals_total", "Requests of HTTP routes that were refused while a limit of requests in progress was reached.", "reason"),
 		directoryUnequal:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "directory_unequal_seconds", Help: "Time since the directory was last equal to a peer's."}),
 	}
 	metrics.registry.MustRegister(
@@ -98,6 +104,7 @@
 		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync, metrics.missingParts, metrics.panics, metrics.targetWords, metrics.permits, metrics.allotments, metrics.relayedAttempts, metrics.tenantRequests,
 		metrics.rolloutAttempts, metrics.entryGrants, metrics.rolloutReports,
 		metrics.rolloutOrders, metrics.rolloutPhases, metrics.rolloutGrants,
+		metrics.admissionWaiting, metrics.admissionWait, metrics.admissionRefusals,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
@@ -167,6 +174,17 @@
 // RolloutGrants counts the grants of requests to new releases that this replica gave as leader.
 func (metrics *Metrics) RolloutGrants() prometheus.Counter { return metrics.rolloutGrants }
 
+// AdmissionWaiting is the number of requests of HTTP routes that wait for a place.
+func (metrics *Metrics) AdmissionWaiting() prometheus.Gauge { return metrics.admissionWaiting }
+
+// AdmissionWait observes the time that requests of HTTP routes waited for a place, by what ended it: admitted,
+// displaced, expired or left.
+func (metrics *Metrics) AdmissionWait() *prometheus.HistogramVec { return metrics.admissionWait }
+
+// AdmissionRefusals counts requests of HTTP routes that were refused while a limit of requests in progress was
+// reached, by reason: late, full, displaced, expired or stopping.
+func (metrics *Metrics) AdmissionRefusals() *prometheus.CounterVec { return metrics.admissionRefusals }
+
 // DroppedAnswers counts dropped answers, by reason: for example late, damaged, or for another
 // attempt.
 func (metrics *Metrics) DroppedAnswers() *prometheus.CounterVec { return metrics.droppedAnswers }
