--- a/internal/httpcaller/allotment_test.go
+++ b/internal/httpcaller/allotment_test.go
@@ -32,7 +32,7 @@
 		defer server.Close()
 		// send runs a request, or refuses it for another reason, and returns the response.
 		send := func(runs bool) *httptest.ResponseRecorder {
-			call := &call{server: server, ctx: t.Context(), startedAt: time.Now()}
+			call := &call{server: server, ctx: t.Context(), startedAt: time.Now(), routeIndex: new(routeIndex)}
 			response := httptest.NewRecorder()
 			switch refused, retryAfter := call.reserve(&tenant); {
 			case refused:
