--- a/internal/httpcaller/fleet_test.go
+++ b/internal/httpcaller/fleet_test.go
@@ -43,6 +43,8 @@
 	targetNetwork = "10.0.9."
 	// fleetDeadline is the deadline and timeout of requests to a fleet.
 	fleetDeadline = time.Second
+	// fleetSlots is the number of slots of a target of a fleet.
+	fleetSlots = 4
 	// fleetRunTime is how long a target of a fleet runs a request.
 	fleetRunTime = 5 * time.Millisecond
 )
@@ -80,6 +82,9 @@
 		pause   atomic.Pointer[string]
 		// bad answers in place of the target while its release is bad.
 		bad atomic.Pointer[http.Handler]
+		// slowness is added to fleetRunTime, in nanoseconds. Slow requests take one of the target's slots.
+		slowness atomic.Int64
+		slots    chan struct{}
 
 		lock     sync.Mutex
 		arrivals []arrival
@@ -142,7 +147,7 @@
 
 func (fleet *fleet) addTarget(t *testing.T, number int, release string) {
 	t.Helper()
-	target := &fleetTarget{ip: targetNetwork + strconv.Itoa(number+1)}
+	target := &fleetTarget{ip: targetNetwork + strconv.Itoa(number+1), slots: make(chan struct{}, fleetSlots)}
 	listener, err := fleet.network.Listen(target.ip + ":80")
 	if err != nil {
 		t.Fatal(err)
@@ -153,7 +158,7 @@
 	fleet.targets = append(fleet.targets, target)
 	if err := fleet.registry.Announce(httptarget.Record{
 		ID: fmt.Sprint("target-", number+1), Pool: "p", Address: target.ip + ":80", FailureDomain: "nord-a", Release: release,
-		Slots: 4, State: httptarget.StateReady, StartedAt: 1, Revision: 1,
+		Slots: fleetSlots, State: httptarget.StateReady, StartedAt: 1, Revision: 1,
 	}); err != nil {
 		t.Fatal(err)
 	}
@@ -246,7 +251,7 @@
 
 func (target *fleetTarget) answer(writer http.ResponseWriter, request *http.Request) {
 	ip, _, _ := net.SplitHostPort(request.RemoteAddr)
-	time.Sleep(fleetRunTime)
+	target.run()
 	headers := dialect.Default()
 	writer.Header().Set(headers.RequestID, request.Header.Get(headers.RequestID))
 	writer.Header().Set(headers.Proof, "proof-"+target.ip)
@@ -271,6 +276,16 @@
 	_, _ = io.WriteString(writer, "yes")
 }
 
+// run takes as long as a request runs, and waits for a slot before if the target is slow.
+func (target *fleetTarget) run() {
+	slowness := time.Duration(target.slowness.Load())
+	if slowness > 0 {
+		target.slots <- struct{}{}
+		defer func() { <-target.slots }()
+	}
+	time.Sleep(fleetRunTime + slowness)
+}
+
 func (target *fleetTarget) setPause(text string) {
 	target.pause.Store(&text)
 }
