--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -11,7 +11,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
 	"gitlab.com/comfreythread/comfreythread/internal/membership"
 )
 
@@ -48,7 +47,7 @@
 // target's failure domain, which keep most connections to it, then those near this entry, and last
 // those that are avoided. Pinned candidates are those of the target's region first, in an order that
 // differs between entries but stays the same for one.
-func (relay *Relay) candidates(target *httptarget.Target, pinned bool) []*membership.Member {
+func (relay *Relay) candidates(targetDomain string, pinned bool) []*membership.Member {
 	members := relay.board.Membership().View().Members
 	candidates := make([]*membership.Member, 0, len(members))
 	now := time.Now()
@@ -59,25 +58,25 @@
 		}
 	}
 	if pinned {
-		relay.sortPinned(candidates, target, now)
+		relay.sortPinned(candidates, targetDomain, now)
 		return candidates
 	}
 	rand.Shuffle(len(candidates), func(left, right int) { candidates[left], candidates[right] = candidates[right], candidates[left] })
 	slices.SortStableFunc(candidates, func(left, right *membership.Member) int {
-		return cmp.Compare(relay.distance(left, target, now), relay.distance(right, target, now))
+		return cmp.Compare(relay.distance(left, targetDomain, now), relay.distance(right, targetDomain, now))
 	})
 	return candidates
 }
 
 // sortPinned sorts entries for attempts over their connections: by whether they are avoided, by their distance
 // from the target, and by rendezvous hashing.
-func (relay *Relay) sortPinned(candidates []*membership.Member, target *httptarget.Target, now time.Time) {
-	targetRegion := relay.options.Regions[target.FailureDomain()]
+func (relay *Relay) sortPinned(candidates []*membership.Member, targetDomain string, now time.Time) {
+	targetRegion := relay.options.Regions[targetDomain]
 	rank := func(member *membership.Member) int {
 		switch {
 		case relay.entries.avoids(member.PeerAddress, now):
 			return 3
-		case member.FailureDomain == target.FailureDomain():
+		case member.FailureDomain == targetDomain:
 			return 0
 		case member.Region == targetRegion:
 			return 1
@@ -95,11 +94,11 @@
 }
 
 // distance orders entries for attempts at a target.
-func (relay *Relay) distance(member *membership.Member, target *httptarget.Target, now time.Time) int {
+func (relay *Relay) distance(member *membership.Member, targetDomain string, now time.Time) int {
 	switch {
 	case relay.entries.avoids(member.PeerAddress, now):
 		return 4
-	case member.FailureDomain == target.FailureDomain():
+	case member.FailureDomain == targetDomain:
 		return 0
 	case member.FailureDomain == relay.options.FailureDomain:
 		return 1
--- /dev/null
+++ b/internal/relay/choose_test.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
+	"gitlab.com/comfreythread/comfreythread/internal/membership"
+)
+
+const (
+	nearDomain = "sud-a"
+)
+
+// Guards against attempts over shared connections that go to a different entry each time, each of which then
+// opens a connection to the target, and against all entries choosing the same one.
+func TestPinnedCandidatesStayTheSame(t *testing.T) {
+	view := membership.View{Number: 1}
+	for number := range 12 {
+		domain := []string{"nord-a", nearDomain, "sud-b"}[number%3]
+		view.Members = append(view.Members, membership.Member{
+			ID: fmt.Sprint("entry-", number), PeerAddress: fmt.Sprint("10.0.0.", number, ":1"), GatewayAddress: "10.0.0.1:2", FailureDomain: domain, Region: domain[:len(domain)-2],
+		})
+	}
+	board := new(blackboard.Board)
+	board.Membership().Update(&view, 1)
+	first := map[string]bool{}
+	for number := range 60 {
+		relay := &Relay{board: board, options: Options{Self: fmt.Sprint("caller-", number), FailureDomain: "nord-a", Region: "nord", Regions: map[string]string{"nord-a": "nord", nearDomain: "sud", "sud-b": "sud"}}}
+		candidates := relay.candidates(nearDomain, true)
+		if again := relay.candidates(nearDomain, true); !slices.Equal(candidates, again) {
+			t.Fatal("the order changes between two attempts")
+		}
+		if candidates[0].FailureDomain != nearDomain || candidates[4].FailureDomain != "sud-b" || candidates[8].FailureDomain != "nord-a" {
+			t.Fatal("entries farther from the target come before nearer ones")
+		}
+		first[candidates[0].ID] = true
+		relay.entries.begin(candidates[0].PeerAddress)(avoidEntry)
+		if next := relay.candidates(nearDomain, true); next[0] != candidates[1] || next[11] != candidates[0] {
+			t.Fatal("an entry without a reply isn't passed over")
+		}
+	}
+	if len(first) != 4 {
+		t.Errorf("60 entries use the connections of %d of the 4 entries near the target", len(first))
+	}
+}
