--- a/internal/policy/connections.go
+++ b/internal/policy/connections.go
@@ -25,10 +25,13 @@
 	regionShare = 0.9
 )
 
+// Where a target is, as seen from an entry.
 const (
-	// SameDomain, SameRegion and OtherRegion are where a target is, as seen from an entry.
+	// SameDomain is the entry's failure domain.
 	SameDomain Locality = iota + 1
+	// SameRegion is another failure domain of the entry's region.
 	SameRegion
+	// OtherRegion is another region.
 	OtherRegion
 )
 
