--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -48,8 +48,8 @@
 	engine.DELETE("/v1/replicas/:id", server.removeReplica)
 	engine.PUT("/v1/failure-domains/:name/out", server.domainOutHandler(true))
 	engine.DELETE("/v1/failure-domains/:name/out", server.domainOutHandler(false))
-	engine.POST("/v1/rollouts", server.startRollout)
-	engine.GET("/v1/rollouts/:pool", server.rollout)
+	engine.POST("/v1/rollout", server.startRollout)
+	engine.GET("/v1/rollout/:pool", server.rollout)
 }
 
 func (server *Server) change(ginContext *gin.Context) {
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -69,12 +69,12 @@
 // StartRollout orders a rollout. Sending the same order again is safe. The error is
 // of kind fault.Conflict if another rollout of the pool is in progress.
 func (client *Client) StartRollout(ctx context.Context, order *RolloutOrder) (*Rollout, error) {
-	return call[Rollout](ctx, client, http.MethodPost, "/v1/rollouts", order)
+	return call[Rollout](ctx, client, http.MethodPost, "/v1/rollout", order)
 }
 
 // Rollout returns the newest rollout of a pool.
 func (client *Client) Rollout(ctx context.Context, pool string) (*Rollout, error) {
-	return call[Rollout](ctx, client, http.MethodGet, "/v1/rollouts/"+url.PathEscape(pool), nil)
+	return call[Rollout](ctx, client, http.MethodGet, "/v1/rollout/"+url.PathEscape(pool), nil)
 }
 
 // call sends a request and decodes the reply. It returns any error as a
