--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -79,6 +79,8 @@
 		attempts, arrivals, possibleRuns int
 		// possibleRunners holds the targets that may have run the request.
 		possibleRunners []*httptarget.Target
+		// timer ends at the time of the next hedge, or of the next attempt after a wait.
+		timer *time.Timer
 		// waits counts how often the dispatch has waited for the next attempt.
 		waits int
 		// stalled is true while the dispatch waits without an attempt in progress.
@@ -268,20 +270,19 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	result := dispatchResult{pool: dispatch.pool, reason: policy.NoRoom}
-	next := time.NewTimer(0)
-	defer next.Stop()
 	if dispatch.sendNext(ctx, triggerFirst) {
-		next.Reset(dispatch.hedgeDelay())
-	} else if !dispatch.awaitRetry(next) {
+		dispatch.scheduleNext(dispatch.hedgeDelay())
+	} else if !dispatch.awaitRetry() {
 		return result
 	}
+	defer func() { dispatch.timer.Stop() }()
 	for dispatch.inFlight > 0 || dispatch.stalled {
 		select {
 		case <-ctx.Done():
 			result.mayHaveRun, result.cause = dispatch.possibleRuns > 0, ctx.Err()
 			return result
-		case <-next.C:
-			dispatch.sendOverdue(ctx, next, &result)
+		case <-dispatch.timer.C:
+			dispatch.sendOverdue(ctx, &result)
 		case finishedAttempt := <-dispatch.outcomes:
 			dispatch.inFlight--
 			if dispatch.handleOutcome(finishedAttempt, &result) {
@@ -290,7 +291,7 @@
 			if dispatch.sendFurther(ctx, finishedAttempt) {
 				result.retried = true
 			} else if dispatch.inFlight == 0 {
-				dispatch.awaitRetry(next)
+				dispatch.awaitRetry()
 			}
 		}
 	}
@@ -300,12 +301,12 @@
 
 // sendOverdue sends a hedge, or after a wait the next attempt. If the budget or the targets allow
 // none, it waits again.
-func (dispatch *dispatch) sendOverdue(ctx context.Context, next *time.Timer, result *dispatchResult) {
+func (dispatch *dispatch) sendOverdue(ctx context.Context, result *dispatchResult) {
 	if dispatch.inFlight > 0 {
 		switch {
 		case !dispatch.mayAttempt():
 		case !dispatch.spendBudget(ctx, true):
-			next.Reset(policy.HedgeRetryDelay)
+			dispatch.scheduleNext(policy.HedgeRetryDelay)
 		case dispatch.sendNext(ctx, triggerHedge):
 			result.hedged = true
 		}
@@ -315,15 +316,15 @@
 	dispatch.rankTargets()
 	if dispatch.mayAttempt() && dispatch.spendBudget(ctx, false) && dispatch.sendNext(ctx, triggerRetry) {
 		result.retried = true
-		next.Reset(dispatch.hedgeDelay())
+		dispatch.scheduleNext(dispatch.hedgeDelay())
 		return
 	}
-	dispatch.awaitRetry(next)
+	dispatch.awaitRetry()
 }
 
 // awaitRetry lets a dispatch without an attempt in progress wait before it looks for a target again.
 // It returns false if the dispatch has failed for good.
-func (dispatch *dispatch) awaitRetry(next *time.Timer) bool {
+func (dispatch *dispatch) awaitRetry() bool {
 	stall := policy.Stall{
 		PossibleRuns: dispatch.possibleRuns, AllowedRuns: dispatch.allowedRuns(), Gathered: dispatch.call.route.HTTP.Gather != nil,
 		Waits: dispatch.waits, Remaining: time.Until(dispatch.hardDeadline),
@@ -334,10 +335,19 @@
 	}
 	dispatch.waits++
 	dispatch.setStalled(true)
-	next.Reset(delay)
+	dispatch.scheduleNext(delay)
 	return true
 }
 
+// scheduleNext sets the time of the next hedge or attempt. The timer is a new one each time: a reset one may hold
+// an earlier tick where the runtime buffers the ticks of timers, and would send a hedge at once.
+func (dispatch *dispatch) scheduleNext(delay time.Duration) {
+	if dispatch.timer != nil {
+		dispatch.timer.Stop()
+	}
+	dispatch.timer = time.NewTimer(delay)
+}
+
 // mayFindTarget reports whether the pool has a target that can't have run the request, although it may have
 // no room now.
 func (dispatch *dispatch) mayFindTarget() bool {
--- a/internal/httpcaller/overload_test.go
+++ b/internal/httpcaller/overload_test.go
@@ -15,6 +15,7 @@
 
 	"gitlab.com/comfreythread/comfreythread/internal/bubble"
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
 // admissions returns how many requests waited, by what ended it, and how many were refused by the limit.
@@ -54,6 +55,7 @@
 func checkOverload(t *testing.T, path string) {
 	t.Helper()
 	fleet := newFleet(t, 1, 1)
+	fleet.addTenant()
 	fleet.addQuery()
 	entry, random := fleet.entries[0], rand.New(rand.NewPCG(1, 2))
 	entry.load(random, 30, 5*time.Second, path)
@@ -103,6 +105,7 @@
 func TestCallersThatLeaveTheQueue(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		fleet := newFleet(t, 1, 1)
+		fleet.addTenant()
 		entry, random := fleet.entries[0], rand.New(rand.NewPCG(1, 2))
 		entry.load(random, 30, 5*time.Second, "/orders/7")
 		fleet.targets[0].slowness.Store(int64(195 * time.Millisecond))
@@ -148,6 +151,7 @@
 func TestNothingWaitsAtPauses(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		fleet := newFleet(t, 1, 2)
+		fleet.addTenant()
 		entry := fleet.entries[0]
 		end := time.Now().Add(2 * time.Minute)
 		go func() {
@@ -166,3 +170,11 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// addTenant adds a tenant to the tables, without which nothing is queued. Its routes are public.
+func (fleet *fleet) addTenant() {
+	fleet.tables.Tenants = []operator.Tenant{{Name: "dunlin", KeyDigests: []string{operator.KeyDigest("key")}}}
+	for index := range fleet.tables.Routes {
+		fleet.tables.Routes[index].HTTP.Public = true
+	}
+}
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -236,9 +236,16 @@
 
 // forward sends the request to targets once it is admitted.
 func (call *call) forward(writer http.ResponseWriter) {
-	release, refusal, retryAfter := call.server.admit(call.ctx, call)
-	if release != nil {
-		defer release()
+	var refusal policy.Reason
+	var retryAfter time.Duration
+	// Without tenants there is nobody to be fair to, and a caller that is refused or late at a busy entry is
+	// served sooner by another one.
+	if call.routeIndex.tenants.Any() {
+		var release func()
+		release, refusal, retryAfter = call.server.admit(call.ctx, call)
+		if release != nil {
+			defer release()
+		}
 	}
 	switch {
 	case call.ctx.Err() != nil:
--- a/internal/httpcaller/target_word_test.go
+++ b/internal/httpcaller/target_word_test.go
@@ -168,7 +168,8 @@
 // addQuery adds a route that gathers parts from one pool.
 func (fleet *fleet) addQuery() {
 	fleet.tables.Routes = append(fleet.tables.Routes, operator.Route{Kind: "all", HTTP: &operator.HTTPRoute{
-		Host: "a.example", PathPrefix: "/all/", Timeout: duration.Of(fleetDeadline), TargetLatency: duration.Of(fleetDeadline / 4), MaxAttempts: 2,
+		Public: true,
+		Host:   "a.example", PathPrefix: "/all/", Timeout: duration.Of(fleetDeadline), TargetLatency: duration.Of(fleetDeadline / 4), MaxAttempts: 2,
 		Gather: &operator.Gather{Pools: []string{"p"}, Top: 3, MinimumCoverage: 1},
 	}})
 	for _, entry := range fleet.entries {
