Consider a denied hedge again only after the objective

Cause: hedges tried again 150 ms after the budget denied them came too late for the objective and took the budget from others.

--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -306,7 +306,9 @@
 		switch {
 		case !dispatch.mayAttempt():
 		case !dispatch.spendBudget(ctx, true):
-			dispatch.scheduleNext(policy.HedgeRetryDelay)
+			// A late hedge that can't make the objective takes the budget from others that can. After that, a
+			// request that is still unanswered needs it.
+			dispatch.scheduleNext(max(policy.HedgeRetryDelay, time.Until(dispatch.softDeadline)))
 		case dispatch.sendNext(ctx, triggerHedge):
 			result.hedged = true
 		}
