Hold requests for tables that are expected soon, and name the time by the stage of the restart

Change: policy.Startup expects the tables by what control replicas have said so far. A request is held for up to a sixth of its time if they are expected within it, and is refused at once with that time otherwise.

--- a/internal/blackboard/in_force.go
+++ b/internal/blackboard/in_force.go
@@ -20,6 +20,8 @@
 		tables     *operator.Tables
 		leaseUntil time.Time
 		stopping   bool
+		// received is closed once the first tables are in force; nil until somebody waits for them.
+		received chan struct{}
 		// outSince is when this entry first saw that its own failure domain
 		// is taken out of service; zero while it is in service.
 		outSince time.Time
@@ -40,9 +42,26 @@
 func (inForce *InForce) Replace(version uint64, tables *operator.Tables) {
 	inForce.lock.Lock()
 	defer inForce.lock.Unlock()
-	if version > inForce.version {
-		inForce.version, inForce.tables = version, tables
+	if version <= inForce.version {
+		return
 	}
+	if inForce.version == 0 && inForce.received != nil {
+		close(inForce.received)
+	}
+	inForce.version, inForce.tables = version, tables
+}
+
+// Received returns a channel that is closed once the first tables are in force.
+func (inForce *InForce) Received() <-chan struct{} {
+	inForce.lock.Lock()
+	defer inForce.lock.Unlock()
+	if inForce.received == nil {
+		inForce.received = make(chan struct{})
+		if inForce.version > 0 {
+			close(inForce.received)
+		}
+	}
+	return inForce.received
 }
 
 // Tables returns the tables in force and their version. The tables must not
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -66,6 +65,8 @@
 		Revocation settings.Revocation
 		// Rollouts is nil if rollouts are turned off.
 		Rollouts *rollout.Tracker
+		// ControlContact returns what the entry last heard from control replicas; nil counts as nothing.
+		ControlContact func() policy.ControlContact
 	}
 
 	// Server forwards requests of HTTP routes. Create it with NewServer.
@@ -189,8 +190,7 @@
 	}
 	call := &call{server: server, startedAt: startedAt, routeIndex: server.currentRouteIndex()}
 	call.request.ID = request.Header.Get(server.options.Headers.RequestID)
-	if call.routeIndex == nil {
-		call.refuse(writer, policy.NoTables)
+	if call.routeIndex == nil && !call.awaitTables(writer, request, int(inFlight)) {
 		return
 	}
 	path, _, _ := strings.Cut(request.RequestURI, "?")
@@ -278,17 +278,7 @@
 // timeoutOf returns how long the request may take: the least of the caller's deadline
 // header, the route's timeout and DefaultTimeout.
 func (call *call) timeoutOf(request *http.Request) time.Duration {
-	timeout := min(DefaultTimeout, call.route.HTTP.Timeout.Std())
-	text := request.Header.Get(call.server.options.Headers.Deadline)
-	if text == "" {
-		return timeout
-	}
-	milliseconds, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(milliseconds >= 0) {
-		call.server.requestLog.deadlineInvalid(call, text)
-		return timeout
-	}
-	return min(timeout, time.Duration(min(milliseconds, float64(DefaultTimeout/time.Millisecond))*float64(time.Millisecond)))
+	return min(call.route.HTTP.Timeout.Std(), call.deadlineOf(request))
 }
 
 func (routeIndex *routeIndex) headerLimit() int {
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -24,7 +24,7 @@
 	// priorityReserveShare is the share of MaximumInFlight that each priority
 	// leaves free for the next higher one.
 	priorityReserveShare = 0.1
-	// lowestPriority is the priority as which all below it count.
+	// lowestPriority is the route's priority as which all below it count.
 	lowestPriority = 5
 	// tenantReserveShare is the share that each priority of a tenant leaves free for the next higher one. It begins
 	// where the shares of the routes' priorities end, so that requests of tenants with priority 0, and of those without
@@ -72,6 +72,11 @@
 	}
 )
 
+// LowestPriority returns the priority of requests whose route isn't known yet.
+func LowestPriority() Priority {
+	return Priority{Route: lowestPriority}
+}
+
 // Compare returns a negative number if the priority comes before the other one, 0 if they are equal, and
 // otherwise a positive number.
 func (priority Priority) Compare(other Priority) int {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -89,13 +89,13 @@
 	return tracker
 }
 
-func newGateway(settings *settings.Settings, headers dialect.Headers, board *blackboard.Board, directory *httptarget.Directory, sender *httptarget.Sender, permits *permit.Permits, rollouts *rollout.Tracker, logger *zap.Logger, metrics *metrics.Metrics) *httpcaller.Server {
+func newGateway(settings *settings.Settings, headers dialect.Headers, board *blackboard.Board, directory *httptarget.Directory, sender *httptarget.Sender, permits *permit.Permits, rollouts *rollout.Tracker, client *control.Client, logger *zap.Logger, metrics *metrics.Metrics) *httpcaller.Server {
 	gateway := settings.Gateway
 	server := httpcaller.NewServer(httpcaller.Options{
 		Name: settings.Name, FailureDomain: settings.FailureDomain, Region: settings.Region, Regions: gateway.Regions, Headers: headers,
 		Budget:     policy.BudgetLimits{Ratio: gateway.RetryRatio, Slack: gateway.RetrySlack, Window: gateway.RetryWindow.Std()},
 		Revocation: gateway.Revocation,
-		Rollouts:   rollouts,
+		Rollouts:   rollouts, ControlContact: client.Contact,
 	}, board, directory, sender, permits, logger, metrics)
 	metrics.GaugeFunc("http_requests_in_flight", "Requests of HTTP routes in progress.", func() float64 { return float64(server.InFlight()) })
 	metrics.GaugeFuncVec("retry_budget_left", "Hedges and retries that this entry may still send to a pool at this moment.", "pool", server.BudgetsLeft)
