Pass over targets without a free connection, and refund hedges that found none

Change: a dispatch takes the best untried target to which a connection is idle or may be opened; a hedge that finds none looks again after 20 ms; the budget of an attempt that wasn't sent is given back.

--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -28,6 +28,9 @@
 	// maximumStalledAttempts is the maximum number of attempts of a dispatch that has
 	// waited for targets or for budget.
 	maximumStalledAttempts = 24
+	// connectionRetryDelay is the delay before a hedge is considered again that found no free connection to any
+	// target, about the duration of a short run.
+	connectionRetryDelay = 20 * time.Millisecond
 	// domainRoundTrip, regionRoundTrip and farRoundTrip are the assumed network
 	// round-trip times within a failure domain, to another failure domain of the
 	// same region, and to another region. They apply until a latency is measured.
@@ -99,6 +102,8 @@
 		availableAt time.Time
 		// releases is the part of the dispatch that rollouts decide on.
 		releases releases
+		// charged is true if this entry's budget allowed the next attempt.
+		charged bool
 		// lastFailure is why the latest attempt that failed gave no part, as a label value.
 		lastFailure string
 	}
@@ -117,8 +122,9 @@
 	finishedAttempt struct {
 		target  *httptarget.Target
 		outcome httptarget.Outcome
-		// trigger is that of sentAttempt.
+		// trigger is that of sentAttempt, and charged is true if this entry's budget allowed the attempt.
 		trigger string
+		charged bool
 	}
 
 	// dispatchResult is a complete response, or the reason why there is none.
@@ -305,6 +311,8 @@
 	if dispatch.inFlight > 0 {
 		switch {
 		case !dispatch.mayAttempt():
+		case !dispatch.selectNext():
+			dispatch.scheduleNext(connectionRetryDelay)
 		case !dispatch.spendBudget(ctx, true):
 			// A late hedge that can't make the objective takes the budget from others that can. After that, a
 			// request that is still unanswered needs it.
@@ -316,7 +324,7 @@
 	}
 	dispatch.setStalled(false)
 	dispatch.rankTargets()
-	if dispatch.mayAttempt() && dispatch.spendBudget(ctx, false) && dispatch.sendNext(ctx, triggerRetry) {
+	if dispatch.mayAttempt() && dispatch.selectNext() && dispatch.spendBudget(ctx, false) && dispatch.sendNext(ctx, triggerRetry) {
 		result.retried = true
 		dispatch.scheduleNext(dispatch.hedgeDelay())
 		return
@@ -382,7 +390,11 @@
 	if isLimited(finishedAttempt.outcome) && dispatch.sendNext(ctx, finishedAttempt.trigger) {
 		return false
 	}
-	return dispatch.inFlight == 0 && dispatch.spendBudget(ctx, false) && dispatch.sendNext(ctx, triggerRetry)
+	if dispatch.inFlight > 0 && finishedAttempt.trigger == triggerHedge && wasNotSent(finishedAttempt.outcome) {
+		dispatch.scheduleNext(connectionRetryDelay)
+		return false
+	}
+	return dispatch.inFlight == 0 && dispatch.selectNext() && dispatch.spendBudget(ctx, false) && dispatch.sendNext(ctx, triggerRetry)
 }
 
 // handleOutcome updates the result by the outcome of an attempt and reports whether it
@@ -401,6 +413,9 @@
 		}
 		dispatch.recordFailure(finishedAttempt.target, "failure", zap.Int("status", outcome.Status))
 	case *httptarget.Refused:
+		if finishedAttempt.charged && wasNotSent(outcome) {
+			dispatch.call.server.budgets.Refund(dispatch.pool, dispatch.call.server.uptime())
+		}
 		dispatch.possibleRuns--
 		dispatch.possibleRunners = slices.DeleteFunc(dispatch.possibleRunners, func(target *httptarget.Target) bool { return target == finishedAttempt.target })
 		switch outcome.Reason {
@@ -489,11 +504,16 @@
 // spendBudget charges a hedge or retry to the pool's budget and reports whether it is
 // allowed. An attempt is free as long as no earlier one may have reached a target.
 func (dispatch *dispatch) spendBudget(ctx context.Context, isHedge bool) bool {
+	dispatch.charged = false
 	if dispatch.arrivals == 0 {
 		return true
 	}
 	server := dispatch.call.server
-	if server.budgets.Spend(dispatch.pool, isHedge, server.entryCount(), server.uptime()) || server.spendSharedBudget(ctx, dispatch.pool, isHedge) {
+	if server.budgets.Spend(dispatch.pool, isHedge, server.entryCount(), server.uptime()) {
+		dispatch.charged = true
+		return true
+	}
+	if server.spendSharedBudget(ctx, dispatch.pool, isHedge) {
 		return true
 	}
 	dispatch.lock.Lock()
@@ -502,25 +522,39 @@
 	return false
 }
 
-// sendNext sends the request to the next target in order that admits it, and reports
-// whether there was one. Before any attempt but the first it ranks the untried targets
-// again. The outcome arrives on dispatch.outcomes.
-func (dispatch *dispatch) sendNext(ctx context.Context, trigger string) bool {
+// selectNext makes the best untried target that can get the request now the next one, and reports whether there is
+// one. Before any attempt but the first it ranks the untried targets again.
+func (dispatch *dispatch) selectNext() bool {
+	if dispatch.next > 0 && dispatch.next < len(dispatch.order) {
+		dispatch.rankUntried()
+	}
 	if dispatch.next >= len(dispatch.order) {
 		return false
 	}
-	if dispatch.next > 0 {
-		if dispatch.rankUntried(); dispatch.next >= len(dispatch.order) {
-			return false
-		}
+	now := time.Now()
+	pool := dispatch.call.routeIndex.routes.Pool(dispatch.pool)
+	untried := dispatch.order[dispatch.next:]
+	selected := slices.IndexFunc(untried, func(index int) bool {
+		target := dispatch.targets[index]
+		return target.Admits(now) && target.HasConnection(dispatch.call.server.connectionLimit(pool, target))
+	})
+	if selected < 0 {
+		return false
+	}
+	chosen := untried[selected]
+	copy(untried[1:selected+1], untried[:selected])
+	untried[0] = chosen
+	return true
+}
+
+// sendNext sends the request to the next target that can get it, and reports whether there was one. The outcome
+// arrives on dispatch.outcomes.
+func (dispatch *dispatch) sendNext(ctx context.Context, trigger string) bool {
+	if !dispatch.selectNext() {
+		return false
 	}
 	server := dispatch.call.server
 	pool := dispatch.call.routeIndex.routes.Pool(dispatch.pool)
-	for !dispatch.targets[dispatch.order[dispatch.next]].Admits(time.Now()) {
-		if dispatch.next++; dispatch.next >= len(dispatch.order) {
-			return false
-		}
-	}
 	target, sending := dispatch.targets[dispatch.order[dispatch.next]], dispatch.newSending(dispatch.order[dispatch.next])
 	dispatch.lock.Lock()
 	dispatch.sentAttempts = append(dispatch.sentAttempts, sentAttempt{target: target.ID(), elapsed: time.Since(dispatch.call.startedAt), expectedLatency: dispatch.candidates[dispatch.order[dispatch.next]].ExpectedLatency(), trigger: trigger})
@@ -535,9 +569,11 @@
 	dispatch.call.attempts.Add(1)
 	server.requestMetrics.countAttempt(dispatch.pool, trigger)
 	limit := server.connectionLimit(pool, target)
+	charged := dispatch.charged
+	dispatch.charged = false
 	server.workers.run(func() {
 		var outcome httptarget.Outcome = &httptarget.Lost{Sent: true, Cause: errPanicked}
-		defer func() { dispatch.outcomes <- finishedAttempt{target: target, outcome: outcome, trigger: trigger} }()
+		defer func() { dispatch.outcomes <- finishedAttempt{target: target, outcome: outcome, trigger: trigger, charged: charged} }()
 		ctx, span := tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
 		defer span.End()
 		startedAt := time.Now()
@@ -556,6 +592,12 @@
 	return isRefused && refused.Reason == httptarget.Limited
 }
 
+// wasNotSent reports whether an attempt ended before anything reached its target.
+func wasNotSent(outcome httptarget.Outcome) bool {
+	refused, isRefused := outcome.(*httptarget.Refused)
+	return isRefused && (refused.Reason == httptarget.Busy || refused.Reason == httptarget.Unreachable)
+}
+
 // missingReason returns why the dispatch has no part so far, as a label value.
 func (dispatch *dispatch) missingReason() string {
 	dispatch.lock.Lock()
--- a/internal/httptarget/connection.go
+++ b/internal/httptarget/connection.go
@@ -144,6 +144,13 @@
 	return len(remaining)
 }
 
+// hasRoom reports whether a connection is idle or may be opened.
+func (connections *targetConnections) hasRoom(limit int) bool {
+	connections.lock.Lock()
+	defer connections.lock.Unlock()
+	return len(connections.idle) > 0 || connections.open < limit
+}
+
 // reserve counts a connection that is about to be opened, or returns false if limit
 // connections are already open.
 func (connections *targetConnections) reserve(limit int) bool {
--- a/internal/httptarget/target.go
+++ b/internal/httptarget/target.go
@@ -122,6 +122,12 @@
 	}
 )
 
+// HasConnection reports whether an attempt finds a connection to the target. Limit is the number of connections
+// that this entry may open; 0 means that it uses those of other entries.
+func (target *Target) HasConnection(limit int) bool {
+	return limit <= 0 || target.connections.hasRoom(limit) || target.linkDown()
+}
+
 func newTarget(record *Record) *Target {
 	return &Target{foundAt: time.Now(), record: *record}
 }
--- a/internal/policy/budget.go
+++ b/internal/policy/budget.go
@@ -103,6 +103,20 @@
 	return true
 }
 
+// Refund gives back an extra arrival that Spend allowed and that didn't arrive.
+func (budgets *Budgets) Refund(pool string, elapsed time.Duration) {
+	budgets.lock.Lock()
+	defer budgets.lock.Unlock()
+	budget := budgets.current(pool, elapsed)
+	for age := range int64(len(budget.extra)) {
+		index := (budget.newest - age + int64(len(budget.extra))) % int64(len(budget.extra))
+		if budget.extra[index] > 0 {
+			budget.extra[index]--
+			return
+		}
+	}
+}
+
 // SharedSlack returns the rate and the burst of the extra arrivals that all entries together may send to a
 // pool beyond what Spend allows, or false if each entry has its own part of the slack instead.
 func (limits BudgetLimits) SharedSlack(entries int) (perSecond, burst float64, shared bool) {
