Share a target's connections evenly among entries

Cause: an entry could open two connections to each target of another failure domain, whatever the target accepts (46 here, for 7 entries), and up to 12 to near ones. Hedges and first attempts that avoided a paused target found none free, and a dozen attempts were sent to a near target that had stopped answering before any went elsewhere.

Change: policy.ConnectionLimit gives each entry the same share wherever the target is.

--- a/internal/policy/connections.go
+++ b/internal/policy/connections.go
@@ -16,13 +16,12 @@
 	// process until their idle timeout, usually 15 s, part of which has passed
 	// while the process was down.
 	restartSpan = 12 * time.Second
-	// remoteConnections is the number of connections that an entry may open to a target of another
-	// failure domain: one idle connection and one more.
-	remoteConnections = 2
-	// regionShare is the share of a target's connections that the entries of its region may open if the
-	// target has too few for all entries. The rest covers connections that the target still counts after
-	// they were closed.
-	regionShare = 0.9
+	// minimumConnections is the number of connections that an entry needs to a target: one idle connection and one
+	// more.
+	minimumConnections = 2
+	// connectionShare is the share of a target's connections that entries may open. The rest covers connections that
+	// the target still counts after they were closed.
+	connectionShare = 0.9
 )
 
 // Where a target is, as seen from an entry.
@@ -47,21 +46,20 @@
 )
 
 // ConnectionLimit returns the number of connections that an entry may open to a target that accepts a number
-// of connections from all entries together. The load that it answers: a shard loses two of three targets,
-// and every entry turns to the one that is left. Where not every entry can have its connections, only the
-// entries of the target's region open some, and 0 means that an attempt goes through one of those.
+// of connections from all entries together. The load that it answers: a shard loses two of three targets, or one of
+// them pauses, and every entry turns to those that are left. Each entry gets an even share wherever the target is:
+// attempts at a near target that has stopped answering then go to others early, and these have room for them. Where
+// not every entry can have its connections, only the entries of the target's region open some, and 0 means that an
+// attempt goes through one of those.
 func ConnectionLimit(connections int, locality Locality, entries EntryCounts) int {
-	remote := remoteConnections * (entries.Region + entries.Other)
-	if connections <= 0 || remote+remoteConnections*entries.Domain <= connections || entries.Domain+entries.Region == 0 {
-		if locality == SameDomain {
-			return max(remoteConnections, (connections-remote)/max(1, entries.Domain))
-		}
-		return remoteConnections
+	all := entries.Domain + entries.Region + entries.Other
+	if connections <= 0 || minimumConnections*all <= connections || entries.Domain+entries.Region == 0 {
+		return max(minimumConnections, int(connectionShare*float64(connections))/max(1, all))
 	}
 	if locality == OtherRegion {
 		return 0
 	}
-	return max(1, int(regionShare*float64(connections))/(entries.Domain+entries.Region))
+	return max(1, int(connectionShare*float64(connections))/(entries.Domain+entries.Region))
 }
 
 // IdleConnections returns the number of a pool's targets to which an entry keeps an
