Direct callers to as many entries as the targets' connections suffice for

Change: policy.ActiveEntries chooses the entries that callers are directed to, so that each may open four connections to a target of a gathered pool; it is a function of the view and the tables, the same at every entry. The others are spare: they serve who calls them all the same, over connections of the active ones. Where the connections suffice for all entries nothing changes. The order of candidates for shared connections is hashed once for each entry, not for each comparison.

--- a/internal/httpcaller/fleet_test.go
+++ b/internal/httpcaller/fleet_test.go
@@ -193,7 +193,7 @@
 	t.Cleanup(entry.server.Close)
 	fleet.serve(t, entry.member.PeerAddress, func(server *frame.Server) {
 		permits.Register(server)
-		relayed.Register(server, entry.server.ConnectionLimit)
+		relayed.Register(server, entry.server.ConnectionLimit, entry.server.IsSpare)
 	})
 }
 
--- a/internal/httpcaller/keep_connected.go
+++ b/internal/httpcaller/keep_connected.go
@@ -75,7 +75,7 @@
 		}
 		return cmp.Compare(server.preference(left), server.preference(right))
 	})
-	count := policy.IdleConnections(pool.Connections, len(targets), server.entryCount(), server.uptime())
+	count := policy.IdleConnections(pool.Connections, len(targets), max(1, len(server.activeEntries().ids)), server.uptime())
 	return targets[:min(len(targets), count)]
 }
 
--- a/internal/httpcaller/limits.go
+++ b/internal/httpcaller/limits.go
@@ -40,13 +40,6 @@
 		deniedUntil map[sharedBudgetKey]time.Time
 	}
 
-	// entriesByPlace counts the entries of one view.
-	entriesByPlace struct {
-		view               uint64
-		total              int
-		byDomain, byRegion map[string]int
-	}
-
 	sharedBudgetKey struct {
 		pool  string
 		hedge bool
@@ -86,23 +79,17 @@
 	if pool != nil {
 		connections = pool.Connections
 	}
+	if connections > 0 && server.IsSpare(server.options.Name) {
+		return 0
+	}
 	return policy.ConnectionLimit(connections, server.localityOf(target.FailureDomain()), server.countEntries(target.FailureDomain()))
 }
 
-// countEntries counts the entries by their place as seen from a failure domain.
+// countEntries counts the active entries by their place as seen from a failure domain.
 func (server *Server) countEntries(domain string) policy.EntryCounts {
-	view := server.board.Membership().View()
-	counted := server.entriesByPlace.Load()
-	if counted == nil || counted.view != view.Number || counted.total != len(view.Members) {
-		counted = &entriesByPlace{view: view.Number, total: len(view.Members), byDomain: map[string]int{}, byRegion: map[string]int{}}
-		for index := range view.Members {
-			counted.byDomain[view.Members[index].FailureDomain]++
-			counted.byRegion[server.options.Regions[view.Members[index].FailureDomain]]++
-		}
-		server.entriesByPlace.Store(counted)
-	}
-	inDomain, inRegion := counted.byDomain[domain], counted.byRegion[server.options.Regions[domain]]
-	return policy.EntryCounts{Domain: inDomain, Region: inRegion - inDomain, Other: counted.total - inRegion}
+	active := server.activeEntries()
+	inDomain, inRegion := active.byDomain[domain], active.byRegion[server.options.Regions[domain]]
+	return policy.EntryCounts{Domain: inDomain, Region: inRegion - inDomain, Other: len(active.ids) - inRegion}
 }
 
 // localityOf returns where a failure domain is, as seen from this entry.
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -84,11 +84,12 @@
 		createdAt      time.Time
 		workers        *workers
 		admission      *admission
+		shardLoads     policy.ShardLoads
 
-		cachedRouteIndex atomic.Pointer[routeIndex]
-		entriesByPlace   atomic.Pointer[entriesByPlace]
-		inFlight         atomic.Int64
-		stopping         atomic.Bool
+		cachedRouteIndex    atomic.Pointer[routeIndex]
+		cachedActiveEntries atomic.Pointer[activeEntries]
+		inFlight            atomic.Int64
+		stopping            atomic.Bool
 	}
 
 	// routeIndex holds one version of the tables with its routes and tenants.
--- a/internal/policy/routes.go
+++ b/internal/policy/routes.go
@@ -17,7 +17,8 @@
 		byHost map[string]map[string]*operator.Route
 		pools  map[string]*operator.Pool
 		// usedPools lists the pools that routes refer to, sorted by name.
-		usedPools []string
+		usedPools     []string
+		gatheredPools []string
 	}
 )
 
@@ -49,6 +50,7 @@
 func (routes *Routes) addUsedPools(route *operator.Route) {
 	switch {
 	case route.HTTP.Gather != nil:
+		routes.gatheredPools = append(routes.gatheredPools, route.HTTP.Gather.Pools...)
 		routes.usedPools = append(routes.usedPools, route.HTTP.Gather.Pools...)
 	case len(route.HTTP.Split) > 0:
 		for _, weightedPool := range route.HTTP.Split {
@@ -64,6 +66,11 @@
 	return routes.usedPools
 }
 
+// GatheredPools returns the names of the pools of gathered routes. A pool of several routes is listed several times.
+func (routes *Routes) GatheredPools() []string {
+	return routes.gatheredPools
+}
+
 // Match returns the route whose host matches and whose path prefix is the longest one
 // that matches. The host may carry a port. It returns false if no route matches.
 func (routes *Routes) Match(host, path string) (*operator.Route, bool) {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -75,7 +75,7 @@
 }
 
 func registerRelay(relay *relay.Relay, server *frame.Server, gateway *httpcaller.Server) {
-	relay.Register(server, gateway.ConnectionLimit)
+	relay.Register(server, gateway.ConnectionLimit, gateway.IsSpare)
 }
 
 // newRollouts returns the tracker of rollouts, which runs until the entry stops, or nil if they are turned off.
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -68,13 +68,20 @@
 	return candidates
 }
 
-// sortPinned sorts entries for attempts over their connections: by whether they are avoided, by their distance
-// from the target, and by rendezvous hashing.
+// sortPinned sorts entries for attempts over their connections: by whether they are avoided, by whether they have
+// connections to lend, by their distance from the target, and by rendezvous hashing.
 func (relay *Relay) sortPinned(candidates []*membership.Member, targetDomain string, now time.Time) {
+	type rankedEntry struct {
+		member *membership.Member
+		rank   int
+		weight uint64
+	}
 	targetRegion := relay.options.Regions[targetDomain]
 	rank := func(member *membership.Member) int {
 		switch {
 		case relay.entries.avoids(member.PeerAddress, now):
+			return 4
+		case relay.isSpare != nil && relay.isSpare(member.ID):
 			return 3
 		case member.FailureDomain == targetDomain:
 			return 0
@@ -83,9 +90,17 @@
 		}
 		return 2
 	}
-	slices.SortFunc(candidates, func(left, right *membership.Member) int {
-		return cmp.Or(cmp.Compare(rank(left), rank(right)), cmp.Compare(relay.weight(left), relay.weight(right)))
+	// The hashes are computed once for each entry and not for each comparison.
+	ranked := make([]rankedEntry, len(candidates))
+	for index, member := range candidates {
+		ranked[index] = rankedEntry{member: member, rank: rank(member), weight: relay.weight(member)}
+	}
+	slices.SortFunc(ranked, func(left, right rankedEntry) int {
+		return cmp.Or(cmp.Compare(left.rank, right.rank), cmp.Compare(left.weight, right.weight))
 	})
+	for index := range ranked {
+		candidates[index] = ranked[index].member
+	}
 }
 
 // weight returns the hash of an entry in the order of this entry's candidates.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,6 +60,8 @@
 		logger    *zap.Logger
 		metrics   *metrics.Metrics
 		entries   entryStates
+		// isSpare reports whether an entry has no connections to lend; nil means that all have some.
+		isSpare func(entryID string) bool
 	}
 )
 
@@ -71,8 +73,10 @@
 }
 
 // Register serves other entries. The function limit returns the number of connections that this entry
-// may open to a target.
-func (relay *Relay) Register(server *frame.Server, limit func(target *httptarget.Target) int) {
+// may open to a target, and isSpare reports whether an entry has none to lend. It must be called before the first
+// attempt.
+func (relay *Relay) Register(server *frame.Server, limit func(target *httptarget.Target) int, isSpare func(entryID string) bool) {
+	relay.isSpare = isSpare
 	frame.Handle(server, MethodSend, func(ctx context.Context, attempt *Attempt) (*Reply, error) {
 		return relay.serveAttempt(ctx, attempt, limit), nil
 	})
