Leave the same queries out of all shards in trouble

Change: policy.ShardLoads estimates the share of queries that a shard serves in time, from parts that are late and requests that are refused, over windows. policy.OmitShards draws one number for a query: it isn't sent to shards whose share is lower, and is refused at once, truly not run, if it would miss more than it may.

--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -427,7 +427,9 @@
 		case httptarget.Limited:
 			dispatch.arrivals--
 			dispatch.attempts--
-		case httptarget.Shed, httptarget.WrongTarget:
+		case httptarget.Shed:
+			dispatch.call.server.shardLoads.Observe(dispatch.pool, policy.PartRefused, time.Now())
+		case httptarget.WrongTarget:
 		}
 		result.cause = outcome.Cause
 		if outcome.Reason == httptarget.WrongTarget {
@@ -573,7 +575,9 @@
 	dispatch.charged = false
 	server.workers.run(func() {
 		var outcome httptarget.Outcome = &httptarget.Lost{Sent: true, Cause: errPanicked}
-		defer func() { dispatch.outcomes <- finishedAttempt{target: target, outcome: outcome, trigger: trigger, charged: charged} }()
+		defer func() {
+			dispatch.outcomes <- finishedAttempt{target: target, outcome: outcome, trigger: trigger, charged: charged}
+		}()
 		ctx, span := tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
 		defer span.End()
 		startedAt := time.Now()
--- a/internal/httpcaller/gather.go
+++ b/internal/httpcaller/gather.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -24,6 +26,8 @@
 		// unanswered holds the dispatches without a usable response so far, by the name
 		// of the shard's pool.
 		unanswered map[string]*dispatch
+		// omitted holds the pools of shards that can't serve all queries, and to which this one wasn't sent.
+		omitted []string
 		// unsent holds the reasons why nothing was sent to some shards.
 		unsent []policy.Reason
 		// availableAt is when each of these shards that has targets may be asked again.
@@ -59,6 +63,7 @@
 	}
 	decision := query.collect(progress)
 	cancel()
+	query.observeUnanswered()
 	call.server.requestMetrics.countMissingParts(query)
 	switch {
 	case call.ctx.Err() != nil:
@@ -102,6 +107,10 @@
 	if decision, _ := progress.Decide(); decision == policy.GiveUp {
 		return reason
 	}
+	dispatches, admitted := query.omitShards(dispatches, progress)
+	if !admitted {
+		return policy.NoRoom
+	}
 	for _, dispatch := range dispatches {
 		query.unanswered[dispatch.pool] = dispatch
 		query.pending++
@@ -114,6 +123,33 @@
 	return 0
 }
 
+// omitShards returns the dispatches without those to shards that can't serve all queries, or false if too few would
+// be left.
+func (query *query) omitShards(dispatches []*dispatch, progress *policy.QueryProgress) ([]*dispatch, bool) {
+	pools := make([]string, len(dispatches))
+	for index, dispatch := range dispatches {
+		pools[index] = dispatch.pool
+	}
+	shares := query.call.server.shardLoads.Shares(pools, time.Now())
+	omitted, admitted := policy.OmitShards(shares, len(dispatches)-progress.MinimumParts(), rand.Float64())
+	for _, index := range omitted {
+		query.omitted = append(query.omitted, pools[index])
+		query.failedShards++
+		dispatches[index] = nil
+	}
+	return slices.DeleteFunc(dispatches, func(dispatch *dispatch) bool { return dispatch == nil }), admitted
+}
+
+// observeUnanswered counts the shards without a part as late, unless the caller has left.
+func (query *query) observeUnanswered() {
+	if query.call.ctx.Err() != nil {
+		return
+	}
+	for pool := range query.unanswered {
+		query.call.server.shardLoads.Observe(pool, policy.PartLate, time.Now())
+	}
+}
+
 // collect receives results until the policy decides to respond or to give up, or until
 // the call's context ends, and returns the decision. The end of the context counts as
 // giving up.
@@ -165,6 +201,11 @@
 		return
 	}
 	delete(query.unanswered, result.pool)
+	outcome := policy.PartInTime
+	if objective := query.call.route.HTTP.TargetLatency.Std(); objective > 0 && time.Since(query.call.startedAt) > objective {
+		outcome = policy.PartLate
+	}
+	query.call.server.shardLoads.Observe(result.pool, outcome, time.Now())
 	query.parts = append(query.parts, response.Body)
 	query.proofs = append(query.proofs, response.Proof)
 	query.mayHaveRun = true
--- a/internal/httpcaller/request_log.go
+++ b/internal/httpcaller/request_log.go
@@ -122,7 +122,7 @@
 		missing = append(missing, dispatch.String())
 	}
 	return []zap.Field{
-		zap.Strings("missing", missing), zap.Int("shards", len(query.shards)), zap.Int("parts", len(query.parts)), zap.Int("failed", query.failedShards),
+		zap.Strings("missing", missing), zap.Strings("omitted", query.omitted), zap.Int("shards", len(query.shards)), zap.Int("parts", len(query.parts)), zap.Int("failed", query.failedShards),
 		zap.Int("hedges", query.hedges), zap.Int("retries", query.retries),
 	}
 }
--- a/internal/httpcaller/request_metrics.go
+++ b/internal/httpcaller/request_metrics.go
@@ -29,6 +29,8 @@
 	missingLate          = "late"
 	missingFailed        = "failure"
 	missingWithoutBudget = "budget"
+	// missingOmitted is the reason for a part of a shard that can't serve all queries, which wasn't asked.
+	missingOmitted = "omitted"
 
 	// noReason is the label value of a request that ended without a reason.
 	noReason = "none"
@@ -84,6 +86,9 @@
 	for _, dispatch := range query.unanswered {
 		missingParts.WithLabelValues(query.call.routeKind(), dispatch.missingReason()).Inc()
 	}
+	for range query.omitted {
+		missingParts.WithLabelValues(query.call.routeKind(), missingOmitted).Inc()
+	}
 	for _, reason := range query.unsent {
 		missingParts.WithLabelValues(query.call.routeKind(), reason.String()).Inc()
 	}
