--- a/internal/httpcaller/addresses.go
+++ b/internal/httpcaller/addresses.go
@@ -75,7 +75,7 @@
 		}
 	}
 	active := &activeEntries{
-		view: view.Number, members: len(view.Members), routes: routes, ids: policy.ActiveEntries(places, routes.fewestConnections()),
+		view: view.Number, members: len(view.Members), routes: routes, ids: policy.ActiveEntries(places, server.connectionsToShare(routes)),
 		spares: map[string]bool{}, byDomain: map[string]int{}, byRegion: map[string]int{},
 	}
 	for _, place := range places {
@@ -96,6 +96,14 @@
 	return server.activeEntries().spares[id]
 }
 
+// connectionsToShare returns the number of connections that decides how many entries are active; 0 means all.
+func (server *Server) connectionsToShare(routes *routeIndex) int {
+	if server.options.Disabled.Has(policy.MechanismActiveEntries) {
+		return 0
+	}
+	return routes.fewestConnections()
+}
+
 // fewestConnections returns the least number of connections that a target of a gathered pool accepts, or 0 if no
 // pool has a limit.
 func (routeIndex *routeIndex) fewestConnections() int {
--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -340,7 +340,7 @@
 		Waits: dispatch.waits, Remaining: time.Until(dispatch.hardDeadline),
 	}
 	delay, waits := stall.Delay(rand.Float64())
-	if !waits || dispatch.attempts >= maximumStalledAttempts || dispatch.call.isQuarantined() || !dispatch.mayFindTarget() {
+	if !waits || dispatch.call.server.options.Disabled.Has(policy.MechanismStallWaits) || dispatch.attempts >= maximumStalledAttempts || dispatch.call.isQuarantined() || !dispatch.mayFindTarget() {
 		return false
 	}
 	dispatch.waits++
@@ -456,7 +456,7 @@
 // hedgeDelay returns the delay after which a hedge is sent to a second target. If no
 // hedge is possible, it returns the time left to the hard deadline.
 func (dispatch *dispatch) hedgeDelay() time.Duration {
-	if !dispatch.repeatable || dispatch.next >= len(dispatch.order) {
+	if !dispatch.repeatable || dispatch.next >= len(dispatch.order) || dispatch.call.server.options.Disabled.Has(policy.MechanismHedges) {
 		return time.Until(dispatch.hardDeadline)
 	}
 	if dispatch.next == 0 {
--- a/internal/httpcaller/gather.go
+++ b/internal/httpcaller/gather.go
@@ -130,6 +130,9 @@
 	for index, dispatch := range dispatches {
 		pools[index] = dispatch.pool
 	}
+	if query.call.server.options.Disabled.Has(policy.MechanismShardShares) {
+		return dispatches, true
+	}
 	shares := query.call.server.shardLoads.Shares(pools, time.Now())
 	omitted, admitted := policy.OmitShards(shares, len(dispatches)-progress.MinimumParts(), rand.Float64())
 	for _, index := range omitted {
--- a/internal/httpcaller/keep_connected.go
+++ b/internal/httpcaller/keep_connected.go
@@ -29,6 +29,9 @@
 // KeepConnected keeps an idle connection open to the preferred targets of each pool in
 // use, until ctx ends.
 func (server *Server) KeepConnected(ctx context.Context) {
+	if server.options.Disabled.Has(policy.MechanismIdleConnections) {
+		return
+	}
 	ticker := time.NewTicker(connectInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/httpcaller/limits.go
+++ b/internal/httpcaller/limits.go
@@ -82,7 +82,11 @@
 	if connections > 0 && server.IsSpare(server.options.Name) {
 		return 0
 	}
-	return policy.ConnectionLimit(connections, server.localityOf(target.FailureDomain()), server.countEntries(target.FailureDomain()))
+	limit := policy.ConnectionLimit(connections, server.localityOf(target.FailureDomain()), server.countEntries(target.FailureDomain()))
+	if server.options.Disabled.Has(policy.MechanismSharedConnections) {
+		return max(1, limit)
+	}
+	return limit
 }
 
 // countEntries counts the active entries by their place as seen from a failure domain.
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -65,6 +65,8 @@
 		Revocation settings.Revocation
 		// Rollouts is nil if rollouts are turned off.
 		Rollouts *rollout.Tracker
+		// Disabled lists the mechanisms that are turned off.
+		Disabled policy.Mechanisms
 		// ControlContact returns what the entry last heard from control replicas; nil counts as nothing.
 		ControlContact func() policy.ControlContact
 	}
@@ -145,6 +147,9 @@
 	if options.Rollouts != nil {
 		directory.TrackReleases()
 	}
+	if len(options.Disabled) > 0 {
+		logger.Warn("mechanisms are turned off by the settings", zap.Strings("mechanisms", options.Disabled.Names()))
+	}
 	return server
 }
 
@@ -241,7 +246,7 @@
 	var retryAfter time.Duration
 	// Without tenants there is nobody to be fair to, and a caller that is refused or late at a busy entry is
 	// served sooner by another one.
-	if call.routeIndex.tenants.Any() {
+	if call.routeIndex.tenants.Any() && !call.server.options.Disabled.Has(policy.MechanismAdmissionLimits) {
 		var release func()
 		release, refusal, retryAfter = call.server.admit(call.ctx, call)
 		if release != nil {
--- a/internal/policy/budget.go
+++ b/internal/policy/budget.go
@@ -50,6 +50,8 @@
 		Ratio  float64
 		Slack  float64
 		Window time.Duration
+		// Unshared gives each entry its own part of the slack, however many there are.
+		Unshared bool
 	}
 
 	// Budgets counts requests and extra arrivals by pool. Use NewBudgets to
@@ -120,7 +122,7 @@
 // SharedSlack returns the rate and the burst of the extra arrivals that all entries together may send to a
 // pool beyond what Spend allows, or false if each entry has its own part of the slack instead.
 func (limits BudgetLimits) SharedSlack(entries int) (perSecond, burst float64, shared bool) {
-	if entries < sharedBudgetEntries || limits.Window <= 0 {
+	if entries < sharedBudgetEntries || limits.Window <= 0 || limits.Unshared {
 		return 0, 0, false
 	}
 	// In any window a token bucket grants its burst and what the rate adds in the window.
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -93,9 +93,9 @@
 	gateway := settings.Gateway
 	server := httpcaller.NewServer(httpcaller.Options{
 		Name: settings.Name, FailureDomain: settings.FailureDomain, Region: settings.Region, Regions: gateway.Regions, Headers: headers,
-		Budget:     policy.BudgetLimits{Ratio: gateway.RetryRatio, Slack: gateway.RetrySlack, Window: gateway.RetryWindow.Std()},
+		Budget:     policy.BudgetLimits{Ratio: gateway.RetryRatio, Slack: gateway.RetrySlack, Window: gateway.RetryWindow.Std(), Unshared: gateway.DisabledMechanisms.Has(policy.MechanismSharedSlack)},
 		Revocation: gateway.Revocation,
-		Rollouts:   rollouts, ControlContact: client.Contact,
+		Rollouts:   rollouts, ControlContact: client.Contact, Disabled: gateway.DisabledMechanisms,
 	}, board, directory, sender, permits, logger, metrics)
 	metrics.GaugeFunc("http_requests_in_flight", "Requests of HTTP routes in progress.", func() float64 { return float64(server.InFlight()) })
 	metrics.GaugeFuncVec("retry_budget_left", "Hedges and retries that this entry may still send to a pool at this moment.", "pool", server.BudgetsLeft)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"gitlab.com/comfreythread/comfreythread/internal/document"
+	"gitlab.com/comfreythread/comfreythread/internal/policy"
 	"gitlab.com/comfreythread/comfreythread/pkg/duration"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 )
@@ -99,6 +100,8 @@
 		Allotments *Allotments `json:"allotments,omitempty"`
 		// Revocation defines how an entry without contact with control treats keys.
 		Revocation Revocation `json:"revocation,omitzero"`
+		// DisabledMechanisms lists mechanisms of the request path that are turned off.
+		DisabledMechanisms policy.Mechanisms `json:"disabled_mechanisms,omitempty"`
 	}
 
 	// Rollouts limits what the release of a rollout may get before it has proved to be good.
@@ -245,6 +248,11 @@
 	if gateway.Revocation.Strict {
 		validator.span("gateway.revocation.span", gateway.Revocation.Span)
 	}
+	for index, mechanism := range gateway.DisabledMechanisms {
+		path := fmt.Sprintf("gateway.disabled_mechanisms[%d]", index)
+		validator.require(path, string(mechanism))
+		validator.oneOf(path, string(mechanism), policy.AllMechanisms().Names()...)
+	}
 }
 
 func (validator *validator) rollouts(rollouts *Rollouts) {
