--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -428,7 +428,7 @@
 			dispatch.arrivals--
 			dispatch.attempts--
 		case httptarget.Shed:
-			dispatch.call.server.shardLoads.Observe(dispatch.pool, policy.PartRefused, time.Now())
+			dispatch.call.server.shardLoads.Observe(dispatch.pool, true, time.Now())
 		case httptarget.WrongTarget:
 		}
 		result.cause = outcome.Cause
--- a/internal/httpcaller/gather.go
+++ b/internal/httpcaller/gather.go
@@ -63,7 +63,6 @@
 	}
 	decision := query.collect(progress)
 	cancel()
-	query.observeUnanswered()
 	call.server.requestMetrics.countMissingParts(query)
 	switch {
 	case call.ctx.Err() != nil:
@@ -143,16 +142,6 @@
 	return slices.DeleteFunc(dispatches, func(dispatch *dispatch) bool { return dispatch == nil }), admitted
 }
 
-// observeUnanswered counts the shards without a part as late, unless the caller has left.
-func (query *query) observeUnanswered() {
-	if query.call.ctx.Err() != nil {
-		return
-	}
-	for pool := range query.unanswered {
-		query.call.server.shardLoads.Observe(pool, policy.PartLate, time.Now())
-	}
-}
-
 // collect receives results until the policy decides to respond or to give up, or until
 // the call's context ends, and returns the decision. The end of the context counts as
 // giving up.
@@ -204,11 +193,7 @@
 		return
 	}
 	delete(query.unanswered, result.pool)
-	outcome := policy.PartInTime
-	if objective := query.call.route.HTTP.TargetLatency.Std(); objective > 0 && time.Since(query.call.startedAt) > objective {
-		outcome = policy.PartLate
-	}
-	query.call.server.shardLoads.Observe(result.pool, outcome, time.Now())
+	query.call.server.shardLoads.Observe(result.pool, false, time.Now())
 	query.parts = append(query.parts, response.Body)
 	query.proofs = append(query.proofs, response.Proof)
 	query.mayHaveRun = true
