Let spare entries lend a connection to those without links

Change: an entry opens at least one connection for attempts of others, and an attempt that finds none free goes on to the next entry.

The new test fails without the change (189 of 189 refused).

--- a/internal/httpcaller/lost_links_test.go
+++ b/internal/httpcaller/lost_links_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
 const (
@@ -65,6 +67,44 @@
 	}
 }
 
+// Guards against spare entries that have links but lend no connection, while all active entries have lost theirs.
+func TestSpareEntriesServeThoseWithoutLinks(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, 6, 4)
+		gathered := ordersRoute()
+		gathered.Kind, gathered.Pool, gathered.HTTP.PathPrefix = "sweep", "", "/sweep/"
+		gathered.HTTP.Gather = &operator.Gather{Pools: []string{"p"}, Top: 1, MinimumCoverage: 1}
+		tables := &operator.Tables{Routes: append(slices.Clone(fleet.tables.Routes), gathered), Pools: slices.Clone(fleet.tables.Pools)}
+		tables.Pools[0].Connections = 12
+		rates := make([]float64, len(fleet.entries))
+		spares := 0
+		for index, entry := range fleet.entries {
+			entry.board.InForce().Replace(2, tables)
+			if entry.server.IsSpare(entry.member.ID) {
+				spares++
+				continue
+			}
+			rates[index] = 20
+		}
+		if spares == 0 || spares == len(fleet.entries) {
+			t.Fatalf("%d of %d entries are spare", spares, len(fleet.entries))
+		}
+		fleet.loadAll(1, time.Second, rates...)
+		setLinks := func(up bool) {
+			for index, entry := range fleet.entries {
+				if rates[index] > 0 {
+					fleet.setLinks(entry, up)
+				}
+			}
+		}
+		setLinks(false)
+		fleet.loadAll(2, linkContact, rates...)
+		expectServed(t, "without links", fleet.loadAll(3, 5*time.Second, rates...))
+		setLinks(true)
+		fleet.loadAll(4, linkContact, rates...)
+	})
+}
+
 // Guards against requests that are held, or said to have possibly run, where no entry has a link.
 func TestRequestWithoutAnyLinkIsRefusedAtOnce(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -98,7 +98,7 @@
 			break
 		}
 		outcome, sent, hasLinks := relay.sendThrough(ctx, entry, attempt, deadline)
-		if sent && isBusy(outcome) && pinned {
+		if sent && isBusy(outcome) {
 			// Another entry may have a free connection.
 			busy = outcome
 			continue
@@ -194,7 +194,9 @@
 	if !target.Admits(time.Now()) {
 		return &Reply{Kind: replyRefused, Reason: httptarget.Limited}
 	}
-	connections := limit(target)
+	// A spare entry may open no connection for its own requests. Those of an entry without links need one all the
+	// same: the connections of that entry lie unused.
+	connections := max(1, limit(target))
 	reply := &Reply{NoLink: true}
 	if !relay.sender.LinkLost(target, connections) {
 		reply = newReply(relay.sender.SendDirectly(ctx, target, attempt.request(), time.Now().Add(attempt.Timeout), connections))
