--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -36,6 +36,10 @@
 		down            map[string]bool
 		latency         func(from, to string) time.Duration
 		connectDuration func(from, to string) time.Duration
+		bandwidth       func(from string) int
+		// sentUntil is when the bytes that an IP address has written have left it, if its bandwidth is
+		// limited.
+		sentUntil map[string]time.Time
 		watch           func(traffic Traffic)
 	}
 
@@ -45,6 +49,8 @@
 		// port 0 if the receiver dialed the connection.
 		From, To string
 		Opening  bool
+		// Bytes is the size of the write.
+		Bytes int
 	}
 
 	// direction is one direction between two IP addresses.
@@ -257,7 +263,7 @@
 
 // Write implements net.Conn.
 func (connection *memoryConnection) Write(data []byte) (int, error) {
-	connection.out.network.notifyWatch(Traffic{From: connection.out.direction.from, To: string(connection.remote)})
+	connection.out.network.notifyWatch(Traffic{From: connection.out.direction.from, To: string(connection.remote), Bytes: len(data)})
 	return connection.out.write(data)
 }
 
--- a/internal/standin/network_faults.go
+++ b/internal/standin/network_faults.go
@@ -14,6 +14,14 @@
 	network.connectDuration = connect
 }
 
+// SetBandwidth sets the number of bytes that an IP address sends in a second, over all its connections; 0 means no
+// limit.
+func (network *Network) SetBandwidth(bandwidth func(from string) int) {
+	network.lock.Lock()
+	defer network.lock.Unlock()
+	network.bandwidth = bandwidth
+}
+
 // Watch sets a function that is called before each attempt to open a connection and each write.
 // The function must not block.
 func (network *Network) Watch(watch func(traffic Traffic)) {
@@ -122,6 +130,26 @@
 	return network.cuts[direction]
 }
 
+// departureOf returns when bytes that are written now have left an IP address.
+func (network *Network) departureOf(from string, bytes int) time.Time {
+	network.lock.Lock()
+	defer network.lock.Unlock()
+	now := time.Now()
+	if network.bandwidth == nil || network.bandwidth(from) <= 0 {
+		return now
+	}
+	departure := network.sentUntil[from]
+	if departure.Before(now) {
+		departure = now
+	}
+	departure = departure.Add(time.Duration(bytes) * time.Second / time.Duration(network.bandwidth(from)))
+	if network.sentUntil == nil {
+		network.sentUntil = map[string]time.Time{}
+	}
+	network.sentUntil[from] = departure
+	return departure
+}
+
 func (network *Network) latencyOf(direction direction) time.Duration {
 	network.lock.Lock()
 	latency := network.latency
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -81,7 +81,7 @@
 		return
 	}
 	if !stream.network.isCut(stream.direction) {
-		queued.arrivesAt = time.Now().Add(stream.network.latencyOf(stream.direction))
+		queued.arrivesAt = stream.network.departureOf(stream.direction.from, len(queued.data)).Add(stream.network.latencyOf(stream.direction))
 		stream.wakeAt(queued.arrivesAt)
 	}
 	stream.chunks = append(stream.chunks, queued)
