Log how long a renewal of the lease took

The logs couldn't tell a renewal that waited for the leader from one whose tables took long to apply. The fields elapsed of 'lease not renewed' and 'tables in force' run from the moment at which the renewal was sent.

--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -79,8 +79,9 @@
 	defer ticker.Stop()
 	completed := leaseholder.board.Directory().Completed()
 	for {
+		startedAt := time.Now()
 		if err := leaseholder.Renew(ctx); err != nil && ctx.Err() == nil {
-			leaseholder.logger.Warn("lease not renewed", zap.Error(err), zap.Bool("fenced", leaseholder.board.InForce().Fenced()))
+			leaseholder.logger.Warn("lease not renewed", zap.Error(err), zap.Bool("fenced", leaseholder.board.InForce().Fenced()), zap.Duration("elapsed", time.Since(startedAt)))
 		}
 		select {
 		case <-ctx.Done():
@@ -115,7 +116,7 @@
 		return err
 	}
 	leaseholder.applyView(ctx, lease)
-	leaseholder.applyTables(lease)
+	leaseholder.applyTables(lease, sentAt)
 	inForce := leaseholder.board.InForce()
 	if lease.TablesVersion == 0 {
 		leaseholder.home.RecordNoTargetUsed()
@@ -149,7 +150,7 @@
 	return member
 }
 
-func (leaseholder *Leaseholder) applyTables(lease *control.Lease) {
+func (leaseholder *Leaseholder) applyTables(lease *control.Lease, sentAt time.Time) {
 	if lease.Tables == nil {
 		return
 	}
@@ -158,7 +159,7 @@
 	tables, version := inForce.Tables()
 	inForce.SetOut(tables.IsOut(leaseholder.member.FailureDomain))
 	leaseholder.metrics.TablesVersion().Set(float64(version))
-	leaseholder.logger.Info("tables in force", zap.Uint64("version", version))
+	leaseholder.logger.Info("tables in force", zap.Uint64("version", version), zap.Duration("elapsed", time.Since(sentAt)))
 	// The new tables may take this entry's failure domain out of service or return it
 	// to service. Control must learn at once that the desired member changes.
 	leaseholder.Wake()
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -40,7 +40,7 @@
 		// sentUntil is when the bytes that an IP address has written have left it, if its bandwidth is
 		// limited.
 		sentUntil map[string]time.Time
-		watch           func(traffic Traffic)
+		watch     func(traffic Traffic)
 	}
 
 	// Traffic is an attempt to open a connection, or a write to one.
