Refuse requests at entries that know of newer tables and can't get them

An entry without a lease goes on with its tables for a minute, so that one that is cut off from control serves its callers.

One that is cut off knows of nothing newer and serves as before. Staleness is checked before the route is looked up, so that a stale entry gives no 404 for a route that was added since. A lease whose tables are fetched apart is used as soon as they are there.

TestRequestWaitsForFirstTables put tables in force without a lease, which no entry has; it now gives one, and still expects the answer after the same time.

--- a/internal/blackboard/in_force.go
+++ b/internal/blackboard/in_force.go
@@ -18,7 +18,7 @@
 		lock    sync.RWMutex
 		version uint64
 		tables  *operator.Tables
-		// newest is the newest version that control has named.
+		// newest is the version that control has named last.
 		newest     uint64
 		leaseUntil time.Time
 		stopping   bool
@@ -53,14 +53,14 @@
 	inForce.version, inForce.tables = version, tables
 }
 
-// Learn records that control has named a version of the tables.
+// Learn records the version of the tables that control names as the newest.
 func (inForce *InForce) Learn(version uint64) {
 	inForce.lock.Lock()
 	defer inForce.lock.Unlock()
-	inForce.newest = max(inForce.newest, version)
+	inForce.newest = version
 }
 
-// Newest returns the newest version of the tables that control has named, or 0.
+// Newest returns the newest version of the tables that this entry knows of, or 0.
 func (inForce *InForce) Newest() uint64 {
 	inForce.lock.RLock()
 	defer inForce.lock.RUnlock()
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -65,6 +65,14 @@
 		// releasedView is the newest view for which all targets that no longer
 		// belong to this entry have been released.
 		releasedView uint64
+		// pending is the newest lease that isn't in use, because the tables that it names weren't in force.
+		pending pendingLease
+	}
+
+	// pendingLease is a lease that an entry may use once it has a version of the tables.
+	pendingLease struct {
+		version uint64
+		until   time.Time
 	}
 )
 
@@ -126,12 +134,23 @@
 	if lease.TablesVersion == 0 {
 		leaseholder.home.RecordNoTargetUsed()
 	}
-	if _, version := inForce.Tables(); version >= lease.TablesVersion {
-		inForce.Renew(sentAt.Add(lease.Duration * (100 - control.ClockRateErrorPercent) / 100))
-	}
+	leaseholder.lock.Lock()
+	leaseholder.pending = pendingLease{version: lease.TablesVersion, until: sentAt.Add(lease.Duration * (100 - control.ClockRateErrorPercent) / 100)}
+	leaseholder.lock.Unlock()
+	leaseholder.usePendingLease()
 	return nil
 }
 
+// usePendingLease extends the lease if the tables in force are those that the last lease has named, or newer.
+func (leaseholder *Leaseholder) usePendingLease() {
+	leaseholder.lock.Lock()
+	defer leaseholder.lock.Unlock()
+	inForce := leaseholder.board.InForce()
+	if _, version := inForce.Tables(); version >= leaseholder.pending.version {
+		inForce.Renew(leaseholder.pending.until)
+	}
+}
+
 func (leaseholder *Leaseholder) renewal() *control.Renewal {
 	_, version := leaseholder.board.InForce().Tables()
 	knownView := leaseholder.board.Membership().View().Number
--- a/internal/entry/tables_fetch.go
+++ b/internal/entry/tables_fetch.go
@@ -116,6 +116,7 @@
 		return
 	}
 	leaseholder.putInForce(transfer.Version(), tables, startedAt, transfer.Received())
+	leaseholder.usePendingLease()
 }
 
 func isNotFound(err error) bool {
--- a/internal/httpcaller/authenticate.go
+++ b/internal/httpcaller/authenticate.go
@@ -32,8 +32,7 @@
 		call.refuse(writer, policy.Stale)
 		return false
 	case call.tenant == nil:
-		writer.Header().Set("WWW-Authenticate", bearerScheme)
-		call.reject(writer, http.StatusUnauthorized, reasonUnauthorized, "the request has no key of a tenant; send it in the header "+call.server.options.Headers.Credential+" behind "+bearerScheme)
+		call.rejectByTables(writer, http.StatusUnauthorized, reasonUnauthorized, "the request has no key of a tenant; send it in the header "+call.server.options.Headers.Credential+" behind "+bearerScheme)
 		return false
 	}
 	return true
--- a/internal/httpcaller/await_tables_test.go
+++ b/internal/httpcaller/await_tables_test.go
@@ -11,6 +11,7 @@
 
 	"gitlab.com/comfreythread/comfreythread/internal/blackboard"
 	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+	"gitlab.com/comfreythread/comfreythread/internal/control"
 	"gitlab.com/comfreythread/comfreythread/internal/dialect"
 	"gitlab.com/comfreythread/comfreythread/internal/httpcaller"
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
@@ -40,6 +41,7 @@
 				board, httptarget.NewDirectory(zap.NewNop()), httptarget.NewSender(headers, nil), newPermits(board, metrics), zap.NewNop(), metrics)
 			go func() {
 				time.Sleep(tablesAfter)
+				board.InForce().Renew(time.Now().Add(control.LeaseDuration))
 				board.InForce().Replace(1, &operator.Tables{})
 			}()
 			request := httptest.NewRequest(http.MethodGet, "/path/", nil)
--- a/internal/httpcaller/respond.go
+++ b/internal/httpcaller/respond.go
@@ -108,6 +108,19 @@
 	call.server.requestLog.requestInvalid(call, status, message)
 }
 
+// rejectByTables rejects a request that the tables in force don't allow. If newer ones may allow it, the request is refused for
+// now.
+func (call *call) rejectByTables(writer http.ResponseWriter, status int, reason, message string) {
+	if refusal := call.server.tablesAge().RejectionRefusal(); refusal != 0 {
+		call.refuse(writer, refusal)
+		return
+	}
+	if status == http.StatusUnauthorized {
+		writer.Header().Set("WWW-Authenticate", bearerScheme)
+	}
+	call.reject(writer, status, reason, message)
+}
+
 // abort ends a request whose caller has disconnected. It panics with
 // http.ErrAbortHandler, on which net/http closes the connection without a response.
 func (call *call) abort() {
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -37,10 +37,6 @@
 	// headerOverhead is the size of a header line without name and value: a colon, a
 	// space and the line end.
 	headerOverhead = 4
-	// MaximumStaleness is how long an entry keeps serving with its current tables after
-	// its lease from control has run out: tables that are a minute old serve callers
-	// better than none.
-	MaximumStaleness = time.Minute
 )
 
 var (
@@ -162,7 +158,7 @@
 // Ready reports whether callers should send requests to this server.
 func (server *Server) Ready() bool {
 	_, version := server.board.InForce().Tables()
-	return version > 0 && !server.stopping.Load() && server.directory.Synced() && !server.isStale()
+	return version > 0 && !server.stopping.Load() && server.directory.Synced() && server.tablesAge().Refusal() == 0
 }
 
 // Stop makes each further response close its connection, so that callers move to other
@@ -181,9 +177,11 @@
 	return int(server.inFlight.Load())
 }
 
-// isStale reports whether the lease has run out too long ago to go on with the tables.
-func (server *Server) isStale() bool {
-	return time.Since(server.board.InForce().LeaseUntil()) > MaximumStaleness
+// tablesAge returns how far the tables in force may be out of date.
+func (server *Server) tablesAge() *policy.TablesAge {
+	inForce := server.board.InForce()
+	_, version := inForce.Tables()
+	return &policy.TablesAge{LeaseLeft: time.Until(inForce.LeaseUntil()), Behind: inForce.Newest() > version}
 }
 
 // ServeHTTP implements http.Handler.
@@ -199,10 +197,14 @@
 	if call.routeIndex == nil && !call.awaitTables(writer, request, int(inFlight)) {
 		return
 	}
+	if reason := server.tablesAge().Refusal(); reason != 0 {
+		call.refuse(writer, reason)
+		return
+	}
 	path, _, _ := strings.Cut(request.RequestURI, "?")
 	route, found := call.routeIndex.routes.Match(request.Host, path)
 	if !found {
-		call.rejectInvalid(writer, http.StatusNotFound, "no route has this host and path; see the table of routes")
+		call.rejectByTables(writer, http.StatusNotFound, reasonInvalid, "no route has this host and path; see the table of routes")
 		return
 	}
 	call.route = route
@@ -210,10 +212,6 @@
 	defer span.End()
 	call.ctx = ctx
 	call.timeout = call.timeoutOf(request)
-	if server.isStale() {
-		call.refuse(writer, policy.Stale)
-		return
-	}
 	if !call.authenticate(writer, request) {
 		return
 	}
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -57,6 +57,8 @@
 	Paused
 	// OverAllotment refuses because the tenant has used up its allotment.
 	OverAllotment
+	// Outdated refuses because control has named newer tables than those in force.
+	Outdated
 )
 
 type (
@@ -104,6 +106,8 @@
 		return "paused"
 	case OverAllotment:
 		return "over_allotment"
+	case Outdated:
+		return "outdated"
 	}
 	return "unknown"
 }
@@ -142,7 +146,7 @@
 // together don't retry together.
 func RetryAfter(reason Reason, random float64) time.Duration {
 	switch reason {
-	case NoRoom, TooLate, Paused, OverAllotment:
+	case NoRoom, TooLate, Paused, OverAllotment, Outdated:
 		return Jitter(shortRetryDelay, random)
 	case NoTables, NoTarget, Stale, NoLink:
 		return Jitter(longRetryDelay, random)
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -83,6 +83,9 @@
 	metrics.GaugeFunc("lease_left_seconds", "Time until the entry's lease from control runs out; negative once it has.", func() float64 {
 		return time.Until(board.InForce().LeaseUntil()).Seconds()
 	})
+	metrics.GaugeFunc("tables_newest_version", "Newest version of the tables that control has named to this entry.", func() float64 {
+		return float64(board.InForce().Newest())
+	})
 	member := membership.Member{
 		ID:             settings.Name,
 		PeerAddress:    settings.PeerAddress,
