--- a/pkg/operator/check.go
+++ b/pkg/operator/check.go
@@ -20,9 +20,9 @@
 	MaximumRunsPerSecond  = 100000
 	MaximumWarmAfterRuns  = 1000000
 	MaximumConnectTimeout = 30 * time.Second
-	// MaximumRows is the maximum number of rows in each table. The size of a document limits ordinary tables
-	// before it does.
-	MaximumRows = 32768
+	// MaximumRows is the maximum number of rows in each table. Control replicas answer nobody while they apply a
+	// change, so it bounds the time that this takes.
+	MaximumRows = 8192
 	// MaximumNameBytes is the maximum length of each name.
 	MaximumNameBytes = 128
 )
