Use replies of control that come after their attempt

A call to control gave each attempt up after a second and began another, so that a process or replica whose replies take longer never got one: the lease wasn't renewed and changes came late. Attempts now stay in progress for four times that long while further ones are made, and the first reply of a leader counts.

TestLateReplyIsUsed failed before (unavailable after 3 s; replies take 1.5 s) and passes now.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -21,8 +21,11 @@
 )
 
 const (
-	// attemptTimeout limits one call to one replica.
+	// attemptTimeout is the time after which the next replica is called.
 	attemptTimeout = time.Second
+	// maximumPendingAttempts limits the attempts of one call that are in progress. One that lasts longer than that many
+	// attempts is given up.
+	maximumPendingAttempts = 4
 	// replicasTimeout limits a membership change of the replica group. Adding a replica takes
 	// longer than other calls, because it waits until the new replica has caught up.
 	replicasTimeout = time.Minute
@@ -63,6 +66,13 @@
 		contact atomic.Uint32
 	}
 
+	// attemptResult is the outcome of one attempt of a call.
+	attemptResult[Out any] struct {
+		number   int
+		response *reply[Out]
+		err      error
+	}
+
 	// attemptRound counts the attempts of one call since its last pause.
 	attemptRound struct {
 		attempts int
@@ -282,18 +292,24 @@
 }
 
 // call sends a call to the replica that is expected to lead, then to the others in turn, until
-// one of them answers as leader or the limits on time and attempts are reached.
+// one of them answers as leader or the limits on time and attempts are reached. Timeout is the time
+// after which the next replica is called. Earlier attempts may still succeed meanwhile.
 func call[In, Out any](ctx context.Context, client *Client, method string, in *In, timeout time.Duration) (*Out, error) {
 	ctx, cancel := context.WithTimeout(ctx, max(callTimeout, timeout))
 	defer cancel()
 	lastErr := errors.New("no control replica is known; list control_replicas in the settings")
 	var attemptRound attemptRound
-	for range maximumAttempts {
+	results := make(chan attemptResult[Out], maximumAttempts)
+	for number := range maximumAttempts {
 		index, peer := client.preferredPeer()
 		if peer == nil {
 			break
 		}
-		response, err := callOnce[In, reply[Out]](ctx, peer, method, in, timeout)
+		go func() {
+			response, err := callOnce[In, reply[Out]](ctx, peer, method, in, maximumPendingAttempts*timeout)
+			results <- attemptResult[Out]{number: number, response: response, err: err}
+		}()
+		response, err := awaitResult(ctx, client, results, number, timeout)
 		leaderNamed := false
 		switch {
 		case err == nil && !response.NotLeading:
@@ -327,6 +343,28 @@
 		"check that a quorum of control VMs is up and reachable, then try again")
 }
 
+// awaitResult returns the result of the attempt with a number, or that of an earlier one if a leader has sent it. If neither
+// comes within the timeout, it returns context.DeadlineExceeded.
+func awaitResult[Out any](ctx context.Context, client *Client, results <-chan attemptResult[Out], number int, timeout time.Duration) (*reply[Out], error) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-timer.C:
+			return nil, context.DeadlineExceeded
+		case result := <-results:
+			if result.number == number || result.err == nil && !result.response.NotLeading {
+				return result.response, result.err
+			}
+			if result.err == nil {
+				client.learnReplicas(result.response.Replicas)
+			}
+		}
+	}
+}
+
 func callOnce[In, Out any](ctx context.Context, peer *frame.Client, method string, in *In, timeout time.Duration) (*Out, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -77,3 +77,34 @@
 		expect.Expect(client.Replicas()).To(gomega.Equal([]string{"10.0.0.2:90"}), "a lease lists the whole group")
 	})
 }
+
+// TestLateReplyIsUsed guards against a client that never gets a reply because each comes after its attempt: at a busy replica,
+// or in a busy process, all of them take longer than one attempt.
+func TestLateReplyIsUsed(t *testing.T) {
+	const replyTime = attemptTimeout * 3 / 2
+	bubble.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		network := &standin.Network{}
+		server := new(frame.Server)
+		calls := 0
+		frame.Handle(server, MethodGrant, func(context.Context, *GrantRequest) (*reply[Grant], error) {
+			calls++
+			time.Sleep(replyTime)
+			return &reply[Grant]{Body: &Grant{Granted: true}}, nil
+		})
+		listener, err := network.Listen("10.0.0.1:90")
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		go func() { _ = server.Serve(listener) }()
+		defer server.Stop()
+		client := NewClient([]string{"10.0.0.1:90"}, network.Dialer("10.1.0.1"))
+		defer client.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), LeaseDuration)
+		defer cancel()
+		begin := time.Now()
+		grant, err := client.Grant(ctx, &GrantRequest{})
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		expect.Expect(grant.Granted).To(gomega.BeTrue())
+		expect.Expect(time.Since(begin)).To(gomega.Equal(replyTime))
+		expect.Expect(calls).To(gomega.Equal(2))
+	})
+}
