--- a/internal/control/update_cache.go
+++ b/internal/control/update_cache.go
@@ -66,9 +66,9 @@
 	return update.err
 }
 
-// encodedUpdate returns the update to a version from the version that an entry has. If that one is no longer stored, the
+// updateFrom returns the encoded update to a version from the version that an entry has. If that one is no longer stored, the
 // update holds all rows.
-func (service *Service) encodedUpdate(baseVersion uint64, next *operator.VersionedTables) (*encodedUpdate, error) {
+func (service *Service) updateFrom(baseVersion uint64, next *operator.VersionedTables) (*encodedUpdate, error) {
 	base, err := service.state.Version(baseVersion)
 	if err != nil {
 		base = operator.VersionedTables{}
@@ -83,7 +83,7 @@
 	if lease.Tables == nil || !renewal.AcceptsUpdates {
 		return nil
 	}
-	update, err := service.encodedUpdate(renewal.TablesVersion, &operator.VersionedTables{Version: lease.TablesVersion, Tables: *lease.Tables})
+	update, err := service.updateFrom(renewal.TablesVersion, &operator.VersionedTables{Version: lease.TablesVersion, Tables: *lease.Tables})
 	if err != nil {
 		return err
 	}
@@ -104,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	update, err := service.encodedUpdate(request.Base, &next)
+	update, err := service.updateFrom(request.Base, &next)
 	if err != nil {
 		return err
 	}
