--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,9 +87,9 @@
 		expect := gomega.NewWithT(t)
 		network := &standin.Network{}
 		server := new(frame.Server)
-		calls := 0
+		var calls atomic.Int64
 		frame.Handle(server, MethodGrant, func(context.Context, *GrantRequest) (*reply[Grant], error) {
-			calls++
+			calls.Add(1)
 			time.Sleep(replyTime)
 			return &reply[Grant]{Body: &Grant{Granted: true}}, nil
 		})
@@ -105,6 +106,6 @@
 		expect.Expect(err).NotTo(gomega.HaveOccurred())
 		expect.Expect(grant.Granted).To(gomega.BeTrue())
 		expect.Expect(time.Since(begin)).To(gomega.Equal(replyTime))
-		expect.Expect(calls).To(gomega.Equal(2))
+		expect.Expect(calls.Load()).To(gomega.BeEquivalentTo(2))
 	})
 }
--- a/internal/entry/late_tables_test.go
+++ b/internal/entry/late_tables_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,7 +52,7 @@
 		client  *control.Client
 		board   *blackboard.Board
 		// sentBytes counts the bytes that the replica has sent.
-		sentBytes int
+		sentBytes atomic.Int64
 	}
 )
 
@@ -100,7 +101,7 @@
 		deployment := &deployment{network: &standin.Network{}, board: &blackboard.Board{}}
 		deployment.network.Watch(func(traffic standin.Traffic) {
 			if traffic.From == replicaIP {
-				deployment.sentBytes += traffic.Bytes
+				deployment.sentBytes.Add(int64(traffic.Bytes))
 			}
 		})
 		listener, err := deployment.network.Listen(replicaIP + peerPort)
@@ -165,9 +166,9 @@
 		time.Sleep(time.Second)
 		changed := tablesOf(manyRoutes)
 		changed.Routes[manyRoutes/2].HTTP.MaxAttempts++
-		before := deployment.sentBytes
+		before := deployment.sentBytes.Load()
 		deployment.change(t, "one route", changed)
-		if sent := deployment.sentBytes - before; sent > changeBytes {
+		if sent := deployment.sentBytes.Load() - before; sent > changeBytes {
 			t.Errorf("the replica sent %d bytes, at most %d are allowed", sent, changeBytes)
 		}
 	})
