--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 		"evacuation": evacuation,
 		"stop":       stop,
 		"memory":     memory,
+		"crash":      crash,
 	}
 	if len(os.Args) != 2 || scripts[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin SCRIPT")
