--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -212,6 +212,7 @@
 	defer output.Close()
 	command := exec.Command("target/comfreythread-platform")
 	command.Dir = system.root
+	// The platform shows a process one processor.
 	command.Env = []string{"COMFREYTHREAD_CONFIG=" + machine.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "GOMAXPROCS=1"}
 	command.Stdout, command.Stderr = output, output
 	if err := command.Start(); err != nil {
