--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -16,9 +16,9 @@
 	// memoryLimit is memory-mb of the core machines.
 	memoryLimit = 280
 	// bigConfigs and routesEach are the additions of routes, and changeGap the pause between two changes.
-	bigConfigs = 5
+	bigConfigs = 7
 	routesEach = 416
-	changeGap  = 154 * time.Millisecond
+	changeGap  = 200 * time.Millisecond
 	changeSpan = 85 * time.Second
 )
 
