Give orders without a version a ticket, and refuse them after pauses

Cause: orders of failure domains and rollouts carry no number, and the end of a target names no start. Each hop (the socket of a frozen process, the link to the leader, the leader's queue) ran what it held, however late. A look at the closed connection alone was ruled out: the frozen process reads the close only after it has sent the order on.

Change: the receiving process gets a ticket from the leader and sends the order with it; the leader takes an order up only if no other one was since. A monitor detects that the process did not run for 500 ms, and orders and ends of targets that are read within a second after that are refused, to be sent again. docs/design/orders.md.

Why it works: an order that was acknowledged makes every ticket before it invalid, on any path and under any leader, and what waited in a socket is refused before it gets a ticket. Replicated commands are unchanged; replicas of older builds get orders as before.

Before, without tickets and monitor: TestDelayedOrderDoesNotUndoANewerOne (a link that holds bytes back for 1 s, no freeze) and TestOrderAfterAPauseIsRefused fail.

--- a/internal/control/batcher.go
+++ b/internal/control/batcher.go
@@ -53,13 +53,24 @@
 
 // submit queues a command and returns its result after the command is durable and applied.
 func (batcher *batcher) submit(ctx context.Context, command command) (*result, error) {
-	if err := batcher.check(command); err != nil {
+	submission, err := batcher.begin(command)
+	if err != nil {
 		return nil, err
 	}
-	submission := &submission{command: command, done: make(chan struct{})}
-	if err := batcher.enqueue(submission); err != nil {
+	return submission.await(ctx)
+}
+
+// begin queues a command.
+func (batcher *batcher) begin(command command) (*submission, error) {
+	if err := batcher.check(command); err != nil {
 		return nil, err
 	}
+	submission := &submission{command: command, done: make(chan struct{})}
+	return submission, batcher.enqueue(submission)
+}
+
+// await returns the result of a queued command after the command is durable and applied.
+func (submission *submission) await(ctx context.Context) (*result, error) {
 	select {
 	case <-ctx.Done():
 		return nil, fault.New(fault.Unavailable, "the command's outcome isn't known in time", "send it again with the same ID")
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -13,6 +13,7 @@
 
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
 	"gitlab.com/comfreythread/comfreythread/internal/membership"
+	"gitlab.com/comfreythread/comfreythread/internal/pause"
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
 	"gitlab.com/comfreythread/comfreythread/internal/replica"
 	"gitlab.com/comfreythread/comfreythread/internal/tcp"
@@ -64,6 +65,8 @@
 		replicas  []string
 		// contact is the policy.ControlContact of the latest reply.
 		contact atomic.Uint32
+		// pauses is nil if orders are accepted after pauses of the process.
+		pauses *pause.Monitor
 	}
 
 	// attemptResult is the outcome of one attempt of a call.
@@ -73,6 +76,14 @@
 		err      error
 	}
 
+	// lackingReplicas holds the replicas whose builds lack the method of a call.
+	lackingReplicas struct {
+		method string
+		// mustKnow is true if the call ends once the leader is known to lack the method.
+		mustKnow bool
+		errs     map[string]error
+	}
+
 	// attemptRound counts the attempts of one call since its last pause.
 	attemptRound struct {
 		attempts int
@@ -157,6 +168,14 @@
 	return policy.ControlContact(client.contact.Load())
 }
 
+// contactOf returns what the reply of a replica that doesn't lead says of the leader.
+func contactOf(leaderNamed bool) policy.ControlContact {
+	if leaderNamed {
+		return policy.ControlLed
+	}
+	return policy.ControlLeaderless
+}
+
 func (client *Client) recordContact(contact policy.ControlContact) {
 	client.contact.Store(uint32(contact))
 }
@@ -235,7 +254,12 @@
 
 // SetDomainOut takes a failure domain out of service or puts it back.
 func (client *Client) SetDomainOut(ctx context.Context, change *operator.DomainChange) (*operator.ChangeReply, error) {
-	return call[operator.DomainChange, operator.ChangeReply](ctx, client, MethodDomain, change, attemptTimeout)
+	return sendOrder(ctx, client, func(ticket *OrderTicket) (*operator.ChangeReply, error) {
+		if ticket == nil {
+			return call[operator.DomainChange, operator.ChangeReply](ctx, client, MethodDomain, change, attemptTimeout)
+		}
+		return call[DomainOrder, operator.ChangeReply](ctx, client, MethodTicketedDomain, &DomainOrder{Ticket: *ticket, Change: *change}, attemptTimeout)
+	})
 }
 
 // Tables reads one version of the tables; version 0 reads the newest.
@@ -268,7 +292,12 @@
 
 // StartRollout orders a rollout. Sending the order again is safe.
 func (client *Client) StartRollout(ctx context.Context, order *operator.RolloutOrder) (*operator.Rollout, error) {
-	return call[operator.RolloutOrder, operator.Rollout](ctx, client, MethodRollout, order, attemptTimeout)
+	return sendOrder(ctx, client, func(ticket *OrderTicket) (*operator.Rollout, error) {
+		if ticket == nil {
+			return call[operator.RolloutOrder, operator.Rollout](ctx, client, MethodRollout, order, attemptTimeout)
+		}
+		return call[RolloutOrder, operator.Rollout](ctx, client, MethodTicketedRollout, &RolloutOrder{Ticket: *ticket, Order: *order}, attemptTimeout)
+	})
 }
 
 // Rollout reads the newest rollout of a pool.
@@ -295,10 +324,21 @@
 // one of them answers as leader or the limits on time and attempts are reached. Timeout is the time
 // after which the next replica is called. Earlier attempts may still succeed meanwhile.
 func call[In, Out any](ctx context.Context, client *Client, method string, in *In, timeout time.Duration) (*Out, error) {
+	return callLeader[In, Out](ctx, client, method, in, timeout, false)
+}
+
+// callKnown is like call, but returns an error for which frame.IsUnknownMethod holds once the build of the leader is known
+// to lack the method.
+func callKnown[In, Out any](ctx context.Context, client *Client, method string, in *In, timeout time.Duration) (*Out, error) {
+	return callLeader[In, Out](ctx, client, method, in, timeout, true)
+}
+
+func callLeader[In, Out any](ctx context.Context, client *Client, method string, in *In, timeout time.Duration, mustKnow bool) (*Out, error) {
 	ctx, cancel := context.WithTimeout(ctx, max(callTimeout, timeout))
 	defer cancel()
 	lastErr := errors.New("no control replica is known; list control_replicas in the settings")
 	var attemptRound attemptRound
+	lacking := lackingReplicas{method: method, mustKnow: mustKnow}
 	results := make(chan attemptResult[Out], maximumAttempts)
 	for number := range maximumAttempts {
 		index, peer := client.preferredPeer()
@@ -317,21 +357,23 @@
 			return orEmpty(response.Body), nil
 		case err == nil:
 			leaderNamed = response.Leader != ""
-			if leaderNamed {
-				client.recordContact(policy.ControlLed)
-			} else {
-				client.recordContact(policy.ControlLeaderless)
-			}
+			client.recordContact(contactOf(leaderNamed))
 			if !isUnavailable(lastErr) {
 				lastErr = errors.Errorf("the replica at %s doesn't lead", peer.Address())
 			}
 			client.chooseNextPeer(index, response.Leader)
 			client.learnReplicas(response.Replicas)
+			if err := lacking.check(response.Leader); err != nil {
+				return nil, err
+			}
 		case isFinal(err) && !frame.IsUnknownMethod(err, method):
 			// A replica of an older build that lacks the method may be followed by a newer one that
 			// leads.
 			return nil, err
 		default:
+			if err := lacking.record(peer.Address(), err, client.peerCount()); err != nil {
+				return nil, err
+			}
 			lastErr = errors.Wrap(err, "ask the replica at "+peer.Address())
 			client.chooseNextPeer(index, "")
 		}
@@ -343,6 +385,26 @@
 		"check that a quorum of control VMs is up and reachable, then try again")
 }
 
+// record records the error of a replica, and returns it if all replicas, and so the leader, lack the method.
+func (lackingReplicas *lackingReplicas) record(address string, err error, replicas int) error {
+	if !lackingReplicas.mustKnow || !frame.IsUnknownMethod(err, lackingReplicas.method) {
+		return nil
+	}
+	if lackingReplicas.errs == nil {
+		lackingReplicas.errs = map[string]error{}
+	}
+	lackingReplicas.errs[address] = err
+	if len(lackingReplicas.errs) < replicas {
+		return nil
+	}
+	return err
+}
+
+// check returns the error of a replica that was named as the leader, if it lacks the method.
+func (lackingReplicas *lackingReplicas) check(leader string) error {
+	return lackingReplicas.errs[leader]
+}
+
 // awaitResult returns the result of the attempt with a number, or that of an earlier one if a leader has sent it. If neither
 // comes within the timeout, it returns context.DeadlineExceeded.
 func awaitResult[Out any](ctx context.Context, client *Client, results <-chan attemptResult[Out], number int, timeout time.Duration) (*reply[Out], error) {
@@ -397,9 +459,7 @@
 // round, because two replicas may name each other as leader. pauseAfterRound returns an error
 // once ctx has ended.
 func (client *Client) pauseAfterRound(ctx context.Context, attemptRound *attemptRound, leaderNamed bool) error {
-	client.lock.Lock()
-	peers := len(client.peers)
-	client.lock.Unlock()
+	peers := client.peerCount()
 	attemptRound.attempts++
 	if attemptRound.attempts < peers || leaderNamed && attemptRound.attempts == peers {
 		return ctx.Err()
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -32,6 +32,12 @@
 	MethodExceptions = "control.balance"
 	// MethodDomain takes a failure domain out of service or puts it back.
 	MethodDomain = "control.domain"
+	// MethodOrderTicket requests a ticket for an order.
+	MethodOrderTicket = "control.order_ticket"
+	// MethodTicketedDomain is MethodDomain with a ticket.
+	MethodTicketedDomain = "control.ticketed_domain"
+	// MethodTicketedRollout is MethodRollout with a ticket.
+	MethodTicketedRollout = "control.ticketed_rollout"
 	// MethodReplicas adds or removes a control replica.
 	MethodReplicas = "control.replicas"
 	// MethodRollout orders a rollout.
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -109,6 +109,10 @@
 }
 
 func (service *Service) startRollout(ctx context.Context, order *operator.RolloutOrder) (*operator.Rollout, error) {
+	return service.orderRollout(ctx, nil, order)
+}
+
+func (service *Service) orderRollout(ctx context.Context, ticket *OrderTicket, order *operator.RolloutOrder) (*operator.Rollout, error) {
 	controller := service.rollouts
 	if controller == nil {
 		return nil, errRolloutsOff()
@@ -123,7 +127,7 @@
 	}
 	replaces := controller.replaceable(time.Now(), tenure, service.state.Newest(), order.Pool)
 	start := startRollout{Order: *order, Now: time.Now(), Replaces: replaces}
-	result, err := service.submitRollout(ctx, &start)
+	result, err := service.submitRollout(ctx, ticket, &start)
 	if err != nil {
 		controller.logRefused(order, err)
 		return nil, err
@@ -144,7 +148,7 @@
 
 // submitRollout submits an order to the log. One that changes nothing is answered without that, so that an order
 // sent again is acknowledged also while the group hasn't shown its feature level to a new leader.
-func (service *Service) submitRollout(ctx context.Context, start *startRollout) (*result, error) {
+func (service *Service) submitRollout(ctx context.Context, ticket *OrderTicket, start *startRollout) (*result, error) {
 	if err := service.log.Confirm(ctx); err != nil {
 		return nil, err
 	}
@@ -157,7 +161,7 @@
 	if err := service.checkEntryLevels(ctx, *start); err != nil {
 		return nil, err
 	}
-	return service.changeBatcher.submit(ctx, *start)
+	return service.submitOrder(ctx, ticket, *start)
 }
 
 // logRefused logs an order that was refused. It leaves out those that another replica or a later
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -78,6 +78,7 @@
 		ledgerBatcher batcher
 		viewBatcher   batcher
 		changeBatcher batcher
+		orders        orderQueue
 		// rollouts is nil if rollouts are turned off.
 		rollouts *rolloutController
 		updates  updateCache
@@ -106,6 +107,7 @@
 		ledgerBatcher: batcher{propose: log.Propose, check: checkLevel, maximumInFlight: 1, maximumBatchSize: maximumBatch},
 		viewBatcher:   batcher{propose: log.Propose, check: checkLevel, maximumInFlight: maximumViewEditsInFlight, maximumBatchSize: maximumBatch, window: viewWindow},
 		changeBatcher: batcher{propose: log.Propose, check: checkLevel, maximumInFlight: maximumChangesInFlight, maximumBatchSize: 1},
+		orders:        newOrderQueue(),
 	}
 }
 
@@ -121,6 +123,9 @@
 	handle(server, service.log, MethodRecord, service.record)
 	handle(server, service.log, MethodReplicas, service.replicas)
 	handle(server, service.log, MethodDomain, service.domain)
+	handle(server, service.log, MethodOrderTicket, service.orderTicket)
+	handle(server, service.log, MethodTicketedDomain, service.ticketedDomain)
+	handle(server, service.log, MethodTicketedRollout, service.ticketedRollout)
 	handle(server, service.log, MethodExceptions, service.replaceExceptions)
 	handle(server, service.log, MethodRollout, service.startRollout)
 	handle(server, service.log, MethodRolloutState, service.rolloutState)
@@ -206,13 +211,17 @@
 	return &versioned, nil
 }
 
-// domain takes a failure domain out of service or puts it back. The domain need not have had an
-// entry, because targets may run where no entry does.
 func (service *Service) domain(ctx context.Context, change *operator.DomainChange) (*operator.ChangeReply, error) {
+	return service.changeDomain(ctx, nil, change)
+}
+
+// changeDomain takes a failure domain out of service or puts it back. The domain need not have had an
+// entry, because targets may run where no entry does.
+func (service *Service) changeDomain(ctx context.Context, ticket *OrderTicket, change *operator.DomainChange) (*operator.ChangeReply, error) {
 	if err := change.Check(); err != nil {
 		return nil, err
 	}
-	result, err := service.changeBatcher.submit(ctx, changeDomain{Change: *change})
+	result, err := service.submitOrder(ctx, ticket, changeDomain{Change: *change})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/httptarget/announcements.go
+++ b/internal/httptarget/announcements.go
@@ -8,6 +8,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"gitlab.com/comfreythread/comfreythread/internal/pause"
 	"gitlab.com/comfreythread/comfreythread/internal/web"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 	"gitlab.com/comfreythread/comfreythread/pkg/target"
@@ -19,14 +20,16 @@
 	AnnouncementAPI struct {
 		registry *Registry
 		inGroup  func() bool
+		pauses   *pause.Monitor
 	}
 )
 
 // NewAnnouncementAPI returns the interface to a process's registry. The function
 // inGroup reports whether the process belongs to the group of control replicas:
 // entries watch only the registries of the group, so others take no announcements.
-func NewAnnouncementAPI(registry *Registry, inGroup func() bool) *AnnouncementAPI {
-	return &AnnouncementAPI{registry: registry, inGroup: inGroup}
+// A target's end is refused if it may have waited while the process was paused.
+func NewAnnouncementAPI(registry *Registry, inGroup func() bool, pauses *pause.Monitor) *AnnouncementAPI {
+	return &AnnouncementAPI{registry: registry, inGroup: inGroup, pauses: pauses}
 }
 
 // Register adds the routes for targets.
@@ -56,6 +59,10 @@
 	if err := checkID(id); err != nil {
 		return err
 	}
+	// The call names no start of the target, which may have started again since.
+	if err := announcementAPI.pauses.Check(); err != nil {
+		return err
+	}
 	if err := announcementAPI.registry.End(id); err != nil {
 		return err
 	}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -17,6 +17,7 @@
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
+	"gitlab.com/comfreythread/comfreythread/internal/pause"
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
 	"gitlab.com/comfreythread/comfreythread/internal/replica"
 	"gitlab.com/comfreythread/comfreythread/internal/settings"
@@ -75,8 +76,8 @@
 
 // newAnnouncementAPI returns the interface for announcements, which refuses them until the replica
 // belongs to a group, because entries watch only the registries of the group.
-func newAnnouncementAPI(registry *httptarget.Registry, replica *replica.Replica) *httptarget.AnnouncementAPI {
-	return httptarget.NewAnnouncementAPI(registry, func() bool { return len(replica.Status().Replicas) > 0 })
+func newAnnouncementAPI(registry *httptarget.Registry, replica *replica.Replica, pauses *pause.Monitor) *httptarget.AnnouncementAPI {
+	return httptarget.NewAnnouncementAPI(registry, func() bool { return len(replica.Status().Replicas) > 0 }, pauses)
 }
 
 func registerAnnouncementAPI(announcementAPI *httptarget.AnnouncementAPI, engine *gin.Engine) {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -22,6 +22,7 @@
 	"gitlab.com/comfreythread/comfreythread/internal/frame"
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
 	operatorserver "gitlab.com/comfreythread/comfreythread/internal/operator"
+	"gitlab.com/comfreythread/comfreythread/internal/pause"
 	"gitlab.com/comfreythread/comfreythread/internal/settings"
 	"gitlab.com/comfreythread/comfreythread/internal/tcp"
 	"gitlab.com/comfreythread/comfreythread/internal/tracing"
@@ -70,7 +71,7 @@
 		fx.StartTimeout(StartTimeout),
 		fx.StopTimeout(StopTimeout),
 		fx.Supply(settings, listeners, network.withDefaults(), logger, fx.Annotate(stdout, fx.As(new(io.Writer)))),
-		fx.Provide(newControlClient, metrics.New, web.NewEngine, newPeerServer),
+		fx.Provide(newControlClient, newPauseMonitor, metrics.New, web.NewEngine, newPeerServer),
 		fx.Invoke(startTracing, registerCommonRoutes),
 		controlModule(settings),
 		// Stop hooks run in reverse order: the entry withdraws while it still serves, the HTTP server
@@ -159,8 +160,17 @@
 	return network
 }
 
-func newControlClient(settings *settings.Settings, network Network, lifecycle fx.Lifecycle) *control.Client {
+// newPauseMonitor returns the monitor of pauses of this process, which runs until the process stops.
+func newPauseMonitor(logger *zap.Logger, lifecycle fx.Lifecycle) *pause.Monitor {
+	monitor := pause.NewMonitor(logger)
+	ctx, cancel := context.WithCancel(context.Background())
+	lifecycle.Append(fx.StartStopHook(func() { go monitor.Run(ctx) }, cancel))
+	return monitor
+}
+
+func newControlClient(settings *settings.Settings, network Network, pauses *pause.Monitor, lifecycle fx.Lifecycle) *control.Client {
 	client := control.NewClient(settings.ControlReplicas, network.Dial)
+	client.RefuseOrdersAfterPauses(pauses)
 	lifecycle.Append(fx.StopHook(client.Close))
 	return client
 }
