Ask whether a target may still get the request before each attempt

Cause: a dispatch ranked the targets of its pool once, and hedges, retries and attempts that had waited for a permit chose from that copy for as long as the request lasted. Entries that learn late were ruled out: their new requests stop at once. The same copy let requests reach targets taken out of service or no longer allowed, and an entry looked only at its directory before an attempt on behalf of another one.

Change: dispatch.mayGet asks the directory and the tables in force, in the one place that chooses a target, and again after the wait for a permit. A further choice also knows the targets that were found since. An entry refuses attempts for others at targets that are out of service.

Why it works: no attempt begins without the question, whatever it was ranked from.

--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -19,6 +19,7 @@
 
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
+	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
 const (
@@ -183,14 +184,36 @@
 	dispatch.arrange()
 }
 
-// isEligible reports whether the tables allow sending requests of this route and tenant to target.
+// isEligible reports whether the tables allow sending requests of this route and tenant to target. Both those that the
+// request began with and those in force now have to, because a request may last longer than it takes to evacuate a target.
 func (call *call) isEligible(target *httptarget.Target) bool {
 	domain := target.FailureDomain()
-	if call.routeIndex.tables.IsOut(domain) {
+	region := call.server.options.Regions[domain]
+	current := call.server.currentRouteIndex()
+	if current == nil || current.tables.IsOut(domain) || !allowsRegions(call.route, call.tenant, region) {
 		return false
 	}
-	region := call.server.options.Regions[domain]
-	return allowsRegion(call.route.HTTP.Regions, region) && (call.tenant == nil || allowsRegion(call.tenant.Regions, region))
+	if current == call.routeIndex {
+		return true
+	}
+	path, _, _ := strings.Cut(call.request.URI, "?")
+	route, found := current.routes.Match(call.request.Host, path)
+	tenant := call.tenant
+	if tenant != nil {
+		tenant = current.tenants.ByName(tenant.Name)
+	}
+	return !found || allowsRegions(route, tenant, region)
+}
+
+// allowsRegions reports whether a route and a tenant, which may be nil, allow targets in a region.
+func allowsRegions(route *operator.Route, tenant *operator.Tenant, region string) bool {
+	return allowsRegion(route.HTTP.Regions, region) && (tenant == nil || allowsRegion(tenant.Regions, region))
+}
+
+// mayGet reports whether a target may get the request at this moment. Every attempt asks that, because its target was
+// ranked earlier, and may have left or been taken out of service since.
+func (dispatch *dispatch) mayGet(target *httptarget.Target) bool {
+	return dispatch.call.server.directory.InUse(target) && dispatch.call.isEligible(target)
 }
 
 // allowsRegion reports whether a list of allowed regions has a region. An empty list allows all.
@@ -481,11 +504,14 @@
 	return policy.HedgeDelay(first, second, time.Until(dispatch.softDeadline))
 }
 
-// rankUntried ranks the remaining targets again by their current condition.
+// rankUntried ranks the remaining targets again by their current condition. It leaves out those that may no longer get the
+// request, and adds those that were found or became available since.
 func (dispatch *dispatch) rankUntried() {
 	now := time.Now()
 	dispatch.restoreOmitted()
-	untried := dispatch.order[dispatch.next:]
+	dispatch.addFound(now)
+	untried := slices.DeleteFunc(dispatch.order[dispatch.next:], func(index int) bool { return !dispatch.mayGet(dispatch.targets[index]) })
+	dispatch.order = dispatch.order[:dispatch.next+len(untried)]
 	candidates := make([]policy.Candidate, len(untried))
 	for position, index := range untried {
 		condition := dispatch.targets[index].Condition(now)
@@ -500,6 +526,20 @@
 	dispatch.arrange()
 }
 
+// addFound adds the targets that may get the request now and weren't ranked.
+func (dispatch *dispatch) addFound(now time.Time) {
+	for _, target := range dispatch.call.server.directory.Pool(dispatch.pool) {
+		if slices.Contains(dispatch.targets, target) || slices.Contains(dispatch.possibleRunners, target) || !target.Admits(now) || !dispatch.call.isEligible(target) {
+			continue
+		}
+		condition := target.Condition(now)
+		dispatch.order = append(dispatch.order, len(dispatch.targets))
+		dispatch.targets = append(dispatch.targets, target)
+		dispatch.candidates = append(dispatch.candidates, dispatch.candidate(target, &condition))
+		dispatch.releases.add(condition.Fresh)
+	}
+}
+
 // mayAttempt reports whether another attempt is allowed by the route and the time left,
 // has a target to go to, and would not send a quarantined request.
 func (dispatch *dispatch) mayAttempt() bool {
@@ -553,7 +593,7 @@
 	untried := dispatch.order[dispatch.next:]
 	selected := slices.IndexFunc(untried, func(index int) bool {
 		target := dispatch.targets[index]
-		return target.Admits(now) && target.HasConnection(dispatch.call.server.connectionLimit(pool, target))
+		return target.Admits(now) && dispatch.mayGet(target) && target.HasConnection(dispatch.call.server.connectionLimit(pool, target))
 	})
 	if selected < 0 {
 		return false
@@ -600,6 +640,11 @@
 			outcome = &httptarget.Refused{Reason: httptarget.Limited}
 			return
 		}
+		// A permit may have taken a while.
+		if !dispatch.mayGet(target) {
+			outcome = &httptarget.Refused{Reason: httptarget.Limited}
+			return
+		}
 		outcome = dispatch.send(ctx, sending, limit)
 		server.requestMetrics.observeAttempt(server.locality(target.FailureDomain()), outcome, time.Since(startedAt))
 	})
--- a/internal/httpcaller/planned_stop_test.go
+++ b/internal/httpcaller/planned_stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -24,6 +25,10 @@
 
 // setRoute puts a change of the orders route in force at all entries.
 func (fleet *fleet) setRoute(change func(route *operator.Route)) {
+	// The entries read the previous tables.
+	fleet.tables.Routes = slices.Clone(fleet.tables.Routes)
+	httpRoute := *fleet.tables.Routes[0].HTTP
+	fleet.tables.Routes[0].HTTP = &httpRoute
 	change(&fleet.tables.Routes[0])
 	for _, entry := range fleet.entries {
 		_, version := entry.board.InForce().Tables()
--- a/internal/httpcaller/releases.go
+++ b/internal/httpcaller/releases.go
@@ -62,6 +62,14 @@
 	dispatch.order = dispatch.order[:dispatch.next+kept]
 }
 
+// add makes room for a target that is added to those of the dispatch.
+func (releases *releases) add(fresh bool) {
+	releases.anyFresh = releases.anyFresh || fresh
+	if releases.classes != nil {
+		releases.classes = append(releases.classes, rollout.Usual)
+	}
+}
+
 // restoreOmitted makes the omitted targets untried ones again, because the phase of a rollout may
 // have changed.
 func (dispatch *dispatch) restoreOmitted() {
--- a/internal/httptarget/directory.go
+++ b/internal/httptarget/directory.go
@@ -69,12 +69,24 @@
 	return directory.pools[name]
 }
 
+// InUse reports whether a target from Pool may still be used.
+func (directory *Directory) InUse(target *Target) bool {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	return directory.inUse(target)
+}
+
+// inUse reports whether a target may be used now. The lock must be held.
+func (directory *Directory) inUse(target *Target) bool {
+	return slices.Contains(directory.pools[target.record.Pool], target)
+}
+
 // Find returns the target with an ID that started at a time, or nil if it may not be used now.
 func (directory *Directory) Find(id string, startedAt int64) *Target {
 	directory.lock.Lock()
 	defer directory.lock.Unlock()
 	target := directory.targets[id]
-	if target == nil || target.record.StartedAt != startedAt || !slices.Contains(directory.pools[target.record.Pool], target) {
+	if target == nil || target.record.StartedAt != startedAt || !directory.inUse(target) {
 		return nil
 	}
 	return target
--- a/internal/policy/tenants.go
+++ b/internal/policy/tenants.go
@@ -10,14 +10,16 @@
 	// Tenants finds tenants by key. The zero value holds no tenants.
 	Tenants struct {
 		byDigest map[string]*operator.Tenant
+		byName   map[string]*operator.Tenant
 		any      bool
 	}
 )
 
 // NewTenants indexes the tenants of tables, which must not be changed afterwards.
 func NewTenants(tables *operator.Tables) *Tenants {
-	tenants := &Tenants{byDigest: map[string]*operator.Tenant{}, any: len(tables.Tenants) > 0}
+	tenants := &Tenants{byDigest: map[string]*operator.Tenant{}, byName: map[string]*operator.Tenant{}, any: len(tables.Tenants) > 0}
 	for index := range tables.Tenants {
+		tenants.byName[tables.Tenants[index].Name] = &tables.Tenants[index]
 		for _, digest := range tables.Tenants[index].KeyDigests {
 			tenants.byDigest[digest] = &tables.Tenants[index]
 		}
@@ -30,6 +32,11 @@
 	return tenants.any
 }
 
+// ByName returns the tenant with a name, or nil.
+func (tenants *Tenants) ByName(name string) *operator.Tenant {
+	return tenants.byName[name]
+}
+
 // Find returns the tenant that has a key, or nil. The time that it takes tells nothing about how much of
 // a key was right: only digests are compared, and a caller can't choose them.
 func (tenants *Tenants) Find(key string) *operator.Tenant {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -194,7 +194,8 @@
 	if target == nil {
 		return &Reply{NoLink: true}
 	}
-	if !target.Admits(time.Now()) {
+	tables, _ := relay.board.InForce().Tables()
+	if !target.Admits(time.Now()) || tables.IsOut(target.FailureDomain()) {
 		return &Reply{Kind: replyRefused, Reason: httptarget.Limited}
 	}
 	if left, stops := relay.stopsWithin(); stops && left < attempt.Timeout {
