Answer what is in progress at the end of a planned stop

Cause: the entry closed the connections of what was in progress 0.8 s before SIGKILL, and wrote neither responses nor log lines.

Change: at the end every request gets a response: an answer or parts that have arrived, a refusal as not run, or 502 with a log line that names it. Requests that are read later are refused as not run before idle connections are closed, because net/http may take a connection for idle while a request on it is being read. The end comes 0.15 s later than the cut did.

Why it works: the responses are written before the process closes anything, whatever targets do.

--- a/internal/httpcaller/admission.go
+++ b/internal/httpcaller/admission.go
@@ -188,6 +188,8 @@
 	case <-ctx.Done():
 	case <-timer.C:
 		result = waitExpired
+	case <-server.finished:
+		result = waitStopping
 	}
 	admission.lock.Lock()
 	defer admission.lock.Unlock()
--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -325,6 +325,8 @@
 		case <-ctx.Done():
 			result.mayHaveRun, result.cause = dispatch.possibleRuns > 0, ctx.Err()
 			return result
+		case <-dispatch.call.server.finished:
+			return dispatch.finish(&result)
 		case <-dispatch.timer.C:
 			dispatch.sendOverdue(ctx, &result)
 		case finishedAttempt := <-dispatch.outcomes:
@@ -343,6 +345,22 @@
 	return result
 }
 
+// finish returns the result of a dispatch that ends with the entry: an answer that has arrived, or what is known of the
+// attempts in progress.
+func (dispatch *dispatch) finish(result *dispatchResult) dispatchResult {
+	for range dispatch.inFlight {
+		select {
+		case finishedAttempt := <-dispatch.outcomes:
+			if dispatch.handleOutcome(finishedAttempt, result) {
+				return *result
+			}
+		default:
+		}
+	}
+	result.mayHaveRun, result.cause, result.reason = dispatch.possibleRuns > 0, errFinished, policy.Stopping
+	return *result
+}
+
 // sendOverdue sends a hedge, or after a wait the next attempt. If the budget or the targets allow
 // none, it waits again.
 func (dispatch *dispatch) sendOverdue(ctx context.Context, result *dispatchResult) {
--- a/internal/httpcaller/gather.go
+++ b/internal/httpcaller/gather.go
@@ -176,6 +176,8 @@
 		select {
 		case <-query.call.ctx.Done():
 			return policy.GiveUp
+		case <-query.call.server.finished:
+			return progress.DecideNow()
 		case result := <-query.results:
 			query.addResult(&result)
 		case <-query.call.stalledChanged:
--- a/internal/httpcaller/planned_stop_test.go
+++ b/internal/httpcaller/planned_stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"gitlab.com/comfreythread/comfreythread/internal/bubble"
 	"gitlab.com/comfreythread/comfreythread/internal/dialect"
+	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
 	"gitlab.com/comfreythread/comfreythread/pkg/duration"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
@@ -153,3 +155,88 @@
 	}
 	return len(ids)
 }
+
+// Guards against requests in progress at the end of a planned stop whose callers get a closed connection, because their
+// targets give no answer and their deadlines lie behind the stop.
+func TestRequestsLeftAtTheEndOfAStopAreAnswered(t *testing.T) {
+	for _, row := range []struct {
+		name        string
+		neverRepeat bool
+		path        string
+	}{
+		{"safe", false, "/orders/7"},
+		{"unsafe", true, "/orders/7"},
+		{"query", false, "/all/7"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				fleet := newFleet(t, 1, 3)
+				fleet.addQuery()
+				fleet.setRoute(func(route *operator.Route) {
+					route.NeverRepeat, route.HTTP.Timeout = row.neverRepeat, duration.Of(patience)
+				})
+				for _, target := range fleet.targets {
+					target.setFailure(true)
+				}
+				entry, sentAt := fleet.entries[0], time.Now()
+				codes := make(chan int, 6)
+				for range cap(codes) {
+					go func() {
+						recorder := entry.sendWithin(row.path, patience)
+						codes <- recorder.Code
+					}()
+				}
+				time.Sleep(fleetDeadline / 2)
+				if passedOn := fleet.requestsSince(sentAt); passedOn != cap(codes) {
+					t.Fatalf("%d requests reached a target", passedOn)
+				}
+				entry.server.Finish()
+				finishedAt := time.Now()
+				for range cap(codes) {
+					if code := <-codes; code != http.StatusBadGateway {
+						t.Errorf("status %d, expected one that leaves open whether the request ran", code)
+					}
+				}
+				if code := entry.sendWithin(row.path, patience).Code; code != http.StatusServiceUnavailable {
+					t.Errorf("a later request gets status %d", code)
+				}
+				if late := time.Since(finishedAt); late > 0 {
+					t.Errorf("answered %s after the end", late)
+				}
+				if inFlight := entry.server.InFlight(); inFlight != 0 {
+					t.Errorf("%d requests in progress", inFlight)
+				}
+				time.Sleep(patience)
+			})
+		})
+	}
+}
+
+// Guards against a part that has arrived, or an answer, and is dropped at the end of a planned stop.
+func TestQueryIsAnsweredWithItsPartsAtTheEndOfAStop(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, 1, 2)
+		if err := fleet.registry.Announce(httptarget.Record{
+			ID: "target-2", Pool: "q", Address: fleet.targets[1].ip + ":80", FailureDomain: "nord-a",
+			Slots: fleetSlots, State: httptarget.StateReady, StartedAt: 2, Revision: 1,
+		}); err != nil {
+			t.Fatal(err)
+		}
+		fleet.tables.Pools = append(fleet.tables.Pools, pool("q"))
+		fleet.addQuery()
+		fleet.tables.Routes[1].HTTP.Gather = &operator.Gather{Pools: []string{"p", "q"}, Top: 3, MinimumCoverage: 0.5}
+		fleet.tables.Routes[1].HTTP.Timeout, fleet.tables.Routes[1].HTTP.TargetLatency = duration.Of(patience), duration.Of(patience)
+		fleet.setRoute(func(*operator.Route) {})
+		fleet.targets[1].setFailure(true)
+		time.Sleep(time.Second)
+		responses := make(chan *httptest.ResponseRecorder)
+		go func() { responses <- fleet.entries[0].sendWithin("/all/7", patience) }()
+		time.Sleep(fleetDeadline / 2)
+		fleet.entries[0].server.Finish()
+		response := <-responses
+		if missing := response.Header().Get(dialect.Default().MissingParts); response.Code != http.StatusOK || missing != "1" {
+			t.Errorf("status %d, %q parts are missing: %s", response.Code, missing, response.Body)
+		}
+		time.Sleep(patience)
+	})
+}
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,7 @@
 var (
 	tracer = otel.Tracer("comfreythread/httpcaller")
 
+	errFinished = errors.New("the entry stopped before an answer arrived")
 	errTooLarge = errors.New("the body is larger than allowed; send less")
 )
 
@@ -89,6 +91,9 @@
 		inFlight            atomic.Int64
 		// servesUntil is nil unless the entry stops.
 		servesUntil atomic.Pointer[time.Time]
+		// finished is closed once every request in progress has to be answered at once.
+		finished   chan struct{}
+		finishOnce sync.Once
 	}
 
 	// routeIndex holds one version of the tables with its routes and tenants.
@@ -140,7 +145,7 @@
 func NewServer(options Options, board *blackboard.Board, directory *httptarget.Directory, sender *httptarget.Sender, permits *permit.Permits, logger *zap.Logger, metrics *metrics.Metrics) *Server {
 	server := &Server{
 		options: options, board: board, directory: directory, sender: sender, permits: permits, budgets: policy.NewBudgets(options.Budget),
-		requestLog: newRequestLog(logger, metrics), metrics: metrics, requestMetrics: requestMetrics{metrics: metrics}, createdAt: time.Now(), admission: newAdmission(),
+		requestLog: newRequestLog(logger, metrics), metrics: metrics, requestMetrics: requestMetrics{metrics: metrics}, createdAt: time.Now(), admission: newAdmission(), finished: make(chan struct{}),
 	}
 	server.workers = newWorkers(server.recordPanic)
 	if options.Rollouts != nil {
@@ -183,6 +188,13 @@
 	return max(0, time.Until(*until)), true
 }
 
+// Finish answers the requests in progress at once, with what has arrived, and refuses further ones as not run.
+// A request that a target may have run gets a response that says so.
+func (server *Server) Finish() {
+	server.Stop(time.Now())
+	server.finishOnce.Do(func() { close(server.finished) })
+}
+
 // Close ends the goroutines that are kept for further requests. Requests are still served.
 func (server *Server) Close() {
 	server.workers.close()
--- a/internal/policy/gather.go
+++ b/internal/policy/gather.go
@@ -88,6 +88,14 @@
 	return Wait, queryProgress.finalDeadline()
 }
 
+// DecideNow returns what to do if there is no more time to wait.
+func (queryProgress *QueryProgress) DecideNow() QueryDecision {
+	if queryProgress.PartsReceived >= queryProgress.MinimumParts() {
+		return Answer
+	}
+	return GiveUp
+}
+
 // preferredDeadline returns the elapsed time at which an answer must be sent to
 // reach the caller within the target latency.
 func (queryProgress *QueryProgress) preferredDeadline() time.Duration {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -30,11 +30,15 @@
 	// maximumGatewayConnections bounds the connections from callers, so that file descriptors remain
 	// for connections to targets.
 	maximumGatewayConnections = 2048
-	// finalStopSpan is the last phase of a planned stop: no new request is accepted, those in
+	// finalStopSpan is the last phase of a planned stop: no new connection is accepted, requests in
 	// progress end, and the entry leaves. It includes leaveTimeout.
 	finalStopSpan = 1500 * time.Millisecond
-	// leaveTimeout is the time reserved for the steps after the last request.
-	leaveTimeout = 400 * time.Millisecond
+	// leaveTimeout is the time reserved for the last responses, which take up to finishTimeout, and the
+	// steps after them.
+	leaveTimeout  = 250 * time.Millisecond
+	finishTimeout = 100 * time.Millisecond
+	// idlePollInterval is the interval at which a stopping entry checks whether requests are in progress.
+	idlePollInterval = 10 * time.Millisecond
 )
 
 func gatewayAddress(settings *settings.Settings) string {
@@ -135,21 +139,28 @@
 
 // withdrawGateway performs the first phase of a planned stop: the entry continues to serve while
 // callers learn that it is stopping, then closes its listener and waits for the requests in
-// progress. The whole stop takes StopSpan, whether or not control responds.
+// progress. Those that are left at the end are answered at once, because a caller learns more from that
+// than from a closed connection. The whole stop takes StopSpan, whether or not control responds.
 func withdrawGateway(settings *settings.Settings, board *blackboard.Board, leaseholder *entry.Leaseholder, gateway *httpcaller.Server, server *web.LimitedServer, lifecycle fx.Lifecycle, logger *zap.Logger) {
 	lifecycle.Append(fx.StopHook(func(ctx context.Context) error {
 		span := settings.Gateway.StopSpan.Std()
+		until := time.Now().Add(span - leaveTimeout)
 		servingContext, cancel := context.WithTimeout(ctx, max(0, span-finalStopSpan))
 		defer cancel()
 		logger.Info("withdrawing", zap.Duration("stop_span", span), zap.Int("in_flight", gateway.InFlight()))
 		board.InForce().Stop()
-		gateway.Stop(time.Now().Add(span - leaveTimeout))
+		gateway.Stop(until)
 		if err := leaseholder.Withdraw(servingContext); err != nil {
 			logger.Warn("withdrawn without confirmation from all entries", zap.Error(err))
 		}
 		<-servingContext.Done()
+		logger.Info("taking no more connections", zap.Int("in_flight", gateway.InFlight()))
+		server.StopAccepting()
+		awaitIdle(ctx, gateway, until)
 		logger.Info("taking no more requests", zap.Int("in_flight", gateway.InFlight()))
-		shutdownContext, cancelShutdown := context.WithTimeout(ctx, finalStopSpan-leaveTimeout)
+		// Before the idle connections are closed: a request that is read meanwhile is not passed on.
+		gateway.Finish()
+		shutdownContext, cancelShutdown := context.WithTimeout(ctx, finishTimeout)
 		defer cancelShutdown()
 		if err := server.Shutdown(shutdownContext); err != nil {
 			logger.Warn("requests cut at the end of the stop", zap.Int("in_flight", gateway.InFlight()), zap.Error(err))
@@ -157,3 +168,18 @@
 		return nil
 	}))
 }
+
+// awaitIdle waits until no request is in progress, a time has come, or ctx ends.
+func awaitIdle(ctx context.Context, gateway *httpcaller.Server, until time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	ticker := time.NewTicker(idlePollInterval)
+	defer ticker.Stop()
+	for gateway.InFlight() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/web/limited.go
+++ b/internal/web/limited.go
@@ -43,7 +43,8 @@
 		lock     sync.Mutex
 		listener net.Listener
 		servers  map[Limits]*channelServer
-		closed   bool
+		// closed is true once no connection is accepted.
+		closed bool
 	}
 
 	// channelServer serves connections that LimitedServer has accepted.
@@ -88,6 +89,16 @@
 	}
 }
 
+// StopAccepting closes the listener. Open connections are still served.
+func (limitedServer *LimitedServer) StopAccepting() {
+	limitedServer.lock.Lock()
+	defer limitedServer.lock.Unlock()
+	limitedServer.closed = true
+	if limitedServer.listener != nil {
+		_ = limitedServer.listener.Close()
+	}
+}
+
 // Shutdown stops accepting connections and returns once the requests in progress have
 // ended, or when ctx ends.
 func (limitedServer *LimitedServer) Shutdown(ctx context.Context) error {
@@ -160,11 +171,8 @@
 // stop closes the listener and calls stopServer for all servers concurrently. It returns one
 // of their errors, if there are any.
 func (limitedServer *LimitedServer) stop(stopServer func(*http.Server) error) error {
+	limitedServer.StopAccepting()
 	limitedServer.lock.Lock()
-	limitedServer.closed = true
-	if limitedServer.listener != nil {
-		_ = limitedServer.listener.Close()
-	}
 	results := make(chan error, len(limitedServer.servers))
 	for _, server := range limitedServer.servers {
 		go func() { results <- stopServer(server.Server) }()
