Leave out odd records of targets, and keep those beside them

Other operators saw: processes that ended again and again, or stopped following the list of targets, after one odd entry. Here an entry no longer followed a registry whose reply held one record of another shape, and a control process forgot all stored targets for one; a port, slots or a cold start out of range were used as a target.

Cause: records were checked at the announcement alone, lists were decoded as a whole, and the stored file was decoded without the check of its nesting that messages have: 10 million levels end the process by a stack overflow. The announcement itself was ruled out: it refuses all of these with a typed error, also 12,000 levels.

Change: a record that can't be decoded leaves the others readable; entries and registries check each record that they receive or load, leave out bad ones, log and count them; the file's shape is checked first.

Before: TestOddRecordOfARegistryIsLeftOut fails in 15 of 16 cases, TestOddStoredRecordIsLeftOut in 12, TestEndlesslyNestedStoreIsRefused ends the process. After: all pass. The encodings are unchanged (golden tests).

--- a/internal/httptarget/directory.go
+++ b/internal/httptarget/directory.go
@@ -30,6 +30,8 @@
 		tracksReleases bool
 		// synced is true once a registry has replied.
 		synced bool
+		// ignoredRecords counts the invalid records that registries have sent.
+		ignoredRecords int
 	}
 
 	// source is the state of one registry as last received.
@@ -62,6 +64,13 @@
 	return directory.synced
 }
 
+// IgnoredRecords returns the number of invalid records that registries have sent.
+func (directory *Directory) IgnoredRecords() int {
+	directory.lock.Lock()
+	defer directory.lock.Unlock()
+	return directory.ignoredRecords
+}
+
 // Pool returns the targets of a pool that may be used now, in no particular order.
 func (directory *Directory) Pool(name string) []*Target {
 	directory.lock.Lock()
@@ -130,6 +139,11 @@
 	}
 	existing.stale = false
 	for _, record := range reply.Records {
+		if err := record.checkStored(); err != nil {
+			directory.ignoredRecords++
+			directory.logger.Warn("record of a target ignored", zap.String("registry", address), zap.String("target", record.ID[:min(len(record.ID), MaximumIDBytes)]), zap.Error(err))
+			continue
+		}
 		changed[record.ID] = true
 		if record.State == StateUnheard {
 			delete(existing.records, record.ID)
--- a/internal/httptarget/record.go
+++ b/internal/httptarget/record.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 )
 
@@ -62,6 +64,31 @@
 	}
 )
 
+// DecodeMsgpack implements msgpack.CustomDecoder. A record whose fields can't be decoded becomes one without an ID, which
+// checkStored rejects, so that the records beside it are still read.
+func (record *Record) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	type fields Record
+	encoded, err := decoder.DecodeRaw()
+	if err != nil {
+		return err
+	}
+	var decoded fields
+	if err := msgpack.Unmarshal(encoded, &decoded); err != nil {
+		decoded = fields{}
+	}
+	*record = Record(decoded)
+	return nil
+}
+
+// checkStored is like Check for a record from a registry or a store, which may also describe a target that has ended or
+// isn't heard.
+func (record *Record) checkStored() error {
+	if record.State == StateGone || record.State == StateUnheard {
+		return checkID(record.ID)
+	}
+	return record.Check()
+}
+
 // Check returns a fault.Error for the first problem of an announcement, or nil.
 func (record *Record) Check() error {
 	if err := record.checkNames(); err != nil {
--- a/internal/httptarget/store.go
+++ b/internal/httptarget/store.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"gitlab.com/comfreythread/comfreythread/internal/disk"
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 )
 
@@ -84,13 +85,19 @@
 		registry.logger.Warn("no targets loaded", zap.String("folder", store.folder), zap.Error(err))
 		return
 	}
-	for _, record := range records {
-		if err := registry.Announce(record); err != nil {
+	ignored := 0
+	for index := range records {
+		if err := records[index].checkStored(); err != nil {
+			ignored++
+			registry.logger.Warn("stored target ignored", zap.Stringer("state", records[index].State), zap.Error(err))
+			continue
+		}
+		if err := registry.Announce(records[index]); err != nil {
 			registry.logger.Warn("not all targets loaded", zap.Error(err))
 			break
 		}
 	}
-	registry.logger.Info("targets loaded", zap.Int("targets", len(records)))
+	registry.logger.Info("targets loaded", zap.Int("targets", len(records)-ignored), zap.Int("ignored", ignored))
 }
 
 // Save writes the registry to the store until ctx ends: after changes, at most once in
@@ -200,7 +207,7 @@
 		return nil, errStoreDamaged
 	}
 	var stored storedTargets
-	if err := msgpack.Unmarshal(data[checksumBytes:], &stored); err != nil {
+	if err := frame.Unmarshal(data[checksumBytes:], &stored); err != nil {
 		return nil, errors.Wrap(err, "decode the targets file")
 	}
 	if now.Sub(stored.SavedAt) >= retentionSpan {
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -54,7 +54,7 @@
 	}
 	return fx.Module("gateway",
 		fx.Provide(dialect.Default, httptarget.NewDirectory, newSender, newPermits, newRelay, newRollouts, newGateway, newGatewayServer),
-		fx.Invoke((*permit.Permits).Register, registerRelay, runWatcher, runConnectionKeeper, startGateway),
+		fx.Invoke((*permit.Permits).Register, registerRelay, registerIgnoredRecords, runWatcher, runConnectionKeeper, startGateway),
 	)
 }
 
@@ -82,6 +82,10 @@
 	relay.Register(server, gateway.ConnectionLimit, gateway.IsSpare, gateway.StopsWithin)
 }
 
+func registerIgnoredRecords(directory *httptarget.Directory, metrics *metrics.Metrics) {
+	metrics.GaugeFunc("target_records_ignored", "Invalid records of targets that registries have sent.", func() float64 { return float64(directory.IgnoredRecords()) })
+}
+
 // newRollouts returns the tracker of rollouts, which runs until the entry stops, or nil if they are turned off.
 func newRollouts(settings *settings.Settings, board *blackboard.Board, client *control.Client, logger *zap.Logger, metrics *metrics.Metrics, lifecycle fx.Lifecycle) *rollout.Tracker {
 	if settings.Rollouts == nil {
