Count crashes of one target by its starts

Cause: strikes against a request were counted by the target's ID, so that all crashes of one target were one strike, and two are needed.

Change: a strike names the start too.

Before: "is refused after crashes of several starts of one target" fails 3 of 3 times.

--- a/internal/blackboard/verdicts.go
+++ b/internal/blackboard/verdicts.go
@@ -13,7 +13,7 @@
 const (
 	// StrikesToQuarantine is the number of strikes against a request after
 	// which it is quarantined. A strike is the loss of a target while it ran the
-	// request; repeated losses of one target count once.
+	// request; repeated losses of one start of a target count once.
 	StrikesToQuarantine = 2
 	// FirstQuarantineSpan is the duration of a request's first quarantine.
 	FirstQuarantineSpan = time.Minute
@@ -45,7 +45,8 @@
 	// request, or that a target has answered it.
 	Verdict struct {
 		Fingerprint Fingerprint `msgpack:"f"`
-		// TargetID is the target that was lost while running the request.
+		// TargetID is the target that was lost while running the request, and differs between its starts
+		// where these are known.
 		TargetID string `msgpack:"t"`
 		// Innocent is true if a target has answered the request; no target
 		// was lost then.
--- a/internal/httpcaller/quarantine.go
+++ b/internal/httpcaller/quarantine.go
@@ -44,7 +44,7 @@
 		if !call.server.sender.Crashed(ctx, target) || call.answered.Load() {
 			return
 		}
-		call.server.board.Verdicts().RecordStrike(call.fingerprint, target.ID())
+		call.server.board.Verdicts().RecordStrike(call.fingerprint, target.Start())
 		call.server.requestLog.targetCrashed(call, target, call.server.board.Verdicts().RemainingQuarantine(call.fingerprint))
 	})
 }
--- a/internal/httpcaller/quarantine_test.go
+++ b/internal/httpcaller/quarantine_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -15,6 +16,8 @@
 const (
 	targetCount  = 6
 	requestCount = 20
+	// strikeSpan is longer than it takes to find that a target has crashed.
+	strikeSpan = 200 * time.Millisecond
 )
 
 var _ = ginkgo.Describe("a request that crashes each target that runs it", func() {
@@ -64,6 +67,26 @@
 		}).WithTimeout(longTimeout).Should(gomega.Equal("yes"))
 	})
 
+	// A pool may have a single target, which starts again under its ID after each crash.
+	ginkgo.It("is refused after crashes of several starts of one target", func() {
+		var reasons []string
+		for startedAt := range int64(targetCount) {
+			var target *fakeTarget
+			target = gateway.startTarget("target-1", startedAt+1, "p", "nord-a", func(http.ResponseWriter, *http.Request) {
+				_ = target.Listener.Close()
+				target.CloseClientConnections()
+			})
+			body := ""
+			gomega.Eventually(func() bool {
+				_, body = gateway.send(http.MethodPost, "/orders/harmful", strings.NewReader("x"))
+				return target.runs.Load() > 0 || strings.Contains(body, `"reason":"harmful"`)
+			}).WithTimeout(longTimeout).Should(gomega.BeTrue())
+			reasons = append(reasons, body)
+			time.Sleep(strikeSpan)
+		}
+		gomega.Expect(reasons[targetCount-1]).To(gomega.ContainSubstring(`"reason":"harmful"`))
+	})
+
 	ginkgo.It("isn't confused with a frequent request during unrelated crashes of targets", func() {
 		var crashNext atomic.Bool
 		for range targetCount {
--- a/internal/httpcaller/suite_test.go
+++ b/internal/httpcaller/suite_test.go
@@ -109,6 +109,11 @@
 // addTarget starts a fake target and announces it to the registry.
 func (gateway *gateway) addTarget(pool, domain string, answer http.HandlerFunc) *fakeTarget {
 	gateway.targetCount++
+	return gateway.startTarget(fmt.Sprint("target-", gateway.targetCount), 1, pool, domain, answer)
+}
+
+// startTarget starts a fake target under an ID and announces that start to the registry.
+func (gateway *gateway) startTarget(id string, startedAt int64, pool, domain string, answer http.HandlerFunc) *fakeTarget {
 	target := new(fakeTarget)
 	target.Server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		target.runs.Add(1)
@@ -120,8 +125,8 @@
 		target.Close()
 	})
 	gomega.Expect(gateway.registry.Announce(httptarget.Record{
-		ID: fmt.Sprint("target-", gateway.targetCount), Pool: pool, Address: target.Listener.Addr().String(), FailureDomain: domain,
-		Slots: 2, State: httptarget.StateReady, StartedAt: 1, Revision: 1,
+		ID: id, Pool: pool, Address: target.Listener.Addr().String(), FailureDomain: domain,
+		Slots: 2, State: httptarget.StateReady, StartedAt: startedAt, Revision: 1,
 	})).To(gomega.Succeed())
 	return target
 }
--- a/internal/httptarget/target.go
+++ b/internal/httptarget/target.go
@@ -3,6 +3,7 @@
 package httptarget
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"sync"
@@ -147,6 +148,11 @@
 // StartedAt returns when the target's process started, as its record has it.
 func (target *Target) StartedAt() int64 { return target.record.StartedAt }
 
+// Start returns a name of the target that differs between the starts of its process.
+func (target *Target) Start() string {
+	return fmt.Sprintf("%s@%d", target.record.ID, target.record.StartedAt)
+}
+
 // FailureDomain returns the target's failure domain.
 func (target *Target) FailureDomain() string { return target.record.FailureDomain }
 
