--- a/internal/control/orders_test.go
+++ b/internal/control/orders_test.go
@@ -25,11 +25,7 @@
 // Guards against an order that is delayed on its way to the leader, is given up by the operator, and undoes a newer one
 // that was acknowledged meanwhile.
 func TestDelayedOrderDoesNotUndoANewerOne(t *testing.T) {
-	bubble.Test(t, func(t *testing.T) {
-		cluster := startControlCluster(12*time.Millisecond, time.Millisecond)
-		defer time.Sleep(time.Minute)
-		defer cluster.stop()
-		time.Sleep(4 * time.Second)
+	testOrders(t, func(t *testing.T, cluster *cluster) {
 		late, other := cluster.client(lateClient), cluster.client(otherClient)
 		defer late.Close()
 		defer other.Close()
@@ -53,19 +49,18 @@
 		}
 		time.Sleep(10 * time.Second)
 		newest, err := other.Tables(context.Background(), 0)
-		if err != nil || !newest.Tables.IsOut("nord-a") {
-			t.Errorf("the failure domain is back in service, by change %q (%v)", newest.ChangeID, err)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !newest.Tables.IsOut("nord-a") {
+			t.Errorf("the failure domain is back in service, by change %q", newest.ChangeID)
 		}
 	})
 }
 
 // Guards against orders with outdated tickets, and against a lost reply after which the order is never acknowledged.
 func TestOrderWithAnOutdatedTicketHasNoEffect(t *testing.T) {
-	bubble.Test(t, func(t *testing.T) {
-		cluster := startControlCluster(12*time.Millisecond, time.Millisecond)
-		defer time.Sleep(time.Minute)
-		defer cluster.stop()
-		time.Sleep(4 * time.Second)
+	testOrders(t, func(t *testing.T, cluster *cluster) {
 		ctx := context.Background()
 		leader := cluster.services[cluster.leader()]
 		ticket, err := leader.orderTicket(ctx, &OrderTicketRequest{})
@@ -99,11 +94,7 @@
 
 // Guards against an order that was read after the process had been frozen, when its sender may have given up.
 func TestOrderAfterAPauseIsRefused(t *testing.T) {
-	bubble.Test(t, func(t *testing.T) {
-		cluster := startControlCluster(12*time.Millisecond, time.Millisecond)
-		defer time.Sleep(time.Minute)
-		defer cluster.stop()
-		time.Sleep(4 * time.Second)
+	testOrders(t, func(t *testing.T, cluster *cluster) {
 		client := cluster.client(otherClient)
 		defer client.Close()
 		monitor := new(pause.Monitor)
@@ -124,11 +115,7 @@
 
 // Guards against orders that fail while the replicas run an older build, which knows no tickets.
 func TestOrderReachesReplicasOfAnOlderBuild(t *testing.T) {
-	bubble.Test(t, func(t *testing.T) {
-		cluster := startControlCluster(12*time.Millisecond, time.Millisecond)
-		defer time.Sleep(time.Minute)
-		defer cluster.stop()
-		time.Sleep(time.Second)
+	testOrders(t, func(t *testing.T, cluster *cluster) {
 		cluster.withoutTickets()
 		time.Sleep(4 * time.Second)
 		client := cluster.client(otherClient)
@@ -138,6 +125,18 @@
 	})
 }
 
+// testOrders runs a test with replicas that elect a leader.
+func testOrders(t *testing.T, body func(t *testing.T, cluster *cluster)) {
+	t.Helper()
+	bubble.Test(t, func(t *testing.T) {
+		cluster := startControlCluster(12*time.Millisecond, time.Millisecond)
+		defer time.Sleep(time.Minute)
+		defer cluster.stop()
+		time.Sleep(4 * time.Second)
+		body(t, cluster)
+	})
+}
+
 // expectOrder gives an order as an operator would, and fails the test if it isn't acknowledged in time.
 func expectOrder(t *testing.T, client *Client, out bool) {
 	t.Helper()
--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -184,8 +184,8 @@
 	dispatch.arrange()
 }
 
-// isEligible reports whether the tables allow sending requests of this route and tenant to target. Both those that the
-// request began with and those in force now have to, because a request may last longer than it takes to evacuate a target.
+// isEligible reports whether the tables in force now allow sending requests of this route and tenant to target, because a
+// request may outlast a change. The regions that it began with hold as well.
 func (call *call) isEligible(target *httptarget.Target) bool {
 	domain := target.FailureDomain()
 	region := call.server.options.Regions[domain]
--- a/internal/httptarget/odd_records_test.go
+++ b/internal/httptarget/odd_records_test.go
@@ -95,19 +95,8 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				var fileSystem standin.Disk
-				file, err := fileSystem.Create(filepath.Join("registry", storeName))
-				if err != nil {
-					t.Fatal(err)
-				}
-				if _, err := file.Write(append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(encoded)), encoded...)); err != nil {
-					t.Fatal(err)
-				}
-				if err := file.Close(); err != nil {
-					t.Fatal(err)
-				}
 				registry := NewRegistry(1, zap.NewNop())
-				registry.Load(NewStore("registry", &fileSystem))
+				registry.Load(newStoreWith(t, encoded))
 				directory := NewDirectory(zap.NewNop())
 				applySnapshot(directory, "registry", registry)
 				expectSound(t, directory, name)
@@ -125,7 +114,15 @@
 	}
 	encoded = append([]byte{0x81}, encoded...)
 	encoded = append(encoded, bytes.Repeat([]byte{0x91}, depth)...)
-	var fileSystem standin.Disk
+	if _, err := newStoreWith(t, encoded).read(time.Now()); err == nil {
+		t.Error("the file is read")
+	}
+}
+
+// newStoreWith returns a store whose file has the encoded content and a sound checksum.
+func newStoreWith(t *testing.T, encoded []byte) *Store {
+	t.Helper()
+	fileSystem := new(standin.Disk)
 	file, err := fileSystem.Create(filepath.Join("registry", storeName))
 	if err != nil {
 		t.Fatal(err)
@@ -136,7 +133,5 @@
 	if err := file.Close(); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := NewStore("registry", &fileSystem).read(time.Now()); err == nil {
-		t.Error("the file is read")
-	}
+	return NewStore("registry", fileSystem)
 }
