Report targets of a release that can't start instead of ending the soak

A soak by hand ended by a panic because no target of a release could be started; the reason was lost with it.

--- a/internal/soak/rollout.go
+++ b/internal/soak/rollout.go
@@ -58,6 +58,10 @@
 		fault := []releaseFault{{}, {failureShare: 0.5}, {slowFactor: 10}}[random.IntN(3)]
 		next, stopNext := soak.startRelease(ctx, number, fault)
 		sleep(ctx, releaseSpan)
+		if len(next) == 0 {
+			// The failures to start are recorded.
+			continue
+		}
 		ended := soak.rollOut(ctx, random, next[0].release, fault)
 		switch {
 		case ctx.Err() != nil:
