--- a/internal/soak/rollout.go
+++ b/internal/soak/rollout.go
@@ -65,6 +65,7 @@
 		ended := soak.rollOut(ctx, random, next[0].release, fault)
 		switch {
 		case ctx.Err() != nil:
+			stopNext()
 		case ended == operator.PhaseCompleted:
 			stop()
 			current, stop = next, stopNext
