Log and count attempts and calls that nobody waits for any more

No change of what is sent. The sampler of lines about requests moves to the metrics, because other packages need it now.

--- a/internal/frame/server.go
+++ b/internal/frame/server.go
@@ -31,6 +31,9 @@
 		// OnPanic, if not nil, is called with the value and the stack of a panic in a method.
 		// The process goes on, and the caller gets a fault.Error.
 		OnPanic func(method string, recovered any, stack []byte)
+		// OnUnwanted, if not nil, is called for a call that was given up before it began, with the time
+		// since it was read.
+		OnUnwanted func(method string, waited time.Duration)
 
 		lock     sync.Mutex
 		methods  map[string]method
@@ -213,8 +216,12 @@
 		_ = link.write(&message{Type: typeReply, CallID: call.CallID, Fault: fault.New(fault.Unavailable, "too many calls in flight", "wait for earlier calls")})
 		return
 	}
+	readAt := time.Now()
 	server.running.Go(func() {
 		defer calls.cancel(call.CallID)
+		if ctx.Err() != nil && server.OnUnwanted != nil {
+			server.OnUnwanted(call.Method, time.Since(readAt))
+		}
 		send := func(part any) error { return respond(link, typePart, call.CallID, part, nil) }
 		reply, err := server.invoke(ctx, method, call, send)
 		_ = respond(link, typeReply, call.CallID, reply, err)
--- a/internal/httpcaller/request_log.go
+++ b/internal/httpcaller/request_log.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
@@ -14,12 +13,6 @@
 )
 
 const (
-	// linesPerSecond is the number of lines with the same message that an entry
-	// writes in a second; beyond that only every sampleEvery-th line is written.
-	// Sampling affects request lines only: changes of an entry's state, such as its
-	// view and its tables, are logged elsewhere and never dropped here.
-	linesPerSecond = 50
-	sampleEvery    = 50
 	// maximumQuotedBytes is the maximum number of bytes of a caller's input that a line
 	// quotes.
 	maximumQuotedBytes = 64
@@ -34,14 +27,7 @@
 )
 
 func newRequestLog(logger *zap.Logger, metrics *metrics.Metrics) *requestLog {
-	sampled := zap.WrapCore(func(core zapcore.Core) zapcore.Core {
-		return zapcore.NewSamplerWithOptions(core, time.Second, linesPerSecond, sampleEvery, zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
-			if decision&zapcore.LogDropped != 0 {
-				metrics.LogLinesLeftOut().Inc()
-			}
-		}))
-	})
-	return &requestLog{logger: logger.WithOptions(sampled)}
+	return &requestLog{logger: metrics.Sample(logger)}
 }
 
 // causeField returns a log field with the text of err, or no field if err is nil.
--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -134,6 +134,8 @@
 		headers dialect.Headers
 		dial    tcp.Dialer
 		logger  *zap.Logger
+		// sampled is for lines that come with requests.
+		sampled *zap.Logger
 		// metrics is nil if nothing observes the sender.
 		metrics *metrics.Metrics
 		// relay is nil if the sender has only its own links.
@@ -145,6 +147,7 @@
 
 	// exchange is an attempt in progress on one connection.
 	exchange struct {
+		ctx        context.Context
 		sender     *Sender
 		target     *Target
 		request    *Request
@@ -183,13 +186,13 @@
 	if dial == nil {
 		dial = tcp.Dial
 	}
-	return &Sender{headers: headers, dial: dial, logger: zap.NewNop()}
+	return &Sender{headers: headers, dial: dial, logger: zap.NewNop(), sampled: zap.NewNop()}
 }
 
 // Observe makes the sender log and count what targets say of themselves in their answers. It must
 // be called before the first request is sent.
 func (sender *Sender) Observe(logger *zap.Logger, metrics *metrics.Metrics) {
-	sender.logger, sender.metrics = logger, metrics
+	sender.logger, sender.sampled, sender.metrics = logger, metrics.Sample(logger), metrics
 }
 
 // Send sends a request to a target and returns the outcome. It waits until the
@@ -248,6 +251,7 @@
 		target.recordConnectFailure(now, now)
 		return nil, false
 	}
+	sender.noteUnwanted(ctx, target, request, wayRelayed)
 	if !request.claimSend() {
 		return &Refused{Reason: Unreachable, Cause: errWithdrawn}, true
 	}
@@ -287,7 +291,7 @@
 		completed = true
 		return sender.handleConnectError(ctx, target, startedAt, err)
 	}
-	exchange := &exchange{sender: sender, target: target, request: request, deadline: deadline, connection: connection, writeDone: make(chan struct{})}
+	exchange := &exchange{ctx: ctx, sender: sender, target: target, request: request, deadline: deadline, connection: connection, writeDone: make(chan struct{})}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	outcome, reusable := exchange.run()
 	now := time.Now()
@@ -425,6 +429,7 @@
 	if err := connection.SetDeadline(exchange.deadline); err != nil {
 		return &Refused{Reason: Unreachable, Cause: err}, false
 	}
+	exchange.sender.noteUnwanted(exchange.ctx, exchange.target, exchange.request, wayDirect)
 	if !exchange.request.claimSend() {
 		return &Refused{Reason: Unreachable, Cause: errWithdrawn}, false
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -176,10 +176,17 @@
 }
 
 func newPeerServer(logger *zap.Logger, metrics *metrics.Metrics) *frame.Server {
-	return &frame.Server{OnPanic: func(method string, recovered any, stack []byte) {
-		metrics.Panics().Inc()
-		logger.Error("call of a peer panicked", zap.String("method", method), zap.Any("panic", recovered), zap.ByteString("stack", stack))
-	}}
+	sampled := metrics.Sample(logger)
+	return &frame.Server{
+		OnPanic: func(method string, recovered any, stack []byte) {
+			metrics.Panics().Inc()
+			logger.Error("call of a peer panicked", zap.String("method", method), zap.Any("panic", recovered), zap.ByteString("stack", stack))
+		},
+		OnUnwanted: func(method string, waited time.Duration) {
+			metrics.UnwantedCalls().WithLabelValues(method, "begun").Inc()
+			sampled.Info("call unwanted", zap.String("method", method), zap.String("result", "begun"), zap.Duration("waited", waited))
+		},
+	}
 }
 
 func startTracing(settings *settings.Settings, stdout io.Writer, lifecycle fx.Lifecycle) error {
