Ask whether the caller is still there right before something goes out for it

Callers saw targets work on requests that they had given up: GONE on the large fleet, 15 to 110 requests more than half a second after the close. An entry that is short of processor time has attempts waiting for a worker, a permit, a connection or the link to another entry; nobody looked at the context again when it was their turn.

- httptarget: an attempt is claimed right before it is written, directly or through another entry; one that nobody waits for is Withheld, which is not run.
Its connection stays open.
- frame: a call is written only if its context hasn't ended when the link is free, and its timeout counts from then.
The server doesn't begin a call that was given up.
- frame: a cancel may wait behind its call, on a link that stands still or unread.
Messages of clients carry the time since the link was opened, by which the server estimates how long they were on their way.
That time is taken off the timeout, and a call that names a limit (CallWithin) is rejected as not begun after it.
Attempts through other entries name 0.4 s.

Class: a decision that is taken when work is queued, and not looked at when it is done. Ruled out: that closes are noticed late is not the cause here, as the contexts had ended.

--- a/internal/frame/client.go
+++ b/internal/frame/client.go
@@ -140,10 +140,17 @@
 	}
 }
 
-// Call calls a method with one message and returns its reply.
+// Call calls a method with one message and returns its reply. It returns ErrNotSent if ctx ends before the call is
+// written.
 func Call[In, Out any](ctx context.Context, client *Client, method string, in *In) (*Out, error) {
+	return CallWithin[In, Out](ctx, client, 0, method, in)
+}
+
+// CallWithin is like Call. The peer rejects the call with a fault.Error if it would begin more than startWithin after it was
+// written: a cancel may wait behind it, on the way or unread. 0 means no limit.
+func CallWithin[In, Out any](ctx context.Context, client *Client, startWithin time.Duration, method string, in *In) (*Out, error) {
 	out := new(Out)
-	err := client.roundTrip(ctx, method, in, func(*message) error { return nil }, func(reply *message) error {
+	err := client.roundTrip(ctx, &message{Type: typeCall, Method: method, StartWithin: startWithin}, in, func(*message) error { return nil }, func(reply *message) error {
 		return msgpack.Unmarshal(reply.Body, out)
 	})
 	if err != nil {
@@ -155,7 +162,7 @@
 // Stream calls a method with one message and passes each part of the response to
 // receive, one at a time.
 func Stream[In, Part any](ctx context.Context, client *Client, method string, in *In, receive func(*Part)) error {
-	return client.roundTrip(ctx, method, in, func(response *message) error {
+	return client.roundTrip(ctx, &message{Type: typeCall, Method: method}, in, func(response *message) error {
 		part := new(Part)
 		if err := msgpack.Unmarshal(response.Body, part); err != nil {
 			return err
@@ -165,10 +172,9 @@
 	}, func(*message) error { return nil })
 }
 
-// roundTrip calls a method and passes each part of the response to onPart, and the reply to
+// roundTrip makes a call and passes each part of the response to onPart, and the reply to
 // onReply.
-func (client *Client) roundTrip(ctx context.Context, method string, in any, onPart, onReply func(*message) error) error {
-	call := &message{Type: typeCall, Method: method}
+func (client *Client) roundTrip(ctx context.Context, call *message, in any, onPart, onReply func(*message) error) error {
 	if err := call.encodeCall(ctx, in); err != nil {
 		return err
 	}
@@ -177,7 +183,10 @@
 		return err
 	}
 	defer session.endCall(call.CallID)
-	if err := session.write(call); err != nil {
+	if err := session.writeWanted(ctx, call); err != nil {
+		if errors.Is(err, ErrNotSent) {
+			return err
+		}
 		return errors.Wrap(ErrLost, err.Error())
 	}
 	for {
@@ -203,20 +212,13 @@
 	}
 }
 
-// encodeCall sets the body, the timeout and the trace context of a call. It returns ErrNotSent if the
-// deadline has passed.
+// encodeCall sets the body and the trace context of a call.
 func (message *message) encodeCall(ctx context.Context, in any) error {
 	body, err := msgpack.Marshal(in)
 	if err != nil {
 		return errors.Wrap(err, "encode call")
 	}
 	message.Body = body
-	if deadline, hasDeadline := ctx.Deadline(); hasDeadline {
-		message.Timeout = time.Until(deadline)
-		if message.Timeout <= 0 {
-			return errors.Wrap(ErrNotSent, context.DeadlineExceeded.Error())
-		}
-	}
 	carrier := propagation.MapCarrier{}
 	propagation.TraceContext{}.Inject(ctx, carrier)
 	message.TraceParent = carrier[traceParentKey]
--- a/internal/frame/link.go
+++ b/internal/frame/link.go
@@ -5,12 +5,15 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"gitlab.com/comfreythread/comfreythread/pkg/fault"
 )
 
@@ -30,6 +33,7 @@
 	link struct {
 		connection net.Conn
 		reader     *bufio.Reader
+		openedAt   time.Time
 		// pendingWrites counts the writers that have not finished, so that only the last
 		// of several concurrent writers flushes and they share one system call.
 		pendingWrites atomic.Int64
@@ -49,6 +53,7 @@
 	return &link{
 		connection: connection,
 		reader:     bufio.NewReader(connection),
+		openedAt:   time.Now(),
 		writer:     bufio.NewWriterSize(connection, writeBufferBytes),
 		closed:     make(chan struct{}),
 	}
@@ -64,6 +69,12 @@
 // write buffers a message and flushes the buffer, unless another writer is waiting: then
 // the last writer flushes. An error closes the connection.
 func (link *link) write(message *message) error {
+	return link.writeWanted(context.Background(), message)
+}
+
+// writeWanted is like write. It writes nothing and returns ErrNotSent if ctx has ended by the time at which no other
+// message is being written. The deadline of ctx becomes the timeout of a call, and the time is noted in messages of a client.
+func (link *link) writeWanted(ctx context.Context, message *message) error {
 	if link.acceptsCompressed {
 		message = compress(message)
 	}
@@ -72,16 +83,45 @@
 	defer link.writeLock.Unlock()
 	link.lastWriteAt = time.Now()
 	_ = link.connection.SetWriteDeadline(link.lastWriteAt.Add(writeTimeout))
-	err := writeMessage(link.writer, message)
+	unwanted := message.stamp(ctx, link.lastWriteAt.Sub(link.openedAt))
+	err := error(nil)
+	if unwanted == nil {
+		err = writeMessage(link.writer, message)
+	}
 	if link.pendingWrites.Add(-1) == 0 && err == nil {
 		err = link.writer.Flush()
 	}
 	if err != nil {
 		link.close()
 	}
+	if unwanted != nil {
+		return unwanted
+	}
 	return err
 }
 
+// stamp sets what depends on the moment at which a message is written, so that the time that it waited for the link
+// counts. It returns ErrNotSent if ctx has ended.
+func (message *message) stamp(ctx context.Context, sinceOpened time.Duration) error {
+	if err := ctx.Err(); err != nil {
+		return errors.Wrap(ErrNotSent, err.Error())
+	}
+	switch message.Type {
+	case typeCall:
+		if deadline, hasDeadline := ctx.Deadline(); hasDeadline {
+			message.Timeout = time.Until(deadline)
+			if message.Timeout <= 0 {
+				return errors.Wrap(ErrNotSent, context.DeadlineExceeded.Error())
+			}
+		}
+		message.SentAt = sinceOpened
+	case typeCancel, typePing:
+		message.SentAt = sinceOpened
+	case typeHello, typePart, typeReply, typePong:
+	}
+	return nil
+}
+
 func (link *link) read() (*message, error) {
 	if link.onDemandMonitor == nil {
 		_ = link.connection.SetReadDeadline(time.Now().Add(silenceLimit))
--- a/internal/frame/message.go
+++ b/internal/frame/message.go
@@ -49,7 +49,11 @@
 		Method string      `msgpack:"m,omitempty"`
 		// Timeout is the time left until the caller's deadline. It is sent as a duration
 		// instead of a point in time because the clocks of two VMs differ.
-		Timeout     time.Duration      `msgpack:"d,omitempty"`
+		Timeout time.Duration `msgpack:"d,omitempty"`
+		// StartWithin is the time since SentAt after which the call isn't worth starting; 0 means no limit.
+		StartWithin time.Duration `msgpack:"w,omitempty"`
+		// SentAt is when a client wrote the message, as the time since it opened the link.
+		SentAt      time.Duration      `msgpack:"s,omitempty"`
 		TraceParent string             `msgpack:"tp,omitempty"`
 		Body        msgpack.RawMessage `msgpack:"b,omitempty"`
 		Fault       *fault.Error       `msgpack:"f,omitempty"`
--- a/internal/frame/server.go
+++ b/internal/frame/server.go
@@ -23,6 +23,10 @@
 	MaximumConnections = 8192
 
 	traceParentKey = "traceparent"
+
+	// Reasons why a call isn't begun, as label values and in messages.
+	reasonGivenUp = "given up"
+	reasonLate    = "late"
 )
 
 type (
@@ -31,9 +35,9 @@
 		// OnPanic, if not nil, is called with the value and the stack of a panic in a method.
 		// The process goes on, and the caller gets a fault.Error.
 		OnPanic func(method string, recovered any, stack []byte)
-		// OnUnwanted, if not nil, is called for a call that was given up before it began, with the time
-		// since it was read.
-		OnUnwanted func(method string, waited time.Duration)
+		// OnUnwanted, if not nil, is called for a call that isn't begun, because its caller has given it up or may
+		// have by now, with the estimated time since it was sent.
+		OnUnwanted func(method, reason string, waited time.Duration)
 
 		lock     sync.Mutex
 		methods  map[string]method
@@ -46,6 +50,9 @@
 	// method handles a call. It sends parts by send, and returns the reply.
 	method func(ctx context.Context, body []byte, send func(part any) error) (reply any, err error)
 
+	// startByKey is the context key of the time by which a call has to begin.
+	startByKey struct{}
+
 	// callTable tracks the calls in flight on one connection.
 	callTable struct {
 		// onDemandMonitor is nil if the connection sends heartbeats continuously.
@@ -186,14 +193,19 @@
 	}
 	calls := &callTable{onDemandMonitor: link.onDemandMonitor}
 	defer calls.cancelAll()
+	var transit transit
 	for {
 		message, err := link.read()
 		if err != nil {
 			return
 		}
+		sentAt := time.Now()
+		if message.SentAt > 0 {
+			sentAt = sentAt.Add(-transit.observe(message.SentAt, sentAt.Sub(link.openedAt)))
+		}
 		switch message.Type {
 		case typeCall:
-			server.startCall(link, calls, message)
+			server.startCall(link, calls, message, sentAt)
 		case typeCancel:
 			calls.cancel(message.CallID)
 		case typePing:
@@ -203,7 +215,8 @@
 	}
 }
 
-func (server *Server) startCall(link *link, calls *callTable, call *message) {
+// startCall begins a call that was sent at about a time by this process's clock.
+func (server *Server) startCall(link *link, calls *callTable, call *message, sentAt time.Time) {
 	server.lock.Lock()
 	method, found := server.methods[call.Method]
 	server.lock.Unlock()
@@ -211,16 +224,19 @@
 		_ = link.write(&message{Type: typeReply, CallID: call.CallID, Fault: fault.New(fault.NotFound, unknownMethodMessage(call.Method), "run the same release on all VMs and give the peer the right role")})
 		return
 	}
-	ctx, admitted := calls.begin(call)
+	ctx, admitted := calls.begin(call, sentAt)
 	if !admitted {
 		_ = link.write(&message{Type: typeReply, CallID: call.CallID, Fault: fault.New(fault.Unavailable, "too many calls in flight", "wait for earlier calls")})
 		return
 	}
-	readAt := time.Now()
 	server.running.Go(func() {
 		defer calls.cancel(call.CallID)
-		if ctx.Err() != nil && server.OnUnwanted != nil {
-			server.OnUnwanted(call.Method, time.Since(readAt))
+		if reason := unwanted(ctx, call); reason != "" {
+			if server.OnUnwanted != nil {
+				server.OnUnwanted(call.Method, reason, time.Since(sentAt))
+			}
+			_ = link.write(&message{Type: typeReply, CallID: call.CallID, Fault: fault.New(fault.Unavailable, "the call has not begun: it is "+reason, "try another peer")})
+			return
 		}
 		send := func(part any) error { return respond(link, typePart, call.CallID, part, nil) }
 		reply, err := server.invoke(ctx, method, call, send)
@@ -228,6 +244,25 @@
 	})
 }
 
+// StartBy returns the time by which the call that a method serves has to begin what it was made for, or zero if its caller set
+// no limit.
+func StartBy(ctx context.Context) time.Time {
+	startBy, _ := ctx.Value(startByKey{}).(time.Time)
+	return startBy
+}
+
+// unwanted returns why a call that would begin now must not, or "". Its context has ended if it was cancelled, or if its time
+// has passed; one that waited for long may have been given up by a cancel that wasn't read yet.
+func unwanted(ctx context.Context, call *message) string {
+	switch {
+	case ctx.Err() != nil:
+		return reasonGivenUp
+	case call.StartWithin > 0 && time.Now().After(StartBy(ctx)):
+		return reasonLate
+	}
+	return ""
+}
+
 // invoke calls a method and turns a panic into an error.
 func (server *Server) invoke(ctx context.Context, method method, call *message, send func(part any) error) (reply any, err error) {
 	defer func() {
@@ -265,8 +300,8 @@
 	return fault.New(fault.Unavailable, err.Error(), "try again")
 }
 
-// begin registers a call and returns its context, or false if too many calls are in flight.
-func (callTable *callTable) begin(call *message) (context.Context, bool) {
+// begin registers a call that was sent at a time and returns its context, or false if too many calls are in flight.
+func (callTable *callTable) begin(call *message, sentAt time.Time) (context.Context, bool) {
 	callTable.lock.Lock()
 	defer callTable.lock.Unlock()
 	if len(callTable.cancels) >= MaximumCalls {
@@ -275,10 +310,14 @@
 	if callTable.cancels == nil {
 		callTable.cancels = map[uint64]context.CancelFunc{}
 	}
-	ctx := propagation.TraceContext{}.Extract(context.Background(), propagation.MapCarrier{traceParentKey: call.TraceParent})
+	ctx := context.Background()
+	if call.StartWithin > 0 {
+		ctx = context.WithValue(ctx, startByKey{}, sentAt.Add(call.StartWithin))
+	}
+	ctx = propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{traceParentKey: call.TraceParent})
 	var cancel context.CancelFunc
 	if call.Timeout > 0 {
-		ctx, cancel = context.WithDeadline(ctx, time.Now().Add(call.Timeout))
+		ctx, cancel = context.WithDeadline(ctx, sentAt.Add(call.Timeout))
 	} else {
 		ctx, cancel = context.WithCancel(ctx)
 	}
--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -478,7 +478,7 @@
 		case httptarget.Unreachable:
 			dispatch.arrivals--
 			result.reason = policy.NoLink
-		case httptarget.Busy:
+		case httptarget.Busy, httptarget.Withheld:
 			dispatch.arrivals--
 		case httptarget.Limited:
 			dispatch.arrivals--
@@ -654,6 +654,10 @@
 		ctx, span := tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
 		defer span.End()
 		startedAt := time.Now()
+		if ctx.Err() != nil {
+			outcome = &httptarget.Refused{Reason: httptarget.Withheld, Cause: ctx.Err()}
+			return
+		}
 		if !server.acquirePermit(ctx, pool, target, trigger == triggerHedge) {
 			outcome = &httptarget.Refused{Reason: httptarget.Limited}
 			return
@@ -677,7 +681,7 @@
 // wasNotSent reports whether an attempt ended before anything reached its target.
 func wasNotSent(outcome httptarget.Outcome) bool {
 	refused, isRefused := outcome.(*httptarget.Refused)
-	return isRefused && (refused.Reason == httptarget.Busy || refused.Reason == httptarget.Unreachable)
+	return isRefused && (refused.Reason == httptarget.Busy || refused.Reason == httptarget.Unreachable || refused.Reason == httptarget.Withheld)
 }
 
 // missingReason returns why the dispatch has no part so far, as a label value.
--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -62,6 +62,9 @@
 	Busy
 	// Limited means that the target's rate limit leaves no room for the request.
 	Limited
+	// Withheld means that nobody waits for the answer any more, or may not, by the time at which the request
+	// would be sent.
+	Withheld
 )
 
 var (
@@ -75,6 +78,7 @@
 	ErrBusy = errors.New("no connection to the target is free")
 
 	errWithdrawn = errors.New("the request was withdrawn before it was sent")
+	errLateStart = errors.New("too late to begin the attempt: its caller may have left")
 	errNoLink    = errors.New("no entry has a link to the target")
 )
 
@@ -93,6 +97,8 @@
 		// target.
 		head []byte
 		body []byte
+		// startBy is the time after which no attempt begins; zero means no limit.
+		startBy time.Time
 		// state is requestWithdrawn, or the number of attempts that may have written something.
 		state atomic.Int32
 	}
@@ -147,7 +153,6 @@
 
 	// exchange is an attempt in progress on one connection.
 	exchange struct {
-		ctx        context.Context
 		sender     *Sender
 		target     *Target
 		request    *Request
@@ -176,6 +181,8 @@
 		return "busy"
 	case Limited:
 		return "limited"
+	case Withheld:
+		return "withheld"
 	}
 	return "unknown"
 }
@@ -251,9 +258,8 @@
 		target.recordConnectFailure(now, now)
 		return nil, false
 	}
-	sender.noteUnwanted(ctx, target, request, wayRelayed)
-	if !request.claimSend() {
-		return &Refused{Reason: Unreachable, Cause: errWithdrawn}, true
+	if refused := sender.claim(ctx, target, request, wayRelayed); refused != nil {
+		return refused, true
 	}
 	startedAt := time.Now()
 	target.beginAttempt(startedAt)
@@ -262,9 +268,10 @@
 	if !sent {
 		request.releaseSend()
 		target.recordUncounted(startedAt)
-		if ctx.Err() == nil {
-			target.recordUnreachable(now)
+		if refused := sender.withhold(ctx, target, request, wayRelayed); refused != nil {
+			return refused, true
 		}
+		target.recordUnreachable(now)
 		return nil, false
 	}
 	if answered, isAnswered := outcome.(*Answered); isAnswered {
@@ -276,6 +283,9 @@
 
 // SendDirectly is like Send, but uses only this entry's own link.
 func (sender *Sender) SendDirectly(ctx context.Context, target *Target, request *Request, deadline time.Time, limit int) Outcome {
+	if refused := sender.withhold(ctx, target, request, wayDirect); refused != nil {
+		return refused
+	}
 	startedAt := time.Now()
 	target.beginAttempt(startedAt)
 	// A panic must not leave an attempt in progress behind, whose age would make the target look stalled.
@@ -291,7 +301,14 @@
 		completed = true
 		return sender.handleConnectError(ctx, target, startedAt, err)
 	}
-	exchange := &exchange{ctx: ctx, sender: sender, target: target, request: request, deadline: deadline, connection: connection, writeDone: make(chan struct{})}
+	if refused := sender.claim(ctx, target, request, wayDirect); refused != nil {
+		completed = true
+		sender.links.abandon(target.ID(), time.Now())
+		target.connections.addIdle(connection, time.Now())
+		target.recordUncounted(startedAt)
+		return refused
+	}
+	exchange := &exchange{sender: sender, target: target, request: request, deadline: deadline, connection: connection, writeDone: make(chan struct{})}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	outcome, reusable := exchange.run()
 	now := time.Now()
@@ -422,17 +439,14 @@
 	return second
 }
 
-// run writes the request and reads its answer. It reports whether the connection
+// run writes the request, which claim allowed, and reads its answer. It reports whether the connection
 // can be used for another request.
 func (exchange *exchange) run() (outcome Outcome, reusable bool) {
 	connection := exchange.connection
 	if err := connection.SetDeadline(exchange.deadline); err != nil {
+		exchange.request.releaseSend()
 		return &Refused{Reason: Unreachable, Cause: err}, false
 	}
-	exchange.sender.noteUnwanted(exchange.ctx, exchange.target, exchange.request, wayDirect)
-	if !exchange.request.claimSend() {
-		return &Refused{Reason: Unreachable, Cause: errWithdrawn}, false
-	}
 	message := exchange.message()
 	if len(message) > largeMessageBytes {
 		go func() {
@@ -503,6 +517,11 @@
 	return &Request{ID: id, Method: method, Repeatable: repeatable, head: head, body: body}
 }
 
+// StartBy sets the time after which no attempt begins; zero means no limit. It must be called before the request is sent.
+func (request *Request) StartBy(at time.Time) {
+	request.startBy = at
+}
+
 // Encoded returns the encoded head, without the headers that differ by target, and the body.
 func (request *Request) Encoded() (head, body []byte) {
 	return request.head, request.body
--- a/internal/httptarget/unwanted.go
+++ b/internal/httptarget/unwanted.go
@@ -1,9 +1,10 @@
-// Attempts that nobody waits for any more.
+// Attempts that nobody waits for any more. Each one is asked about right before something of it goes out.
 
 package httptarget
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -12,17 +13,33 @@
 	// Ways of attempts, as label values and in the log.
 	wayDirect  = "direct"
 	wayRelayed = "relayed"
-
-	resultSent = "sent"
 )
 
-// noteUnwanted logs and counts an attempt whose ctx has ended before it is sent.
-func (sender *Sender) noteUnwanted(ctx context.Context, target *Target, request *Request, way string) {
-	if ctx.Err() == nil {
-		return
+// claim allows an attempt to write the request. It returns the outcome of one that must not: the request was withdrawn, or nobody
+// waits for its answer any more.
+func (sender *Sender) claim(ctx context.Context, target *Target, request *Request, way string) Outcome {
+	if refused := sender.withhold(ctx, target, request, way); refused != nil {
+		return refused
+	}
+	if !request.claimSend() {
+		return &Refused{Reason: Unreachable, Cause: errWithdrawn}
+	}
+	return nil
+}
+
+// withhold returns the outcome of an attempt that is given up before anything was sent, because ctx has ended or the time to
+// begin has passed, or nil.
+func (sender *Sender) withhold(ctx context.Context, target *Target, request *Request, way string) Outcome {
+	cause := ctx.Err()
+	if cause == nil && !request.startBy.IsZero() && time.Now().After(request.startBy) {
+		cause = errLateStart
+	}
+	if cause == nil {
+		return nil
 	}
 	if sender.metrics != nil {
-		sender.metrics.UnwantedAttempts().WithLabelValues(way, resultSent).Inc()
+		sender.metrics.UnwantedAttempts().WithLabelValues(way).Inc()
 	}
-	sender.sampled.Info("attempt unwanted", zap.String("request", request.ID), zap.String("target", target.ID()), zap.String("way", way), zap.String("result", resultSent))
+	sender.sampled.Info("attempt withheld", zap.String("request", request.ID), zap.String("target", target.ID()), zap.String("way", way), zap.String("cause", cause.Error()))
+	return &Refused{Reason: Withheld, Cause: cause}
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -86,8 +86,8 @@
 		permits:            counter("permits_total", "Permits for requests to targets with a rate limit.", "result"),
 		allotments:         counter("allotments_total", "Requests of tenants with a rate, by what was decided and how.", "result", "way"),
 		relayedAttempts:    counter("relayed_attempts_total", "Attempts at targets of HTTP routes that this entry made through other entries.", "result"),
-		unwantedAttempts:   counter("unwanted_attempts_total", "Attempts whose caller had left by the time at which they would be sent, by way and by what became of them.", "way", "result"),
-		unwantedCalls:      counter("unwanted_calls_total", "Calls of other processes that had been given up by the time at which they would begin, by method and by what became of them.", "method", "result"),
+		unwantedAttempts:   counter("unwanted_attempts_total", "Attempts that weren't sent because nobody waited for them any more, by way.", "way"),
+		unwantedCalls:      counter("unwanted_calls_total", "Calls of other processes that weren't begun, because they had been given up or may have been, by method and reason.", "method", "reason"),
 		tenantRequests:     counter("tenant_requests_total", "Requests of HTTP routes by tenant; those with the lowest rates together as other.", "tenant", "outcome"),
 		rolloutAttempts:    counter("rollout_attempts_total", "Attempts that reached targets of pools with a rollout in progress, by its phase and by whether the target has the new release.", "phase", "side"),
 		entryGrants:        counter("rollout_entry_grants_total", "Grants of attempts at new releases, as this entry got and used them.", "event"),
@@ -153,12 +153,12 @@
 // target, by result.
 func (metrics *Metrics) RelayedAttempts() *prometheus.CounterVec { return metrics.relayedAttempts }
 
-// UnwantedAttempts counts the attempts at targets of HTTP routes whose caller had left, or whose request was decided, by
-// the time at which they would be sent, by way (direct or relayed) and result (sent or withheld).
+// UnwantedAttempts counts the attempts at targets of HTTP routes that weren't sent because their callers had left, or their
+// requests were decided, by way: direct or relayed.
 func (metrics *Metrics) UnwantedAttempts() *prometheus.CounterVec { return metrics.unwantedAttempts }
 
-// UnwantedCalls counts the calls of other processes that had been given up by the time at which they would begin, by
-// method and result (begun, or the reason why not).
+// UnwantedCalls counts the calls of other processes that weren't begun, by method and reason: given up, or late, so that
+// they may have been given up.
 func (metrics *Metrics) UnwantedCalls() *prometheus.CounterVec { return metrics.unwantedCalls }
 
 // TenantRequests counts requests on HTTP routes by tenant and outcome. Tenants without a series of their own
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -182,9 +182,9 @@
 			metrics.Panics().Inc()
 			logger.Error("call of a peer panicked", zap.String("method", method), zap.Any("panic", recovered), zap.ByteString("stack", stack))
 		},
-		OnUnwanted: func(method string, waited time.Duration) {
-			metrics.UnwantedCalls().WithLabelValues(method, "begun").Inc()
-			sampled.Info("call unwanted", zap.String("method", method), zap.String("result", "begun"), zap.Duration("waited", waited))
+		OnUnwanted: func(method, reason string, waited time.Duration) {
+			metrics.UnwantedCalls().WithLabelValues(method, reason).Inc()
+			sampled.Info("call unwanted", zap.String("method", method), zap.String("reason", reason), zap.Duration("waited", waited))
 		},
 	}
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -82,15 +82,18 @@
 	return httptarget.NewEncoded(attempt.RequestID, attempt.Method, attempt.Repeatable, attempt.Head, attempt.Body)
 }
 
-// newReply encodes an outcome. An attempt that no connection could be opened for was not sent, so that
-// another entry can be tried.
+// newReply encodes an outcome. An attempt that no connection could be opened for, or that would have begun late, was not
+// sent, so that another entry can be tried. One that is late has no time for others either.
 func newReply(outcome httptarget.Outcome) *Reply {
 	switch outcome := outcome.(type) {
 	case *httptarget.Answered:
 		return &Reply{Kind: replyAnswered, Status: outcome.Status, Header: outcome.Header, Body: outcome.Body, Proof: outcome.Proof}
 	case *httptarget.Refused:
-		if outcome.Reason == httptarget.Unreachable {
+		switch outcome.Reason {
+		case httptarget.Unreachable:
 			return &Reply{NoLink: true}
+		case httptarget.Withheld:
+			return &Reply{NoLink: true, NoLinks: true}
 		}
 		return &Reply{Kind: replyRefused, Reason: outcome.Reason, Cause: causeText(outcome.Cause)}
 	case *httptarget.Lost:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,6 +30,9 @@
 	// sufficientEntries is the number of entries with links to other targets that find the target out
 	// of reach before it is taken to be down.
 	sufficientEntries = 2
+	// startLimit is the time since an attempt was sent to another entry within which that one begins it. Its caller may leave at
+	// any time, and targets are to get nothing half a second after that.
+	startLimit = 400 * time.Millisecond
 	// reachTimeout bounds the question whether an entry has a link.
 	reachTimeout = 400 * time.Millisecond
 	// reachEntries is the number of entries that are asked.
@@ -134,7 +137,7 @@
 	defer cancel()
 	attempt.Timeout = time.Until(deadline)
 	end := relay.entries.begin(entry.PeerAddress)
-	reply, err := frame.Call[Attempt, Reply](callContext, relay.options.Client(entry.PeerAddress), MethodSend, attempt)
+	reply, err := frame.CallWithin[Attempt, Reply](callContext, relay.options.Client(entry.PeerAddress), startLimit, MethodSend, attempt)
 	switch {
 	case err == nil && reply.NoLink && reply.NoLinks:
 		end(avoidEntry)
@@ -205,12 +208,19 @@
 		}
 		attempt.Timeout = left
 	}
+	deadline := time.Now().Add(attempt.Timeout)
+	if callDeadline, hasDeadline := ctx.Deadline(); hasDeadline && callDeadline.Before(deadline) {
+		// The attempt was on its way for a while.
+		deadline = callDeadline
+	}
 	// A spare entry may open no connection for its own requests. Those of an entry without links need one all the
 	// same: the connections of that entry lie unused.
 	connections := max(1, limit(target))
 	reply := &Reply{NoLink: true}
 	if !relay.sender.LinkLost(target, connections) {
-		reply = newReply(relay.sender.SendDirectly(ctx, target, attempt.request(), time.Now().Add(attempt.Timeout), connections))
+		request := attempt.request()
+		request.StartBy(frame.StartBy(ctx))
+		reply = newReply(relay.sender.SendDirectly(ctx, target, request, deadline, connections))
 	}
 	reply.NoLinks = reply.NoLink && !relay.sender.HasLinks()
 	return reply
