Don't avoid an entry because a caller left while its session was being opened

Callers of an entry without links of its own got 503 no_link although another entry had links: an attempt that was given up while the session with that one was being opened ended as not sent, and the entry was avoided for a second. The end of the caller's context is looked at first.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -148,6 +148,10 @@
 	case err == nil:
 		end(keepEntry)
 		return reply.outcome(), true, true
+	case ctx.Err() != nil && errors.Is(err, frame.ErrNotSent):
+		// The caller has left, which says nothing about the entry.
+		end(ignoreEntry)
+		return nil, false, false
 	case errors.Is(err, frame.ErrNotSent), isRejected(err):
 		end(avoidEntry)
 		return nil, false, false
