Choose the entry for a relayed attempt without sorting all entries each time

Entries with connections to lend come before spare ones of the same distance, which have to open a connection for each attempt.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -21,6 +21,9 @@
 	// avoided.
 	silenceSpan = 400 * time.Millisecond
 
+	// distances is the number of groups of equally near entries.
+	distances = 4
+
 	keepEntry entryVerdict = iota
 	avoidEntry
 	ignoreEntry
@@ -35,6 +38,22 @@
 		states map[string]*entryState
 	}
 
+	// rankings holds the orders of the entries of one view, by the failure domain of the target. The zero value works.
+	rankings struct {
+		lock     sync.Mutex
+		view     uint64
+		members  int
+		byDomain map[string]*ranking
+	}
+
+	// ranking is the order of the other entries for attempts at targets in one failure domain.
+	ranking struct {
+		members int
+		// near holds the entries by their distance, and pinned the order of pinned candidates.
+		near   [][]*membership.Member
+		pinned []*membership.Member
+	}
+
 	entryState struct {
 		avoidUntil time.Time
 		inProgress int
@@ -45,44 +64,85 @@
 
 // candidates returns the other entries, the best one for attempts at a target first: those in the
 // target's failure domain, which keep most connections to it, then those near this entry, and last
-// those that are avoided. Pinned candidates are those of the target's region first, in an order that
-// differs between entries but stays the same for one.
+// those that are avoided. Among equally near ones, those with connections to lend come first, in random order. Pinned
+// candidates are those of the target's region first, in an order that differs between entries but stays the same for one.
+//
+// Only the first maximumEntries are put in order, because no attempt goes further: a query of an entry without links asks for
+// the candidates of each shard.
 func (relay *Relay) candidates(targetDomain string, pinned bool) []*membership.Member {
-	members := relay.board.Membership().View().Members
-	candidates := make([]*membership.Member, 0, len(members))
-	now := time.Now()
-	for index := range members {
-		member := &members[index]
-		if member.ID != relay.options.Self && member.GatewayAddress != "" && !member.Leaving {
-			candidates = append(candidates, member)
+	ranking := relay.rankingFor(targetDomain)
+	avoided := relay.entries.avoided(time.Now())
+	groups := ranking.near
+	if pinned {
+		groups = [][]*membership.Member{ranking.pinned}
+	}
+	candidates := make([]*membership.Member, 0, ranking.members)
+	var spares, last []*membership.Member
+	for _, group := range groups {
+		start := len(candidates)
+		for _, member := range group {
+			switch {
+			case avoided[member.PeerAddress]:
+				last = append(last, member)
+			case len(candidates) < maximumEntries && relay.isSpare != nil && relay.isSpare(member.ID):
+				spares = append(spares, member)
+			default:
+				candidates = append(candidates, member)
+			}
+		}
+		if !pinned {
+			shuffleFirst(candidates[start:])
+			candidates, spares = append(candidates, spares...), spares[:0]
 		}
 	}
-	if pinned {
-		relay.sortPinned(candidates, targetDomain, now)
-		return candidates
+	return append(append(candidates, spares...), last...)
+}
+
+// shuffleFirst puts random members at the first maximumEntries positions.
+func shuffleFirst(members []*membership.Member) {
+	for index := range min(len(members), maximumEntries) {
+		other := index + rand.IntN(len(members)-index)
+		members[index], members[other] = members[other], members[index]
 	}
-	rand.Shuffle(len(candidates), func(left, right int) { candidates[left], candidates[right] = candidates[right], candidates[left] })
-	slices.SortStableFunc(candidates, func(left, right *membership.Member) int {
-		return cmp.Compare(relay.distance(left, targetDomain, now), relay.distance(right, targetDomain, now))
-	})
-	return candidates
 }
 
-// sortPinned sorts entries for attempts over their connections: by whether they are avoided, by whether they have
-// connections to lend, by their distance from the target, and by rendezvous hashing.
-func (relay *Relay) sortPinned(candidates []*membership.Member, targetDomain string, now time.Time) {
-	type rankedEntry struct {
-		member *membership.Member
-		rank   int
-		weight uint64
+// rankingFor returns the order of the other entries in the view for attempts at targets in a failure domain.
+func (relay *Relay) rankingFor(targetDomain string) *ranking {
+	view := relay.board.Membership().View()
+	relay.rankings.lock.Lock()
+	defer relay.rankings.lock.Unlock()
+	if relay.rankings.view != view.Number || relay.rankings.members != len(view.Members) {
+		relay.rankings.view, relay.rankings.members, relay.rankings.byDomain = view.Number, len(view.Members), nil
+	}
+	if known := relay.rankings.byDomain[targetDomain]; known != nil {
+		return known
+	}
+	computed := relay.rank(view.Members, targetDomain)
+	if relay.rankings.byDomain == nil {
+		relay.rankings.byDomain = map[string]*ranking{}
+	}
+	relay.rankings.byDomain[targetDomain] = computed
+	return computed
+}
+
+// rank orders the other entries by their distances, and for pinned attempts by rendezvous hashing.
+func (relay *Relay) rank(members []membership.Member, targetDomain string) *ranking {
+	ranked := &ranking{near: make([][]*membership.Member, distances)}
+	weights := map[*membership.Member]uint64{}
+	for index := range members {
+		member := &members[index]
+		if member.ID == relay.options.Self || member.GatewayAddress == "" || member.Leaving {
+			continue
+		}
+		distance := relay.distance(member, targetDomain)
+		ranked.near[distance] = append(ranked.near[distance], member)
+		ranked.pinned = append(ranked.pinned, member)
+		weights[member] = xxhash.Sum64String(relay.options.Self + "/" + member.ID)
 	}
+	ranked.members = len(ranked.pinned)
 	targetRegion := relay.options.Regions[targetDomain]
-	rank := func(member *membership.Member) int {
+	distanceFromTarget := func(member *membership.Member) int {
 		switch {
-		case relay.entries.avoids(member.PeerAddress, now):
-			return 4
-		case relay.isSpare != nil && relay.isSpare(member.ID):
-			return 3
 		case member.FailureDomain == targetDomain:
 			return 0
 		case member.Region == targetRegion:
@@ -90,29 +150,15 @@
 		}
 		return 2
 	}
-	// The hashes are computed once for each entry and not for each comparison.
-	ranked := make([]rankedEntry, len(candidates))
-	for index, member := range candidates {
-		ranked[index] = rankedEntry{member: member, rank: rank(member), weight: relay.weight(member)}
-	}
-	slices.SortFunc(ranked, func(left, right rankedEntry) int {
-		return cmp.Or(cmp.Compare(left.rank, right.rank), cmp.Compare(left.weight, right.weight))
+	slices.SortFunc(ranked.pinned, func(left, right *membership.Member) int {
+		return cmp.Or(cmp.Compare(distanceFromTarget(left), distanceFromTarget(right)), cmp.Compare(weights[left], weights[right]))
 	})
-	for index := range ranked {
-		candidates[index] = ranked[index].member
-	}
-}
-
-// weight returns the hash of an entry in the order of this entry's candidates.
-func (relay *Relay) weight(member *membership.Member) uint64 {
-	return xxhash.Sum64String(relay.options.Self + "/" + member.ID)
+	return ranked
 }
 
-// distance orders entries for attempts at a target.
-func (relay *Relay) distance(member *membership.Member, targetDomain string, now time.Time) int {
+// distance groups entries for attempts at a target, the best group first.
+func (relay *Relay) distance(member *membership.Member, targetDomain string) int {
 	switch {
-	case relay.entries.avoids(member.PeerAddress, now):
-		return 4
 	case member.FailureDomain == targetDomain:
 		return 0
 	case member.FailureDomain == relay.options.FailureDomain:
@@ -120,7 +166,7 @@
 	case member.Region == relay.options.Region:
 		return 2
 	}
-	return 3
+	return distances - 1
 }
 
 func (entryStates *entryStates) state(address string) *entryState {
@@ -139,7 +185,27 @@
 	entryStates.lock.Lock()
 	defer entryStates.lock.Unlock()
 	state := entryStates.states[address]
-	return state != nil && (now.Before(state.avoidUntil) || state.inProgress > 0 && now.Sub(state.waitingSince) > silenceSpan)
+	return state != nil && state.isAvoided(now)
+}
+
+// avoided returns the addresses of the entries that are avoided.
+func (entryStates *entryStates) avoided(now time.Time) map[string]bool {
+	entryStates.lock.Lock()
+	defer entryStates.lock.Unlock()
+	var avoided map[string]bool
+	for address, state := range entryStates.states {
+		if state.isAvoided(now) {
+			if avoided == nil {
+				avoided = map[string]bool{}
+			}
+			avoided[address] = true
+		}
+	}
+	return avoided
+}
+
+func (state *entryState) isAvoided(now time.Time) bool {
+	return now.Before(state.avoidUntil) || state.inProgress > 0 && now.Sub(state.waitingSince) > silenceSpan
 }
 
 // begin records an attempt through an entry. The returned function ends it.
--- a/internal/relay/choose_test.go
+++ b/internal/relay/choose_test.go
@@ -45,3 +45,46 @@
 		t.Errorf("60 entries use the connections of %d of the 4 entries near the target", len(first))
 	}
 }
+
+// Guards against attempts through entries that have to open a connection for each, while entries beside them have some open.
+func TestEntriesWithConnectionsToLendComeFirst(t *testing.T) {
+	view := membership.View{Number: 1}
+	for number := range 60 {
+		domain := []string{"nord-a", nearDomain, "sud-b"}[number%3]
+		view.Members = append(view.Members, membership.Member{
+			ID: fmt.Sprint("entry-", number), PeerAddress: fmt.Sprint("10.0.0.", number, ":1"), GatewayAddress: "10.0.0.1:2", FailureDomain: domain, Region: domain[:len(domain)-2],
+		})
+	}
+	board := new(blackboard.Board)
+	board.Membership().Update(&view, 1)
+	active := map[string]bool{"entry-1": true, "entry-31": true, "entry-46": true}
+	relay := &Relay{board: board, options: Options{Self: "entry-0", FailureDomain: "nord-a", Region: "nord", Regions: map[string]string{"nord-a": "nord", nearDomain: "sud", "sud-b": "sud"}}}
+	relay.isSpare = func(id string) bool { return !active[id] }
+	first := map[string]bool{}
+	for range 100 {
+		candidates := relay.candidates(nearDomain, false)
+		if len(candidates) != 59 {
+			t.Fatalf("%d candidates", len(candidates))
+		}
+		for index, candidate := range candidates[:20] {
+			if candidate.FailureDomain != nearDomain || active[candidate.ID] != (index < len(active)) {
+				t.Fatalf("%s in %s stands at position %d", candidate.ID, candidate.FailureDomain, index)
+			}
+		}
+		first[candidates[0].ID] = true
+	}
+	if len(first) != len(active) {
+		t.Errorf("attempts go to %d of %d entries with connections", len(first), len(active))
+	}
+	for id := range active {
+		for index := range view.Members {
+			if view.Members[index].ID == id {
+				relay.entries.begin(view.Members[index].PeerAddress)(avoidEntry)
+			}
+		}
+	}
+	candidates := relay.candidates(nearDomain, false)
+	if active[candidates[0].ID] || candidates[0].FailureDomain != nearDomain || !active[candidates[58].ID] {
+		t.Error("entries that are avoided don't come last")
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,6 +64,7 @@
 		logger    *zap.Logger
 		metrics   *metrics.Metrics
 		entries   entryStates
+		rankings  rankings
 		// isSpare reports whether an entry has no connections to lend; nil means that all have some.
 		isSpare func(entryID string) bool
 		// stopsWithin returns for how long this entry still serves, and whether it stops.
