Write errors in log lines without their stacks

The log of a starved entry has 89 lines in 0.1 s about homes that don't reply, each with a stack of a kilobyte. The stack repeats where the error was wrapped, which the message says already.

--- a/internal/process/log.go
+++ b/internal/process/log.go
@@ -5,12 +5,14 @@
 
 import (
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/buffer"
 	"go.uber.org/zap/zapcore"
 )
 
@@ -37,6 +39,12 @@
 		drained chan struct{}
 	}
 
+	// briefEncoder writes errors without their stacks, which take most of a line's cost. An entry that is short of processor
+	// time writes many lines with errors.
+	briefEncoder struct {
+		zapcore.Encoder
+	}
+
 	// queuedCore is a zapcore.Core that reports how many lines its sink has dropped.
 	queuedCore struct {
 		zapcore.Core
@@ -48,7 +56,28 @@
 	config := zap.NewProductionEncoderConfig()
 	config.TimeKey = "time"
 	config.EncodeTime = zapcore.ISO8601TimeEncoder
-	return zapcore.NewJSONEncoder(config)
+	return &briefEncoder{Encoder: zapcore.NewJSONEncoder(config)}
+}
+
+// Clone implements zapcore.Encoder.
+func (encoder *briefEncoder) Clone() zapcore.Encoder {
+	return &briefEncoder{Encoder: encoder.Encoder.Clone()}
+}
+
+// EncodeEntry implements zapcore.Encoder.
+func (encoder *briefEncoder) EncodeEntry(entry zapcore.Entry, fields []zapcore.Field) (*buffer.Buffer, error) {
+	brief := fields
+	for index, field := range fields {
+		err, isError := field.Interface.(error)
+		if field.Type != zapcore.ErrorType || !isError {
+			continue
+		}
+		if &brief[0] == &fields[0] {
+			brief = slices.Clone(fields)
+		}
+		brief[index] = zap.String(field.Key, err.Error())
+	}
+	return encoder.Encoder.EncodeEntry(entry, brief)
 }
 
 func newCore(encoder zapcore.Encoder, sink io.Writer, level zapcore.LevelEnabler) zapcore.Core {
--- a/internal/process/log_test.go
+++ b/internal/process/log_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"testing"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -53,3 +54,18 @@
 		t.Errorf("%v lines counted as dropped, want at least all but two full queues", dropped)
 	}
 }
+
+// Guards against lines with stacks, which cost an entry short of processor time more than the decisions that they report.
+func TestLinesHaveNoStacks(t *testing.T) {
+	encoder := newEncoder()
+	fields := []zap.Field{zap.Error(errors.Wrap(errors.New("broken pipe"), "send")), zap.Int("attempt", 2)}
+	for _, encoder := range []zapcore.Encoder{encoder, encoder.Clone()} {
+		line, err := encoder.EncodeEntry(zapcore.Entry{Message: "attempt failed"}, fields)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if text := line.String(); !strings.Contains(text, `"error":"send: broken pipe"`) || strings.Contains(text, "log_test.go") || !strings.Contains(text, `"attempt":2`) {
+			t.Errorf("line %s", text)
+		}
+	}
+}
