--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -70,10 +70,12 @@
 	// Permits grants the permits of the targets whose home this entry is, and asks the other homes
 	// for theirs. Construct it with New.
 	Permits struct {
-		self      string
-		board     *blackboard.Board
-		client    func(address string) *frame.Client
-		logger    *zap.Logger
+		self   string
+		board  *blackboard.Board
+		client func(address string) *frame.Client
+		logger *zap.Logger
+		// sampled is for lines that come with requests.
+		sampled   *zap.Logger
 		counts    *prometheus.CounterVec
 		createdAt time.Time
 
@@ -115,7 +117,7 @@
 // of the entry at a peer address.
 func New(self string, board *blackboard.Board, client func(address string) *frame.Client, logger *zap.Logger, metrics *metrics.Metrics) *Permits {
 	return &Permits{
-		self: self, board: board, client: client, logger: logger, counts: metrics.Permits(), createdAt: time.Now(),
+		self: self, board: board, client: client, logger: logger, sampled: metrics.Sample(logger), counts: metrics.Permits(), createdAt: time.Now(),
 		granted: map[string]*count{}, separate: map[string]*policy.SeparateLimit{}, avoidUntil: map[string]time.Time{},
 		allotments: metrics.Allotments(), accounts: map[string]*account{}, usages: map[string]*usage{}, links: map[string]*homeLink{},
 		// Orders of a process have to be above those of the one before it.
@@ -270,7 +272,7 @@
 	permits.lock.Lock()
 	permits.avoidUntil[home.PeerAddress] = time.Now().Add(homeRetryDelay)
 	permits.lock.Unlock()
-	permits.logger.Warn("home of a limited target doesn't grant permits; using this entry's own part of the limit",
+	permits.sampled.Warn("home of a limited target doesn't grant permits; using this entry's own part of the limit",
 		zap.String("home", home.ID), zap.String("target", demand.TargetID), zap.Float64("per_second", demand.PerSecond), zap.Error(cause))
 }
 
