Look after idle connections with fewer goroutines and system calls

Each entry checked each idle connection by a system call and in a goroutine of its own, twice a second: some 2,000 a second at an entry with a thousand of them, also at spare ones, which open none in advance. A goroutine is started only where a connection is opened, and a connection that isn't used is checked each 2 s. One that is used is checked before, as it was.

--- a/internal/httpcaller/keep_connected.go
+++ b/internal/httpcaller/keep_connected.go
@@ -57,7 +57,9 @@
 			continue
 		}
 		for _, target := range server.preferred(routeIndex, name, pool) {
-			go server.sender.Preconnect(ctx, target, server.connectionLimit(pool, target), connectMargin)
+			if limit := server.connectionLimit(pool, target); server.sender.WantsConnection(target, limit, connectMargin) {
+				go server.sender.Preconnect(ctx, target, limit, connectMargin)
+			}
 		}
 	}
 }
--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -406,13 +406,20 @@
 	return connection, err
 }
 
+// WantsConnection reports whether Preconnect would open a connection to a target. It closes idle connections that can't be used
+// any more.
+func (sender *Sender) WantsConnection(target *Target, limit int, margin time.Duration) bool {
+	now := time.Now()
+	return target.connections.pruneIdle(now, sender.links.usableSince(), margin) == 0 && limit > 0 && !target.connections.anyInUse() && target.connections.mayPreconnect(now)
+}
+
 // Preconnect opens a connection in advance, unless one is in use, an idle one stays
 // open for at least margin, limit connections are open, or the delay after an unused
 // connection was closed by the target hasn't passed. A failure to connect counts as a
 // failed attempt.
 func (sender *Sender) Preconnect(ctx context.Context, target *Target, limit int, margin time.Duration) {
 	now := time.Now()
-	if target.connections.pruneIdle(now, sender.links.usableSince(), margin) > 0 || target.connections.anyInUse() || !target.connections.mayPreconnect(now) || !target.connections.reserve(limit) {
+	if !sender.WantsConnection(target, limit, margin) || !target.connections.reserve(limit) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
--- a/internal/httptarget/connection.go
+++ b/internal/httptarget/connection.go
@@ -27,6 +27,9 @@
 	// without a health check, which takes a twentieth of an attempt's time.
 	uncheckedReuseSpan = 200 * time.Millisecond
 	readerBytes        = 4 << 10
+	// idleCheckInterval is the time between health checks of an idle connection that isn't used. Each takes a
+	// system call, and an entry of a large deployment has a thousand.
+	idleCheckInterval = 2 * time.Second
 	// firstPreconnectDelay is the delay before another connection is opened in
 	// advance after the target closed one unused; it doubles each time up to
 	// maximumPreconnectDelay. After a restart of all entries a target still counts
@@ -45,6 +48,8 @@
 		idleTimeout time.Duration
 		openedAt    time.Time
 		idleSince   time.Time
+		// checkedAt is when pruneIdle last checked the connection.
+		checkedAt time.Time
 		// used is true once a request was sent on the connection.
 		used bool
 		// echoesID is true once an answer on the connection named its request.
@@ -126,7 +131,11 @@
 	connections.lock.Lock()
 	var remaining, expired []*connection
 	for _, candidate := range connections.idle {
-		isHealthy := candidate.isHealthy()
+		isHealthy := true
+		if now.Sub(candidate.checkedAt) >= idleCheckInterval {
+			candidate.checkedAt = now
+			isHealthy = candidate.isHealthy()
+		}
 		if isHealthy && !candidate.openedAt.Before(usableSince) && now.Sub(candidate.idleSince)+margin < candidate.idleTimeout {
 			remaining = append(remaining, candidate)
 			continue
