Don't judge targets and links by the entry's own lateness

An entry short of processor time notices timers late: dials that were accepted seem to have timed out, answers that have arrived seem overdue. Class: a loop in which lateness makes work.

The entry estimates its lateness from timers that it notices late (pause.Lateness).

--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"gitlab.com/comfreythread/comfreythread/internal/httptarget"
+	"gitlab.com/comfreythread/comfreythread/internal/pause"
 	"gitlab.com/comfreythread/comfreythread/internal/policy"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
@@ -32,6 +33,10 @@
 	// connectionRetryDelay is the delay before a hedge is considered again that found no free connection to any
 	// target, about the duration of a short run.
 	connectionRetryDelay = 20 * time.Millisecond
+	// maximumPostponements bounds how often a hedge is put off because the entry itself is late, and maximumPostponement for
+	// how long.
+	maximumPostponements = 3
+	maximumPostponement  = 100 * time.Millisecond
 	// domainRoundTrip, regionRoundTrip and farRoundTrip are the assumed network
 	// round-trip times within a failure domain, to another failure domain of the
 	// same region, and to another region. They apply until a latency is measured.
@@ -85,6 +90,9 @@
 		possibleRunners []*httptarget.Target
 		// timer ends at the time of the next hedge, or of the next attempt after a wait.
 		timer *time.Timer
+		// timerAt is when the timer ends, and postponed how often a hedge was put off because this entry was late.
+		timerAt   time.Time
+		postponed int
 		// waits counts how often the dispatch has waited for the next attempt.
 		waits int
 		// stalled is true while the dispatch waits without an attempt in progress.
@@ -328,7 +336,9 @@
 		case <-dispatch.call.server.finished:
 			return dispatch.finish(&result)
 		case <-dispatch.timer.C:
-			dispatch.sendOverdue(ctx, &result)
+			if !dispatch.postponeHedge() {
+				dispatch.sendOverdue(ctx, &result)
+			}
 		case finishedAttempt := <-dispatch.outcomes:
 			dispatch.inFlight--
 			if dispatch.handleOutcome(finishedAttempt, &result) {
@@ -411,7 +421,19 @@
 	if dispatch.timer != nil {
 		dispatch.timer.Stop()
 	}
-	dispatch.timer = time.NewTimer(delay)
+	dispatch.timer, dispatch.timerAt = time.NewTimer(delay), time.Now().Add(delay)
+}
+
+// postponeHedge puts a hedge off if this entry notices late that it is due, so that answers which have arrived are read first.
+// An entry that is short of processor time would hedge all shards at once, and be later for it.
+func (dispatch *dispatch) postponeHedge() bool {
+	late := dispatch.call.server.sender.Lateness().Observe(dispatch.timerAt, time.Now())
+	if dispatch.inFlight == 0 || late < pause.LateLimit || dispatch.postponed >= maximumPostponements {
+		return false
+	}
+	dispatch.postponed++
+	dispatch.scheduleNext(min(late, maximumPostponement))
+	return true
 }
 
 // mayFindTarget reports whether the pool has a target that can't have run the request, although it may have
--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -19,6 +19,7 @@
 
 	"gitlab.com/comfreythread/comfreythread/internal/dialect"
 	"gitlab.com/comfreythread/comfreythread/internal/metrics"
+	"gitlab.com/comfreythread/comfreythread/internal/pause"
 	"gitlab.com/comfreythread/comfreythread/internal/tcp"
 )
 
@@ -79,6 +80,7 @@
 
 	errWithdrawn = errors.New("the request was withdrawn before it was sent")
 	errLateStart = errors.New("too late to begin the attempt: its caller may have left")
+	errLate      = errors.New("this entry is late itself")
 	errNoLink    = errors.New("no entry has a link to the target")
 )
 
@@ -147,6 +149,8 @@
 		// relay is nil if the sender has only its own links.
 		relay Relay
 		links linkMonitor
+		// lateness is that of this process.
+		lateness pause.Lateness
 		// buffered counts the bytes of answers that attempts hold.
 		buffered atomic.Int64
 	}
@@ -331,7 +335,7 @@
 	now := time.Now()
 	sender.links.abandon(target.ID(), now)
 	switch {
-	case errors.Is(err, ErrBusy):
+	case errors.Is(err, ErrBusy), errors.Is(err, errLate) && ctx.Err() == nil:
 		reason = Busy
 		target.recordUncounted(startedAt)
 	case ctx.Err() != nil:
@@ -383,16 +387,36 @@
 	if !target.connections.reserve(limit) {
 		return nil, ErrBusy
 	}
-	dialContext, cancel := context.WithDeadline(ctx, earlier(deadline, time.Now().Add(connectTimeout)))
+	connectBy := earlier(deadline, time.Now().Add(connectTimeout))
+	dialContext, cancel := context.WithDeadline(ctx, connectBy)
 	defer cancel()
 	opened, err := sender.dialReserved(dialContext, target)
 	if err != nil {
-		return nil, err
+		return nil, sender.connectError(err, connectBy)
 	}
 	sender.connected(target)
 	return newConnection(opened), nil
 }
 
+// connectError returns the error of an attempt that got no connection by a time. If this process is late, a connection may have
+// been accepted in time, so that a timeout says nothing about the target or the link to it.
+func (sender *Sender) connectError(err error, connectBy time.Time) error {
+	if !tcp.IsTimeout(err) && !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	now := time.Now()
+	sender.lateness.Observe(connectBy, now)
+	if sender.lateness.Recent(now) < pause.LateLimit {
+		return err
+	}
+	return errors.Wrap(errLate, err.Error())
+}
+
+// Lateness returns the estimate of this process's lateness, which callers of the sender add to.
+func (sender *Sender) Lateness() *pause.Lateness {
+	return &sender.lateness
+}
+
 // dialReserved opens a reserved connection. Without one, also after a panic, it releases the reservation.
 func (sender *Sender) dialReserved(ctx context.Context, target *Target) (net.Conn, error) {
 	opened := false
@@ -426,6 +450,9 @@
 	defer cancel()
 	opened, err := sender.dialReserved(ctx, target)
 	if err != nil {
+		if errors.Is(sender.connectError(err, now.Add(connectTimeout)), errLate) {
+			return
+		}
 		if sender.relay != nil {
 			sender.lostLink(target, err)
 		}
--- a/internal/httptarget/link.go
+++ b/internal/httptarget/link.go
@@ -119,8 +119,9 @@
 	return len(monitor.unconnected) < silentTargets
 }
 
-// check reports whether all links are taken for lost, and whether that is new.
-func (monitor *linkMonitor) check(now time.Time) (lost, isNew bool) {
+// check reports whether all links are taken for lost, and whether that is new. Answers of the time by which this process is
+// late may have arrived and not been read.
+func (monitor *linkMonitor) check(now time.Time, lateness time.Duration) (lost, isNew bool) {
 	monitor.lock.Lock()
 	defer monitor.lock.Unlock()
 	if monitor.lost || len(monitor.overdueAt) < silentTargets {
@@ -128,7 +129,7 @@
 	}
 	overdue := 0
 	for _, at := range monitor.overdueAt {
-		if !now.Before(at) {
+		if !now.Add(-lateness).Before(at) {
 			overdue++
 		}
 	}
@@ -157,7 +158,7 @@
 // the background from time to time.
 func (sender *Sender) LinkLost(target *Target, limit int) bool {
 	now := time.Now()
-	lost, isNew := sender.links.check(now)
+	lost, isNew := sender.links.check(now, sender.lateness.Recent(now))
 	if isNew {
 		sender.logger.Warn("links to all targets lost")
 	}
@@ -175,7 +176,8 @@
 
 // HasLinks reports whether this entry reaches targets and can open connections to them.
 func (sender *Sender) HasLinks() bool {
-	lost, _ := sender.links.check(time.Now())
+	now := time.Now()
+	lost, _ := sender.links.check(now, sender.lateness.Recent(now))
 	return !lost && sender.links.connects()
 }
 
--- a/internal/httptarget/link_test.go
+++ b/internal/httptarget/link_test.go
@@ -91,7 +91,7 @@
 	for _, id := range []string{"a", "b"} {
 		monitor.begin(id, now.Add(silenceSpan))
 	}
-	if lost, _ := monitor.check(now.Add(time.Minute)); lost {
+	if lost, _ := monitor.check(now.Add(time.Minute), 0); lost {
 		t.Error("two silent targets")
 	}
 	monitor.reach()
@@ -99,16 +99,32 @@
 		monitor.begin(id, now.Add(silenceSpan))
 		monitor.abandon(id, now.Add(silenceSpan/2))
 	}
-	if lost, _ := monitor.check(now.Add(time.Minute)); lost {
+	if lost, _ := monitor.check(now.Add(time.Minute), 0); lost {
 		t.Error("four attempts that were given up early")
 	}
 	for _, id := range []string{"a", "b", "c"} {
 		monitor.begin(id, now.Add(silenceSpan))
 	}
-	if lost, isNew := monitor.check(now.Add(silenceSpan)); !lost || !isNew {
+	if lost, isNew := monitor.check(now.Add(silenceSpan), 0); !lost || !isNew {
 		t.Error("three silent targets are no loss")
 	}
 	if !monitor.reach() {
 		t.Error("the loss isn't over")
 	}
 }
+
+// Guards against an entry short of processor time that takes its links for lost, because it hasn't read the answers yet.
+func TestLateEntryKeepsItsLinks(t *testing.T) {
+	var monitor linkMonitor
+	now := time.Unix(0, 0)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		monitor.begin(id, now.Add(silenceSpan))
+	}
+	late := 300 * time.Millisecond
+	if lost, _ := monitor.check(now.Add(silenceSpan+late-1), late); lost {
+		t.Error("taken for lost within the entry's own lateness")
+	}
+	if lost, isNew := monitor.check(now.Add(silenceSpan+late), late); !lost || !isNew {
+		t.Error("not taken for lost after it")
+	}
+}
