--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -83,17 +83,15 @@
 }
 
 // newReply encodes an outcome. An attempt that no connection could be opened for, or that would have begun late, was not
-// sent, so that another entry can be tried. One that is late has no time for others either.
+// sent, so that another entry can be tried.
 func newReply(outcome httptarget.Outcome) *Reply {
 	switch outcome := outcome.(type) {
 	case *httptarget.Answered:
 		return &Reply{Kind: replyAnswered, Status: outcome.Status, Header: outcome.Header, Body: outcome.Body, Proof: outcome.Proof}
 	case *httptarget.Refused:
-		switch outcome.Reason {
-		case httptarget.Unreachable:
-			return &Reply{NoLink: true}
-		case httptarget.Withheld:
-			return &Reply{NoLink: true, NoLinks: true}
+		if outcome.Reason == httptarget.Unreachable || outcome.Reason == httptarget.Withheld {
+			// An entry that is late has no time for attempts at other targets either.
+			return &Reply{NoLink: true, NoLinks: outcome.Reason == httptarget.Withheld}
 		}
 		return &Reply{Kind: replyRefused, Reason: outcome.Reason, Cause: causeText(outcome.Cause)}
 	case *httptarget.Lost:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -227,7 +227,7 @@
 		request.StartBy(frame.StartBy(ctx))
 		reply = newReply(relay.sender.SendDirectly(ctx, target, request, deadline, connections))
 	}
-	reply.NoLinks = reply.NoLink && !relay.sender.HasLinks()
+	reply.NoLinks = reply.NoLinks || reply.NoLink && !relay.sender.HasLinks()
 	return reply
 }
 
