--- a/internal/target/opening_test.go
+++ b/internal/target/opening_test.go
@@ -56,3 +56,33 @@
 		expect.Expect(time.Since(startedAt)).To(gomega.BeZero())
 	})
 }
+
+// Guards against a run that is sent although its attempt had ended while it waited for a connection, of which one is idle.
+func TestRunOfAnEndedAttemptIsNotSent(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		lane := &lane{pool: operator.Pool{Connections: 1, Slots: 2, ConnectTimeout: duration.Of(time.Second)}, tally: new(connectionTally), dial: func(context.Context, string, string) (net.Conn, error) {
+			here, _ := net.Pipe()
+			return here, nil
+		}}
+		defer lane.closeIdle()
+		connection, err := lane.acquireConnection(context.Background(), time.Time{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		lane.returnConnection(connection)
+		ended, end := context.WithCancel(context.Background())
+		end()
+		ending := &run{lane: lane, attempt: new(Attempt), ended: make(chan struct{})}
+		if err := ending.connect(ended); err == nil || ending.exchange != nil {
+			t.Fatal("the run got a connection")
+		}
+		again, err := lane.acquireConnection(context.Background(), time.Time{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again != connection {
+			t.Error("the connection isn't idle again")
+		}
+		lane.returnConnection(again)
+	})
+}
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -47,7 +47,7 @@
 )
 
 // connect acquires a connection and starts the run's exchange on it. It waits
-// for a connection until ctx ends. It returns errTurnedCold if the target has
+// for a connection until ctx ends, after which nothing is sent. It returns errTurnedCold if the target has
 // turned cold since the run was admitted.
 func (run *run) connect(ctx context.Context) error {
 	var activeSince time.Time
@@ -59,6 +59,10 @@
 		if err != nil {
 			return err
 		}
+		if ctx.Err() != nil {
+			run.lane.returnConnection(connection)
+			return errNoConnection
+		}
 		if !run.lane.gate.isCurrent(run.admission) {
 			run.lane.returnConnection(connection)
 			return errTurnedCold
