Open connections in advance a few at a time, and fewer to targets that accept none

Each entry that serves callers tried each target that accepts none twice a second, and opened 405 connections at the same moment when the queries' shards changed, which at an entry of 0.192 cores takes a quarter of a second, six times that where it is slowed: the callers' requests wait behind them, and dials time out.

At most 16 are being opened now, and after a failure the next try comes 1 to 4 s later.

--- a/internal/httpcaller/keep_connected.go
+++ b/internal/httpcaller/keep_connected.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -24,6 +25,9 @@
 	// connectMargin is the time before a target closes an idle connection at which its
 	// replacement is opened.
 	connectMargin = 600 * time.Millisecond
+	// maximumPreconnects bounds the connections that are being opened in advance. A change of the tables may ask for
+	// hundreds at once, and requests need the processor time meanwhile.
+	maximumPreconnects = 16
 )
 
 // KeepConnected keeps an idle connection open to the preferred targets of each pool in
@@ -46,20 +50,34 @@
 	}
 }
 
+// connectPreferred opens the connections that are missing, and returns once the last one is being opened. It begins with
+// a random pool, so that entries don't open their connections in the same order.
 func (server *Server) connectPreferred(ctx context.Context) {
 	routeIndex := server.currentRouteIndex()
 	if routeIndex == nil {
 		return
 	}
-	for _, name := range routeIndex.routes.UsedPools() {
+	names := routeIndex.routes.UsedPools()
+	for offset, start := 0, rand.IntN(max(1, len(names))); offset < len(names); offset++ {
+		name := names[(start+offset)%len(names)]
 		pool := routeIndex.routes.Pool(name)
 		if pool == nil {
 			continue
 		}
 		for _, target := range server.preferred(routeIndex, name, pool) {
-			if limit := server.connectionLimit(pool, target); server.sender.WantsConnection(target, limit, connectMargin) {
-				go server.sender.Preconnect(ctx, target, limit, connectMargin)
+			limit := server.connectionLimit(pool, target)
+			if !server.sender.WantsConnection(target, limit, connectMargin) {
+				continue
 			}
+			select {
+			case <-ctx.Done():
+				return
+			case server.preconnects <- struct{}{}:
+			}
+			go func() {
+				defer func() { <-server.preconnects }()
+				server.sender.Preconnect(ctx, target, limit, connectMargin)
+			}()
 		}
 	}
 }
--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -439,7 +439,7 @@
 
 // Preconnect opens a connection in advance, unless one is in use, an idle one stays
 // open for at least margin, limit connections are open, or the delay after an unused
-// connection was closed by the target hasn't passed. A failure to connect counts as a
+// connection was closed by the target, or none could be opened, hasn't passed. A failure to connect counts as a
 // failed attempt.
 func (sender *Sender) Preconnect(ctx context.Context, target *Target, limit int, margin time.Duration) {
 	now := time.Now()
@@ -450,6 +450,7 @@
 	defer cancel()
 	opened, err := sender.dialReserved(ctx, target)
 	if err != nil {
+		target.connections.recordPreconnectFailure(time.Now())
 		if errors.Is(sender.connectError(err, now.Add(connectTimeout)), errLate) {
 			return
 		}
--- a/internal/httptarget/connection.go
+++ b/internal/httptarget/connection.go
@@ -36,6 +36,9 @@
 	// the earlier connections and resets those beyond its limit.
 	firstPreconnectDelay   = time.Second
 	maximumPreconnectDelay = 16 * time.Second
+	// maximumFailureDelay is the greatest delay after one that couldn't be opened. It is shorter, because the target may be
+	// back at any time.
+	maximumFailureDelay = 4 * time.Second
 )
 
 type (
@@ -105,12 +108,19 @@
 }
 
 // delayPreconnect doubles the delay before the next connection is opened in
-// advance, because the target closed one unused. The lock must be held.
-func (connections *targetConnections) delayPreconnect(now time.Time) {
-	connections.preconnectDelay = min(maximumPreconnectDelay, max(firstPreconnectDelay, 2*connections.preconnectDelay))
+// advance, up to maximum, because the target closed one unused or accepted none. The lock must be held.
+func (connections *targetConnections) delayPreconnect(now time.Time, maximum time.Duration) {
+	connections.preconnectDelay = min(maximum, max(firstPreconnectDelay, 2*connections.preconnectDelay))
 	connections.preconnectAfter = now.Add(connections.preconnectDelay)
 }
 
+// recordPreconnectFailure records that a connection couldn't be opened in advance.
+func (connections *targetConnections) recordPreconnectFailure(now time.Time) {
+	connections.lock.Lock()
+	defer connections.lock.Unlock()
+	connections.delayPreconnect(now, maximumFailureDelay)
+}
+
 // idleCount returns the number of idle connections.
 func (connections *targetConnections) idleCount() int {
 	connections.lock.Lock()
@@ -141,7 +151,7 @@
 			continue
 		}
 		if !isHealthy && !candidate.used {
-			connections.delayPreconnect(now)
+			connections.delayPreconnect(now, maximumPreconnectDelay)
 		}
 		expired = append(expired, candidate)
 	}
