Forget a clock that stood still sooner, and draw lending entries from those with connections

A suspended VM's clock stands still, so that its messages seem late by that: for two windows of 0.25 s at the receiver now, not for two seconds of the sender's clock.

--- a/internal/frame/transit.go
+++ b/internal/frame/transit.go
@@ -8,16 +8,17 @@
 )
 
 const (
-	// transitWindow is the time of the sender's clock over which the fastest message is remembered, twice. It is short,
-	// because a clock that stood still makes each later message seem late by that.
-	transitWindow = time.Second
+	// transitWindow is the time of receipt over which the fastest message is remembered, in the last two windows that have
+	// messages. Messages that a link has held arrive together, within one. The clock of a VM that was suspended stands still
+	// meanwhile, after which all of its messages seem late by that: until two windows have passed.
+	transitWindow = 250 * time.Millisecond
 )
 
 type (
 	// transit estimates the delays of the messages of one link. The zero value works.
 	transit struct {
-		// fastest is the least difference between the clocks at a receipt, since windowStart on the sender's clock, and
-		// fastestBefore that of the window before.
+		// fastest is the least difference between the clocks at a receipt since windowStart, and fastestBefore that of the
+		// window before, which counts from the second window on.
 		fastest, fastestBefore time.Duration
 		windowStart            time.Duration
 		windows                int
@@ -30,9 +31,9 @@
 	difference := receivedAt - sentAt
 	switch {
 	case transit.windows == 0:
-		transit.fastest, transit.windowStart, transit.windows = difference, sentAt, 1
-	case sentAt-transit.windowStart >= transitWindow:
-		transit.fastestBefore, transit.fastest, transit.windowStart, transit.windows = transit.fastest, difference, sentAt, 2
+		transit.fastest, transit.windowStart, transit.windows = difference, receivedAt, 1
+	case receivedAt-transit.windowStart >= transitWindow:
+		transit.fastestBefore, transit.fastest, transit.windowStart, transit.windows = transit.fastest, difference, receivedAt, 2
 	default:
 		transit.fastest = min(transit.fastest, difference)
 	}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -81,10 +81,12 @@
 	for _, group := range groups {
 		start := len(candidates)
 		for _, member := range group {
+			// Those behind the first maximumEntries aren't tried, but the first ones of a group are drawn from all of it.
+			matters := start < maximumEntries && !pinned || len(candidates) < maximumEntries
 			switch {
 			case avoided[member.PeerAddress]:
 				last = append(last, member)
-			case len(candidates) < maximumEntries && relay.isSpare != nil && relay.isSpare(member.ID):
+			case matters && relay.isSpare != nil && relay.isSpare(member.ID):
 				spares = append(spares, member)
 			default:
 				candidates = append(candidates, member)
