Count attempts that are withheld before their way is chosen

The dispatch made its own outcome for an attempt whose caller had left while it waited for a worker, beside the sender's, so that neither the metric nor the log knew of it. It asks the sender now. What is sent is the same.

--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -676,8 +676,8 @@
 		ctx, span := tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
 		defer span.End()
 		startedAt := time.Now()
-		if ctx.Err() != nil {
-			outcome = &httptarget.Refused{Reason: httptarget.Withheld, Cause: ctx.Err()}
+		if withheld := server.sender.Withhold(ctx, target, &dispatch.call.request); withheld != nil {
+			outcome = withheld
 			return
 		}
 		if !server.acquirePermit(ctx, pool, target, trigger == triggerHedge) {
--- a/internal/httptarget/unwanted.go
+++ b/internal/httptarget/unwanted.go
@@ -13,6 +13,8 @@
 	// Ways of attempts, as label values and in the log.
 	wayDirect  = "direct"
 	wayRelayed = "relayed"
+	// wayOpen is that of an attempt whose way isn't chosen yet.
+	wayOpen = "open"
 )
 
 // claim allows an attempt to write the request. It returns the outcome of one that must not: the request was withdrawn, or nobody
@@ -27,6 +29,11 @@
 	return nil
 }
 
+// Withhold returns the outcome of an attempt that nobody waits for, before it takes a permit, or nil.
+func (sender *Sender) Withhold(ctx context.Context, target *Target, request *Request) Outcome {
+	return sender.withhold(ctx, target, request, wayOpen)
+}
+
 // withhold returns the outcome of an attempt that is given up before anything was sent, because ctx has ended or the time to
 // begin has passed, or nil.
 func (sender *Sender) withhold(ctx context.Context, target *Target, request *Request, way string) Outcome {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -154,7 +154,7 @@
 func (metrics *Metrics) RelayedAttempts() *prometheus.CounterVec { return metrics.relayedAttempts }
 
 // UnwantedAttempts counts the attempts at targets of HTTP routes that weren't sent because their callers had left, or their
-// requests were decided, by way: direct or relayed.
+// requests were decided, by way: direct, relayed, or open before it was chosen.
 func (metrics *Metrics) UnwantedAttempts() *prometheus.CounterVec { return metrics.unwantedAttempts }
 
 // UnwantedCalls counts the calls of other processes that weren't begun, by method and reason: given up, or late, so that
