Keep the bound of connections opened in advance where it is used

The channel was a field of the server, though one loop uses it. The number of ranked entries is the length of their order. The tests of the choice share their view; their assertions are the same.

--- a/internal/httpcaller/keep_connected.go
+++ b/internal/httpcaller/keep_connected.go
@@ -38,21 +38,22 @@
 	}
 	ticker := time.NewTicker(connectInterval)
 	defer ticker.Stop()
+	opening := make(chan struct{}, maximumPreconnects)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			if !server.isStopping() {
-				server.connectPreferred(ctx)
+				server.connectPreferred(ctx, opening)
 			}
 		}
 	}
 }
 
-// connectPreferred opens the connections that are missing, and returns once the last one is being opened. It begins with
-// a random pool, so that entries don't open their connections in the same order.
-func (server *Server) connectPreferred(ctx context.Context) {
+// connectPreferred opens the connections that are missing, and returns once the last one is being opened. Opening holds an
+// element for each, and bounds them. It begins with a random pool, so that entries don't open their connections in the same order.
+func (server *Server) connectPreferred(ctx context.Context, opening chan struct{}) {
 	routeIndex := server.currentRouteIndex()
 	if routeIndex == nil {
 		return
@@ -72,10 +73,10 @@
 			select {
 			case <-ctx.Done():
 				return
-			case server.preconnects <- struct{}{}:
+			case opening <- struct{}{}:
 			}
 			go func() {
-				defer func() { <-server.preconnects }()
+				defer func() { <-opening }()
 				server.sender.Preconnect(ctx, target, limit, connectMargin)
 			}()
 		}
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -83,10 +83,8 @@
 		requestMetrics requestMetrics
 		createdAt      time.Time
 		workers        *workers
-		// preconnects holds an element for each connection that is being opened in advance.
-		preconnects chan struct{}
-		admission   *admission
-		shardLoads  policy.ShardLoads
+		admission      *admission
+		shardLoads     policy.ShardLoads
 
 		cachedRouteIndex    atomic.Pointer[routeIndex]
 		cachedActiveEntries atomic.Pointer[activeEntries]
@@ -148,7 +146,6 @@
 	server := &Server{
 		options: options, board: board, directory: directory, sender: sender, permits: permits, budgets: policy.NewBudgets(options.Budget),
 		requestLog: newRequestLog(logger, metrics), metrics: metrics, requestMetrics: requestMetrics{metrics: metrics}, createdAt: time.Now(), admission: newAdmission(), finished: make(chan struct{}),
-		preconnects: make(chan struct{}, maximumPreconnects),
 	}
 	server.workers = newWorkers(server.recordPanic)
 	if options.Rollouts != nil {
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -48,7 +48,6 @@
 
 	// ranking is the order of the other entries for attempts at targets in one failure domain.
 	ranking struct {
-		members int
 		// near holds the entries by their distance, and pinned the order of pinned candidates.
 		near   [][]*membership.Member
 		pinned []*membership.Member
@@ -76,7 +75,7 @@
 	if pinned {
 		groups = [][]*membership.Member{ranking.pinned}
 	}
-	candidates := make([]*membership.Member, 0, ranking.members)
+	candidates := make([]*membership.Member, 0, len(ranking.pinned))
 	var spares, last []*membership.Member
 	for _, group := range groups {
 		start := len(candidates)
@@ -141,7 +140,6 @@
 		ranked.pinned = append(ranked.pinned, member)
 		weights[member] = xxhash.Sum64String(relay.options.Self + "/" + member.ID)
 	}
-	ranked.members = len(ranked.pinned)
 	targetRegion := relay.options.Regions[targetDomain]
 	distanceFromTarget := func(member *membership.Member) int {
 		switch {
--- a/internal/relay/choose_test.go
+++ b/internal/relay/choose_test.go
@@ -13,11 +13,10 @@
 	nearDomain = "sud-a"
 )
 
-// Guards against attempts over shared connections that go to a different entry each time, each of which then
-// opens a connection to the target, and against all entries choosing the same one.
-func TestPinnedCandidatesStayTheSame(t *testing.T) {
+// boardOf returns a board with a view of a number of entries, which take turns in three failure domains.
+func boardOf(entries int) *blackboard.Board {
 	view := membership.View{Number: 1}
-	for number := range 12 {
+	for number := range entries {
 		domain := []string{"nord-a", nearDomain, "sud-b"}[number%3]
 		view.Members = append(view.Members, membership.Member{
 			ID: fmt.Sprint("entry-", number), PeerAddress: fmt.Sprint("10.0.0.", number, ":1"), GatewayAddress: "10.0.0.1:2", FailureDomain: domain, Region: domain[:len(domain)-2],
@@ -25,6 +24,13 @@
 	}
 	board := new(blackboard.Board)
 	board.Membership().Update(&view, 1)
+	return board
+}
+
+// Guards against attempts over shared connections that go to a different entry each time, each of which then
+// opens a connection to the target, and against all entries choosing the same one.
+func TestPinnedCandidatesStayTheSame(t *testing.T) {
+	board := boardOf(12)
 	first := map[string]bool{}
 	for number := range 60 {
 		relay := &Relay{board: board, options: Options{Self: fmt.Sprint("caller-", number), FailureDomain: "nord-a", Region: "nord", Regions: map[string]string{"nord-a": "nord", nearDomain: "sud", "sud-b": "sud"}}}
@@ -48,15 +54,7 @@
 
 // Guards against attempts through entries that have to open a connection for each, while entries beside them have some open.
 func TestEntriesWithConnectionsToLendComeFirst(t *testing.T) {
-	view := membership.View{Number: 1}
-	for number := range 60 {
-		domain := []string{"nord-a", nearDomain, "sud-b"}[number%3]
-		view.Members = append(view.Members, membership.Member{
-			ID: fmt.Sprint("entry-", number), PeerAddress: fmt.Sprint("10.0.0.", number, ":1"), GatewayAddress: "10.0.0.1:2", FailureDomain: domain, Region: domain[:len(domain)-2],
-		})
-	}
-	board := new(blackboard.Board)
-	board.Membership().Update(&view, 1)
+	board := boardOf(60)
 	active := map[string]bool{}
 	for _, number := range []int{1, 7, 16, 25, 31, 40, 46, 58} {
 		active[fmt.Sprint("entry-", number)] = true
@@ -79,11 +77,9 @@
 	if len(first) != len(active) {
 		t.Errorf("attempts go to %d of %d entries with connections", len(first), len(active))
 	}
-	for id := range active {
-		for index := range view.Members {
-			if view.Members[index].ID == id {
-				relay.entries.begin(view.Members[index].PeerAddress)(avoidEntry)
-			}
+	for _, member := range board.Membership().View().Members {
+		if active[member.ID] {
+			relay.entries.begin(member.PeerAddress)(avoidEntry)
 		}
 	}
 	candidates := relay.candidates(nearDomain, false)
