Refuse runs at once where lost homes hold all connections of a target

Cause: an entry that is cut off twice within a minute counts three lost homes for its targets, whose shares use up a pool of six connections. A run waited for a connection until its deadline there, although none could be opened for 54 s, and the shard had one hedge left on replicas that bore its whole load. Since calls that were given up aren't run after a reconnection, the second target of the entry counts its lost homes in full as well.

Change: the home refuses such a run as not run before it waits for a slot.

--- a/internal/target/home.go
+++ b/internal/target/home.go
@@ -90,6 +90,10 @@
 func (home *Home) run(ctx context.Context, announcement *target.Announcement, attempt *Attempt) Outcome {
 	lane, use := home.enter(ctx, announcement)
 	defer use.stop()
+	if refusal := lane.refuseUnconnectable(attempt.Run.Deadline); refusal != nil {
+		use.finish()
+		return refusal
+	}
 	queuedAt := time.Now()
 	admission, refusal := lane.gate.acquire(use.ctx, attempt)
 	home.metrics.QueueWait().WithLabelValues(announcement.Pool).Observe(time.Since(queuedAt).Seconds())
--- a/internal/target/lane.go
+++ b/internal/target/lane.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"gitlab.com/comfreythread/comfreythread/internal/tcp"
+	"gitlab.com/comfreythread/comfreythread/pkg/caller"
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 	"gitlab.com/comfreythread/comfreythread/pkg/target"
 )
@@ -126,6 +127,18 @@
 	}
 }
 
+// refuseUnconnectable returns a refusal if no connection can be opened before the
+// deadline, and otherwise nil.
+func (lane *lane) refuseUnconnectable(deadline time.Time) Outcome {
+	lane.lock.Lock()
+	pool := lane.pool
+	lane.lock.Unlock()
+	if lane.tally.exhaustedUntil(&pool).Before(deadline) {
+		return nil
+	}
+	return NotRun{Reason: caller.MissingNoReplica, RetryAfter: notHomeRetryAfter}
+}
+
 // popOldestIdle removes and returns the least recently used idle connection, or
 // returns nil if none is idle. The returned connection must be closed, to make room
 // for a new one. The lock must be held.
--- a/internal/target/tally.go
+++ b/internal/target/tally.go
@@ -93,6 +93,18 @@
 	return connectionTally.freedChannel()
 }
 
+// exhaustedUntil returns until when lost homes leave this one no connection, or zero
+// if they leave some.
+func (connectionTally *connectionTally) exhaustedUntil(pool *operator.Pool) time.Time {
+	connectionTally.lock.Lock()
+	defer connectionTally.lock.Unlock()
+	lostHomes := connectionTally.currentLostHomes()
+	if lostHomes == 0 || connectionTally.open > 0 || connectionShare(pool, lostHomes) > 0 {
+		return time.Time{}
+	}
+	return connectionTally.lostHomesUntil
+}
+
 // recordClosed records that a connection of this entry is certainly closed.
 func (connectionTally *connectionTally) recordClosed() {
 	connectionTally.lock.Lock()
--- a/internal/target/tally_test.go
+++ b/internal/target/tally_test.go
@@ -100,3 +100,29 @@
 func singleEntryPlacement(viewNumber uint64, entryNumber int) *membership.Placement {
 	return membership.NewPlacement(membership.View{Number: viewNumber, Members: []membership.Member{{ID: fmt.Sprintf("entry-%d", entryNumber)}}})
 }
+
+// Guards against runs that wait until their deadline for a connection at a target whose connections all count as those of
+// lost homes, instead of going to another replica.
+func TestRunIsRefusedWhileLostHomesHoldAllConnections(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		pool := operator.Pool{Connections: 6, Slots: 2}
+		for lostHomes := 0; lostHomes <= lostHomeRounds; lostHomes++ {
+			lane := &lane{pool: pool, tally: new(connectionTally)}
+			lane.tally.assumeLostHomes(lostHomes, time.Now().Add(lostHomeDuration))
+			refusal := lane.refuseUnconnectable(time.Now().Add(time.Second))
+			if canConnect := lane.tally.claim(&pool) == nil; canConnect != (refusal == nil) {
+				t.Errorf("after %d lost homes a connection can be opened: %t, refusal: %v", lostHomes, canConnect, refusal)
+			}
+			if notRun, refused := refusal.(NotRun); refused && notRun.RetryAfter <= 0 {
+				t.Errorf("after %d lost homes the refusal doesn't say when to retry", lostHomes)
+			}
+			if lane.refuseUnconnectable(time.Now().Add(lostHomeDuration+time.Second)) != nil {
+				t.Errorf("after %d lost homes a run that can wait is refused", lostHomes)
+			}
+			time.Sleep(lostHomeDuration)
+			if lane.refuseUnconnectable(time.Now().Add(time.Second)) != nil {
+				t.Errorf("after %d lost homes a run is refused once their connections are closed", lostHomes)
+			}
+		}
+	})
+}
