Keep addresses that a restart binds again unwritten

Cause: process.Listen wrote the addresses of the settings at each start of a process, also where they stayed the same.

Change: an address is written only if the bound one differs, as the doc comment of Listen says (port 0).

Before: TestListenDoesNotWriteAddressesThatStay fails by the race detector. After: it passes.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -122,7 +122,11 @@
 			listeners.close()
 			return nil, errors.Wrap(err, "listen; choose a free "+binding.name)
 		}
-		*binding.address, *binding.listener = listener.Addr().String(), listener
+		*binding.listener = listener
+		// A later start of the process binds the same addresses, which others may be reading.
+		if bound := listener.Addr().String(); bound != *binding.address {
+			*binding.address = bound
+		}
 	}
 	return listeners, nil
 }
