--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -51,6 +51,7 @@
 		rolloutOrders      *prometheus.CounterVec
 		rolloutPhases      *prometheus.CounterVec
 		rolloutGrants      prometheus.Counter
+		groupChanges       *prometheus.CounterVec
 		admissionWaiting   prometheus.Gauge
 		admissionWait      *prometheus.HistogramVec
 		admissionRefusals  *prometheus.CounterVec
@@ -95,6 +96,7 @@
 		rolloutOrders:      counter("rollout_orders_total", "Orders of rollouts, by what became of them.", "outcome"),
 		rolloutPhases:      counter("rollout_phases_total", "Phases that rollouts entered after the first.", "phase"),
 		rolloutGrants:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "rollout_grants_total", Help: "Grants of requests to new releases that entries got."}),
+		groupChanges:       counter("group_changes_total", "Changes of members of the control group that this replica made as leader.", "change", "reason"),
 		admissionWaiting:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "admission_waiting", Help: "Requests of HTTP routes that wait for a place."}),
 		admissionWait:      histogram("admission_wait_seconds", "Time that requests of HTTP routes waited for a place, by what ended it.", prometheus.ExponentialBuckets(0.001, 2, 14), "end"),
 		admissionRefusals:  counter("admission_refusals_total", "Requests of HTTP routes that were refused while a limit of requests in progress was reached.", "reason"),
@@ -107,7 +109,7 @@
 		metrics.targetsMoved, metrics.directoryChanges, metrics.directoryExchanges, metrics.directoryUnequal, metrics.logLinesLeftOut,
 		metrics.httpRequests, metrics.httpAttempts, metrics.diskSync, metrics.missingParts, metrics.panics, metrics.targetWords, metrics.permits, metrics.allotments, metrics.relayedAttempts, metrics.unwantedAttempts, metrics.unwantedCalls, metrics.tenantRequests,
 		metrics.rolloutAttempts, metrics.entryGrants, metrics.rolloutReports,
-		metrics.rolloutOrders, metrics.rolloutPhases, metrics.rolloutGrants,
+		metrics.rolloutOrders, metrics.rolloutPhases, metrics.rolloutGrants, metrics.groupChanges,
 		metrics.admissionWaiting, metrics.admissionWait, metrics.admissionRefusals,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -186,6 +188,9 @@
 // RolloutGrants counts the grants of requests to new releases that this replica gave as leader.
 func (metrics *Metrics) RolloutGrants() prometheus.Counter { return metrics.rolloutGrants }
 
+// GroupChanges counts the changes of members of the control group that this replica made as leader, by kind and reason.
+func (metrics *Metrics) GroupChanges() *prometheus.CounterVec { return metrics.groupChanges }
+
 // AdmissionWaiting is the number of requests of HTTP routes that wait for a place.
 func (metrics *Metrics) AdmissionWaiting() prometheus.Gauge { return metrics.admissionWaiting }
 
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -57,6 +57,7 @@
 		Name: settings.Name, Address: settings.PeerAddress, Peers: settings.ControlReplicas,
 		Dial: network.Dial, Logger: logger, Folder: settings.Control.DataFolder, FileSystem: fileSystem,
 		JoinOnly: settings.Control.JoinOnly, SelfManaged: settings.Control.SelfManaged,
+		CountMemberChange: func(kind, reason string) { metrics.GroupChanges().WithLabelValues(kind, reason).Inc() },
 	}, state)
 }
 
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -103,6 +103,8 @@
 		toApply []entry
 		// reset requires the disk to be discarded: it must not be used under this replica's ID.
 		reset bool
+		// memberChanges are the changes of members that this leader has appended.
+		memberChanges []memberChange
 		// refusal is the reply to addRequested and removeRequested; nil accepts.
 		refusal error
 	}
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -237,6 +237,7 @@
 	for driver.haltReason == nil {
 		out := driver.core.drainOutput()
 		driver.replica.transport.send(out.immediate)
+		driver.reportMemberChanges(out.memberChanges)
 		if out.reset {
 			driver.discard()
 			break
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -37,6 +37,10 @@
 		// numbers of replicas that never bootstrap a group.
 		selfManaged bool
 		joinOnly    map[int]bool
+
+		changesLock sync.Mutex
+		// memberChanges are the kinds and reasons of the changes of members, in the order in which leaders reported them.
+		memberChanges []string
 	}
 
 	// running is a replica that has been started, with its state machine and its server.
@@ -114,6 +118,7 @@
 	started := &running{machine: machine, server: new(frame.Server), Replica: replica.New(replica.Options{
 		Name: fmt.Sprintf("control-%d", number), Address: address, Peers: group.peers, Dial: group.network.Dialer(ipOf(number)),
 		Folder: "data", FileSystem: group.disks[address], SelfManaged: group.selfManaged, JoinOnly: group.joinOnly[number],
+		CountMemberChange: group.recordMemberChange,
 	}, machine)}
 	if group.batchedRequests > 0 {
 		started.SetBatchedRequests(group.batchedRequests)
@@ -131,6 +136,21 @@
 	return started
 }
 
+func (group *group) recordMemberChange(kind, reason string) {
+	group.changesLock.Lock()
+	defer group.changesLock.Unlock()
+	group.memberChanges = append(group.memberChanges, kind+" "+reason)
+}
+
+// takeMemberChanges returns the changes of members since the last call.
+func (group *group) takeMemberChanges() []string {
+	group.changesLock.Lock()
+	defer group.changesLock.Unlock()
+	taken := group.memberChanges
+	group.memberChanges = nil
+	return taken
+}
+
 func (group *group) startAll() {
 	for number := range group.peers {
 		group.start(number)
@@ -290,6 +310,7 @@
 			other := group.peers[(indexOf(group.peers, leader.Status().LeaderAddress)+1)%3]
 			expect.Expect(leader.RemoveReplica(ctx, fmt.Sprintf("control-%d", indexOf(group.peers, other)))).To(gomega.Succeed())
 			expect.Expect(leader.Status().Replicas).To(gomega.HaveLen(3))
+			expect.Expect(group.takeMemberChanges()).To(gomega.Equal([]string{"add operator", "promote caught_up", "remove operator"}))
 		})
 	})
 })
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -236,19 +236,7 @@
 	return core.canPropose() && core.commit >= core.termStart && core.lastMembershipIndex() <= core.commit
 }
 
-// setMembers appends and replicates a new list of members. It sorts its argument by ID.
-func (core *core) setMembers(now time.Time, members []member) {
-	slices.SortFunc(members, func(left, right member) int {
-		if left.ID < right.ID {
-			return -1
-		}
-		return 1
-	})
-	core.appendAsLeader(entry{Kind: entryMembers, Data: encodeMembers(members)})
-	core.replicateAll(now)
-}
-
-// membersWithout returns a copy of the members that leaves out an ID. An empty ID leaves out none.
+// membersWithout returns a copy of the members that leaves out an ID.
 func (core *core) membersWithout(id string) []member {
 	var members []member
 	for _, member := range core.members() {
@@ -274,7 +262,7 @@
 	if !core.canChange() {
 		return changeUnderWay()
 	}
-	core.setMembers(now, append(core.membersWithout(""), member{ID: newcomer.id, Address: address}))
+	core.changeMember(now, changeAdd, reasonOperator, member{ID: newcomer.id, Address: address})
 	return nil
 }
 
@@ -291,7 +279,7 @@
 		if !core.hasQuorumWithout(now, member.ID) {
 			return fault.New(fault.Conflict, "without "+member.ID+" no quorum of the other replicas is up", "bring the others back first")
 		}
-		core.setMembers(now, core.membersWithout(member.ID))
+		core.changeMember(now, changeRemove, reasonOperator, member)
 		return nil
 	}
 	return nil
@@ -339,18 +327,18 @@
 		}
 		if old, found := core.unreachableAt(now, member.Address, member.ID); found {
 			if core.hasQuorumWithout(now, old.ID) {
-				core.setMembers(now, core.membersWithout(old.ID))
+				core.changeMember(now, changeRemove, reasonReplaced, old)
 			}
 			return
 		}
-		core.promote(now, member.ID)
+		core.changeMember(now, changePromote, reasonCaughtUp, member)
 		return
 	}
 	if core.addReplacement(now) || !core.selfManaged {
 		return
 	}
-	if old, found := core.removalCandidate(now); found {
-		core.setMembers(now, core.membersWithout(old.ID))
+	if old, reason := core.removalCandidate(now); reason != "" {
+		core.changeMember(now, changeRemove, reason, old)
 		return
 	}
 	core.addNewcomer(now)
@@ -364,7 +352,7 @@
 		if !known || now.Sub(newcomer.helloAt) >= helloTTL || core.isMember(newcomer.id) || core.isUp(now, old.ID) {
 			continue
 		}
-		core.setMembers(now, append(core.membersWithout(""), member{ID: newcomer.id, Address: old.Address}))
+		core.changeMember(now, changeAdd, reasonSameAddress, member{ID: newcomer.id, Address: old.Address})
 		return true
 	}
 	return false
@@ -380,11 +368,3 @@
 	}
 	return member{}, false
 }
-
-// promote makes a learner a voter.
-func (core *core) promote(now time.Time, id string) {
-	members := core.membersWithout(id)
-	promoted, _ := core.member(id)
-	promoted.Voter = true
-	core.setMembers(now, append(members, promoted))
-}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -62,6 +62,9 @@
 		// FileSystem is the operating system's.
 		Folder     string
 		FileSystem disk.FileSystem
+		// CountMemberChange, if not nil, is told the kind and the reason of each change of members that this
+		// replica makes as leader.
+		CountMemberChange func(kind, reason string)
 		// Now returns the time of the VM's clock. If it is nil, time.Now is used.
 		Now func() time.Time
 	}
--- a/internal/replica/self_managed.go
+++ b/internal/replica/self_managed.go
@@ -23,17 +23,17 @@
 	maximumMembers = 19
 )
 
-// removalCandidate returns the member to remove and whether it may be removed. The member is an
-// unreachable learner, or the voter that has been unreachable for longest if the group is better off
-// without it.
-func (core *core) removalCandidate(now time.Time) (member, bool) {
+// removalCandidate returns the member to remove and the reason, which is empty if there is none. The
+// member is an unreachable learner, or the voter that has been unreachable for longest if the group is
+// better off without it.
+func (core *core) removalCandidate(now time.Time) (member, changeReason) {
 	var longestUnreachable member
 	var longestSpan time.Duration
 	voters, unreachable := 0, 0
 	for _, candidate := range core.members() {
 		if !candidate.Voter {
 			if now.Sub(core.lastReachable(candidate.ID)) >= evenGroupRemovalDelay {
-				return candidate, true
+				return candidate, reasonUnreachableLearner
 			}
 			continue
 		}
@@ -48,10 +48,17 @@
 	}
 	even := voters%2 == 0 && longestSpan >= evenGroupRemovalDelay
 	several := unreachable > 1 && voters-unreachable >= minimumSelfManagedVoters && longestSpan >= oddGroupRemovalDelay
-	if longestUnreachable.ID == "" || voters-1 < minimumSelfManagedVoters || !even && !several {
-		return member{}, false
+	if longestUnreachable.ID == "" || voters-1 < minimumSelfManagedVoters || !core.hasQuorumWithout(now, longestUnreachable.ID) {
+		return member{}, ""
+	}
+	switch {
+	case even:
+		return longestUnreachable, reasonEvenGroup
+	case several:
+		return longestUnreachable, reasonSeveralUnreachable
+	default:
+		return member{}, ""
 	}
-	return longestUnreachable, core.hasQuorumWithout(now, longestUnreachable.ID)
 }
 
 // lastReachable returns when a member was last known to be up, but not before this replica began to
@@ -85,7 +92,7 @@
 		}
 	}
 	if found {
-		core.setMembers(now, append(core.membersWithout(""), member{ID: core.newcomers[chosen].id, Address: chosen}))
+		core.changeMember(now, changeAdd, reasonNewAddress, member{ID: core.newcomers[chosen].id, Address: chosen})
 	}
 }
 
