Let a learner that no leader lists join again

Cause: a replica says hello only while its log holds no group. A learner whose addition was lost with the leader that appended it, or that was removed while it was cut off, holds a group that doesn't list it. It isn't a voter in its own list, so that it requests no votes, and only a vote request got the answer to join again.

Change: a learner without a leader reports its generation to the members that it knows, and a leader answers a report of a replica that is no member like a vote request; a follower passes the report on, like a hello. A restarted replica whose group has gone on without it sends the same reports, and learns of it there too.

The simulation of the consensus core now also runs groups that manage themselves (TestSelfManagedCoreUnderFaults), with machines that lose power and disk while messages go on to the process before, and machines replaced at new addresses: 8 s after the last fault each live replica must be a voter, by few changes, and then the members must stay the same.

--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -31,7 +31,15 @@
 		lossRate float64
 		// noDelay delivers each message within a step.
 		noDelay bool
-		sizes   sizes
+		// deadConnections holds until when messages from one address to another are lost, because they go out on a connection to
+		// the process before; see losePower.
+		deadConnections map[[2]string]time.Time
+		sizes           sizes
+		// selfManaged groups take in replicas without an operator, and their replicas join a group once the first one exists.
+		selfManaged bool
+		joinOnly    bool
+		// memberChanges counts the changes of members that leaders made.
+		memberChanges int
 
 		leaders     map[uint64]string
 		committed   map[uint64]string
@@ -94,7 +102,7 @@
 
 func TestCoreUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		simulation := newSimulation(t)
+		simulation := newSimulation(t, false)
 		simulation.run(5 * time.Second)
 		actions := rapid.SliceOfN(rapid.Custom(drawAction), 30, 90).Draw(t, "actions")
 		for _, action := range actions {
@@ -104,22 +112,43 @@
 	})
 }
 
+// Guards against a self-managed group that keeps a live replica out, or that changes its members without end, after any series of
+// lost messages, disks and machines.
+func TestSelfManagedCoreUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		simulation := newSimulation(t, true)
+		simulation.run(5 * time.Second)
+		simulation.joinOnly = true
+		actions := rapid.SliceOfN(rapid.Custom(drawSelfManagedAction), 30, 90).Draw(t, "actions")
+		for _, action := range actions {
+			simulation.perform(action)
+		}
+		simulation.checkMembership()
+		simulation.checkRecovery()
+	})
+}
+
 type action struct {
 	kind, node, other, size int
 }
 
-func drawAction(t *rapid.T) action {
+func drawAction(t *rapid.T) action { return drawActionUpTo(t, 25) }
+
+func drawSelfManagedAction(t *rapid.T) action { return drawActionUpTo(t, 29) }
+
+func drawActionUpTo(t *rapid.T, highestKind int) action {
 	return action{
-		kind: rapid.IntRange(0, 25).Draw(t, "kind"), node: rapid.IntRange(0, maximumNodes-1).Draw(t, "node"),
+		kind: rapid.IntRange(0, highestKind).Draw(t, "kind"), node: rapid.IntRange(0, maximumNodes-1).Draw(t, "node"),
 		other: rapid.IntRange(0, maximumNodes-1).Draw(t, "other"), size: rapid.IntRange(1, 300).Draw(t, "size"),
 	}
 }
 
-func newSimulation(t *rapid.T) *simulation {
+func newSimulation(t *rapid.T, selfManaged bool) *simulation {
 	seed := rapid.Uint64().Draw(t, "seed")
 	simulation := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: simulationStart, cuts: map[[2]string]bool{},
 		leaders: map[uint64]string{}, committed: map[uint64]string{}, diskHistory: newDiskHistory(), sizes: drawSizes(t),
+		selfManaged: selfManaged, deadConnections: map[[2]string]time.Time{},
 	}
 	count := rapid.SampledFrom([]int{3, 3, 3, maximumNodes}).Draw(t, "replicas")
 	for number := range count {
@@ -166,6 +195,10 @@
 		simulation.restart(node)
 	case 14, 15, 16, 17:
 		simulation.performStateChange(node, other, &action)
+	case 26, 27:
+		simulation.losePower(node, time.Duration(action.size)*8*time.Millisecond)
+	case 28, 29:
+		simulation.replaceMachine(node, time.Duration(action.size)*8*time.Millisecond)
 	default:
 		simulation.runScenario(&action)
 	}
@@ -238,7 +271,8 @@
 	for _, envelope := range envelopes {
 		simulation.checkVote(&envelope)
 		for copies := 1 + simulation.random.IntN(20)/19; copies > 0; copies-- {
-			if simulation.cuts[[2]string{envelope.fromAddress, envelope.toAddress}] || simulation.random.Float64() < simulation.lossRate {
+			link := [2]string{envelope.fromAddress, envelope.toAddress}
+			if simulation.cuts[link] || simulation.now.Before(simulation.deadConnections[link]) || simulation.random.Float64() < simulation.lossRate {
 				continue
 			}
 			delay := time.Duration(simulation.random.IntN(20)) * time.Millisecond
@@ -270,6 +304,7 @@
 func (simulation *simulation) flush(node *node) {
 	for node.core != nil {
 		out := node.core.drainOutput()
+		simulation.memberChanges += len(out.memberChanges)
 		simulation.send(out.immediate)
 		if simulation.crashesAtStage(node) || simulation.crashesAtWrite(node, &out) {
 			return
@@ -369,7 +404,9 @@
 		simulation.restart(node)
 	}
 	simulation.run(30 * time.Second)
-	simulation.readdRemoved()
+	if !simulation.selfManaged {
+		simulation.readdRemoved()
+	}
 	acceptedBefore, confirmedReads := len(simulation.acceptedCommands), simulation.confirmedReads
 	for _, node := range simulation.nodes {
 		simulation.propose(node)
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -46,11 +46,13 @@
 	core.progress, core.leadingSince, core.transferring = nil, time.Time{}, false
 }
 
-// startPreVote asks the voters whether they would vote for this replica. It raises its term only
+// startPreVote asks the voters whether they would vote for this replica. A learner only reports to them. It raises its term only
 // once a quorum would, so that a replica that was partitioned doesn't disrupt the group.
 func (core *core) startPreVote(now time.Time) {
 	core.electionDeadline = now.Add(electionRetryDelay + core.electionJitter())
 	if !core.isVoter(core.id) {
+		// A learner that no leader lists any more learns of it by this report; see requestRejoin.
+		core.sendGeneration()
 		return
 	}
 	core.role, core.leaderID, core.leaderPeerAddress = rolePreCandidate, "", ""
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -87,12 +87,8 @@
 		slices.Sort(received.Peers)
 		core.newcomers[envelope.fromAddress] = newcomer{id: envelope.from, peers: received.Peers, helloAt: now}
 	}
-	if core.followsLeader() && envelope.fromAddress != core.leaderPeerAddress {
-		// The leader may be missing from the newcomer's list.
-		forwarded := *envelope
-		forwarded.toAddress = core.leaderPeerAddress
-		core.out.immediate = append(core.out.immediate, forwarded)
-	}
+	// The leader may be missing from the newcomer's list.
+	core.passToLeader(envelope)
 	if !core.hasGroup() || core.log.offset != 0 {
 		return
 	}
@@ -106,6 +102,15 @@
 	}
 }
 
+// passToLeader forwards a message of a replica that isn't a member to the leader if this replica follows one.
+func (core *core) passToLeader(received *envelope) {
+	if core.followsLeader() && received.fromAddress != core.leaderPeerAddress {
+		forwarded := *received
+		forwarded.to, forwarded.toAddress = core.leaderID, core.leaderPeerAddress
+		core.out.immediate = append(core.out.immediate, forwarded)
+	}
+}
+
 func (core *core) receiveBootstrapEntry(now time.Time, received *bootstrapEntry) {
 	if !core.hasGroup() {
 		core.adoptBootstrapEntry(now, received.Entry)
@@ -166,6 +171,10 @@
 		core.recordHardState()
 	}
 	core.sendAfterSync(envelope.from, envelope.fromAddress, reply)
+	if core.hasGroup() && !core.isMember(envelope.from) {
+		core.passToLeader(envelope)
+		core.requestRejoin(envelope.from, envelope.fromAddress)
+	}
 	if core.hasGroup() && !core.diskVerified && core.isMember(envelope.from) && !core.verifiedBy[envelope.from] {
 		// An earlier report was lost if the sender wasn't up yet.
 		core.sendAfterSync(envelope.from, envelope.fromAddress, generationReport{Generation: core.Generation, Level: core.level})
--- a/internal/replica/self_managed.go
+++ b/internal/replica/self_managed.go
@@ -99,8 +99,9 @@
 	}
 }
 
-// requestRejoin tells a replica that requests votes after its removal from the group to join again.
-// Only a leader whose list of members is committed knows about the removal for certain.
+// requestRejoin tells a replica that requests votes or reports its generation, though it isn't a member, to join again: a voter
+// that was removed, or a learner that was removed or whose addition was lost with an earlier leader. Only a leader whose list of
+// members is committed knows for certain.
 // requestRejoin reports whether it sent the request.
 func (core *core) requestRejoin(id, address string) bool {
 	if !core.selfManaged || core.role != roleLeader || core.isMember(id) || !core.canChange() {
--- a/internal/replica/simulation_actions_test.go
+++ b/internal/replica/simulation_actions_test.go
@@ -8,6 +8,16 @@
 	"time"
 )
 
+const (
+	// deadConnectionSpan is the longest time for which a connection to a process that is gone isn't known to be dead.
+	deadConnectionSpan = 2 * time.Second
+	// membershipLimit is the time after the last fault within which each live replica must be a voter: an election, and
+	// the time that the platform gives a replacement to catch up.
+	membershipLimit = electionLimit + 4*time.Second
+	// calmSpan is the time after that in which the members must stay the same.
+	calmSpan = 10 * time.Second
+)
+
 // propose proposes a new command at a node if it accepts commands.
 func (simulation *simulation) propose(node *node) {
 	if node.core == nil || !node.core.canPropose() {
@@ -97,7 +107,7 @@
 func (simulation *simulation) newCore(node *node) *core {
 	return &core{
 		id: fmt.Sprint(node.address, "#", simulation.nextNumber), address: node.address, peers: slices.Clone(simulation.peers), sizes: simulation.sizes, level: BuildLevel,
-		random: rand.New(rand.NewPCG(simulation.random.Uint64(), 1)),
+		random: rand.New(rand.NewPCG(simulation.random.Uint64(), 1)), selfManaged: simulation.selfManaged, joinOnly: simulation.joinOnly,
 	}
 }
 
@@ -119,10 +129,8 @@
 	simulation.flush(node)
 }
 
-// loseDisk empties the disk of a node, or resets it to an earlier state, unless the remaining disks
-// would be no quorum of some list of members.
-func (simulation *simulation) loseDisk(victim *node, restoreEarlier bool) {
-	lost := victim.disk.id
+// toleratesLoss reports whether the disks other than the lost one are a quorum of each list of members.
+func (simulation *simulation) toleratesLoss(lost string) bool {
 	for _, holder := range simulation.nodes {
 		for _, members := range holder.memberLists() {
 			voters, alive := 0, 0
@@ -136,10 +144,55 @@
 				}
 			}
 			if alive <= voters/2 {
-				return
+				return false
 			}
 		}
 	}
+	return true
+}
+
+// losePower crashes a node, which loses its disk and is back after a time. Some of the others go on for up to deadConnectionSpan to
+// send on connections to the process before.
+func (simulation *simulation) losePower(victim *node, dark time.Duration) {
+	if !simulation.toleratesLoss(victim.disk.id) {
+		return
+	}
+	simulation.crash(victim)
+	simulation.run(dark)
+	simulation.startEmpty(victim)
+	for _, other := range simulation.others(victim, 0) {
+		if simulation.random.IntN(3) > 0 {
+			span := time.Duration(simulation.random.Int64N(int64(deadConnectionSpan)))
+			simulation.deadConnections[[2]string{other.address, victim.address}] = simulation.now.Add(span)
+		}
+	}
+}
+
+// replaceMachine removes a node for good and, after a time, starts another one with an empty disk at a new address.
+func (simulation *simulation) replaceMachine(victim *node, gap time.Duration) {
+	if !simulation.toleratesLoss(victim.disk.id) {
+		return
+	}
+	simulation.crash(victim)
+	simulation.nodes = slices.DeleteFunc(simulation.nodes, func(node *node) bool { return node == victim })
+	simulation.run(gap)
+	simulation.nextNumber++
+	added := &node{address: fmt.Sprint("b", simulation.nextNumber), clockRate: 0.99 + 0.02*simulation.random.Float64()}
+	simulation.nodes = append(simulation.nodes, added)
+	simulation.peers = nil
+	for _, node := range simulation.nodes {
+		simulation.peers = append(simulation.peers, node.address)
+	}
+	simulation.startEmpty(added)
+}
+
+// loseDisk empties the disk of a node, or resets it to an earlier state, unless the remaining disks
+// would be no quorum of some list of members.
+func (simulation *simulation) loseDisk(victim *node, restoreEarlier bool) {
+	lost := victim.disk.id
+	if !simulation.toleratesLoss(lost) {
+		return
+	}
 	if !restoreEarlier {
 		simulation.startEmpty(victim)
 		return
@@ -174,3 +227,41 @@
 	}
 	return memberLists
 }
+
+// checkMembership ends all faults. Within membershipLimit the live replicas must be the only members, all of them voters, with a
+// few changes for each, and the members must stay the same from then on.
+func (simulation *simulation) checkMembership() {
+	clear(simulation.cuts)
+	clear(simulation.deadConnections)
+	simulation.lossRate = 0
+	for _, node := range simulation.nodes {
+		node.stagesToCrash = 0
+		simulation.restart(node)
+	}
+	changesBefore := simulation.memberChanges
+	if !simulation.runUntil(membershipLimit, simulation.allAreVoters) {
+		for _, node := range simulation.nodes {
+			simulation.t.Logf("%s: term %d role %d disk verified %t commit %d log %d members %v", node.core.id, node.core.Term, node.core.role, node.core.diskVerified, node.core.commit, node.core.log.lastIndex(), node.core.members())
+		}
+		simulation.t.Fatalf("not all live replicas were voters %v after the last fault, expected them to be", membershipLimit)
+	}
+	// For each replica an addition, a promotion, and the removals of two replicas before it.
+	if changes := simulation.memberChanges - changesBefore; changes > 4*len(simulation.nodes) {
+		simulation.t.Fatalf("%d changes of members after the last fault, expected at most four for each of %d replicas", changes, len(simulation.nodes))
+	}
+	simulation.run(time.Second)
+	settled := simulation.memberChanges
+	simulation.run(calmSpan)
+	if changes := simulation.memberChanges - settled; changes > len(simulation.nodes) {
+		simulation.t.Fatalf("%d changes of members without any fault, expected none but removals of replicas that are gone", changes)
+	}
+}
+
+// allAreVoters reports whether a leader counts each live replica as a voter, under its present ID.
+func (simulation *simulation) allAreVoters() bool {
+	leader := simulation.leader()
+	if leader == nil || leader.core.commit < leader.core.termStart || leader.core.lastMembershipIndex() > leader.core.commit {
+		return false
+	}
+	return !slices.ContainsFunc(simulation.nodes, func(node *node) bool { return node.core == nil || !leader.core.isVoter(node.core.id) })
+}
