Don't let the quorum of control depend on a newcomer

What callers saw: nothing yet; a control group of three with one replica gone could lose its quorum for good when the newcomer that replaces it failed right after its promotion.

Cause: a leader promoted a learner as soon as it had caught up. With an unreachable voter among three that makes four voters of which three must be up, the newcomer one of them; a newcomer that fails in that moment, also one that the leader still takes for up, leaves two of four and no way to change the members.

Change: where the voters that are up would be no quorum without the learner, the voter that has been unreachable for longest goes first, once it has been so for 3 s, and the learner waits until then. A group that an operator manages is as before: there the operator removes members. The report on it is 'remove before_promotion'.

Why this works: with one voter fewer first, each later step needs only replicas that were up before the newcomer came; the tolerance for a further loss in between is the same in both orders.

The simulation now leaves a second between two losses: a leader can't know of a silent voter before 0.6 s.

--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -38,6 +38,8 @@
 		// selfManaged groups take in replicas without an operator, and their replicas join a group once the first one exists.
 		selfManaged bool
 		joinOnly    bool
+		// nextLoss is the earliest time of the next loss of a disk or a machine.
+		nextLoss time.Time
 		// memberChanges counts the changes of members that leaders made.
 		memberChanges int
 
--- a/internal/replica/member_change.go
+++ b/internal/replica/member_change.go
@@ -28,6 +28,8 @@
 	// reasonEvenGroup and reasonSeveralUnreachable are removals of an unreachable voter; see removalCandidate.
 	reasonEvenGroup          changeReason = "even_group"
 	reasonSeveralUnreachable changeReason = "several_unreachable"
+	// reasonBeforePromotion is the removal of an unreachable voter that makes room for a learner; see promote.
+	reasonBeforePromotion changeReason = "before_promotion"
 )
 
 type (
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -340,8 +340,9 @@
 			}
 			return
 		}
-		core.changeMember(now, changePromote, reasonCaughtUp, member)
-		return
+		if core.promote(now, member) {
+			return
+		}
 	}
 	if core.addReplacement(now) || !core.selfManaged {
 		return
--- a/internal/replica/self_managed.go
+++ b/internal/replica/self_managed.go
@@ -27,40 +27,70 @@
 // member is an unreachable learner, or the voter that has been unreachable for longest if the group is
 // better off without it.
 func (core *core) removalCandidate(now time.Time) (member, changeReason) {
-	var longestUnreachable member
-	var longestSpan time.Duration
-	voters, unreachable := 0, 0
 	for _, candidate := range core.members() {
-		if !candidate.Voter {
-			if now.Sub(core.lastReachable(candidate.ID)) >= evenGroupRemovalDelay {
-				return candidate, reasonUnreachableLearner
-			}
-			continue
-		}
-		voters++
-		if core.isUp(now, candidate.ID) {
-			continue
-		}
-		unreachable++
-		if span := now.Sub(core.lastReachable(candidate.ID)); span > longestSpan {
-			longestUnreachable, longestSpan = candidate, span
+		if !candidate.Voter && now.Sub(core.lastReachable(candidate.ID)) >= evenGroupRemovalDelay {
+			return candidate, reasonUnreachableLearner
 		}
 	}
-	even := voters%2 == 0 && longestSpan >= evenGroupRemovalDelay
-	several := unreachable > 1 && voters-unreachable >= minimumSelfManagedVoters && longestSpan >= oddGroupRemovalDelay
-	if longestUnreachable.ID == "" || voters-1 < minimumSelfManagedVoters || !core.hasQuorumWithout(now, longestUnreachable.ID) {
+	oldest, span := core.longestUnreachableVoter(now)
+	voters, up := core.countVoters(now)
+	if oldest.ID == "" || voters-1 < minimumSelfManagedVoters || !core.hasQuorumWithout(now, oldest.ID) {
 		return member{}, ""
 	}
 	switch {
-	case even:
-		return longestUnreachable, reasonEvenGroup
-	case several:
-		return longestUnreachable, reasonSeveralUnreachable
+	case voters%2 == 0 && span >= evenGroupRemovalDelay:
+		return oldest, reasonEvenGroup
+	case voters-up > 1 && up >= minimumSelfManagedVoters && span >= oddGroupRemovalDelay:
+		return oldest, reasonSeveralUnreachable
 	default:
 		return member{}, ""
 	}
 }
 
+// longestUnreachableVoter returns the voter that has been unreachable for longest, and for how long. The
+// member is zero if all voters are up.
+func (core *core) longestUnreachableVoter(now time.Time) (member, time.Duration) {
+	var longest member
+	var longestSpan time.Duration
+	for _, candidate := range core.members() {
+		if !candidate.Voter || core.isUp(now, candidate.ID) {
+			continue
+		}
+		if span := now.Sub(core.lastReachable(candidate.ID)); span > longestSpan {
+			longest, longestSpan = candidate, span
+		}
+	}
+	return longest, longestSpan
+}
+
+// countVoters returns the number of voters, and how many of them are up.
+func (core *core) countVoters(now time.Time) (voters, up int) {
+	for _, id := range core.voters() {
+		voters++
+		if core.isUp(now, id) {
+			up++
+		}
+	}
+	return voters, up
+}
+
+// promote makes a learner that has caught up a voter. If the voters that are up would then be no quorum without it, the voter
+// that has been unreachable for longest is removed first, or awaited until evenGroupRemovalDelay: a newcomer that fails at
+// once would else take the quorum with it for good. promote reports whether it changed the members.
+func (core *core) promote(now time.Time, learner member) bool {
+	voters, up := core.countVoters(now)
+	if !core.selfManaged || up == voters || up > (voters+1)/2 {
+		core.changeMember(now, changePromote, reasonCaughtUp, learner)
+		return true
+	}
+	oldest, span := core.longestUnreachableVoter(now)
+	if span < evenGroupRemovalDelay || !core.hasQuorumWithout(now, oldest.ID) {
+		return false
+	}
+	core.changeMember(now, changeRemove, reasonBeforePromotion, oldest)
+	return true
+}
+
 // lastReachable returns when a member was last known to be up. A member that has not answered yet counts as up at the start of
 // its membership or of this leader's reign.
 func (core *core) lastReachable(id string) time.Time {
