Take in newcomers beside one that can't catch up

What callers saw: nothing yet; a control VM with a slow disk that is added could keep all later replacements out, until the next losses cost control its quorum.

Cause: a self-managed group added no newcomer while any member was a learner. A learner that answers, but too late to count as up, is neither promoted nor removed. With several learners at a time the order matters too: a leader promoted all that had caught up before it removed the silent voters that they replace, which leaves a larger group that tolerates fewer failures for 15 s.

Change: newcomers are added beside learners; removals that are due go before promotions. Learners don't count toward a quorum, so that their number is no risk; members are still changed one at a time.

Before: 'takes in a newcomer beside another one that can't catch up' fails, the sound newcomer is no voter after 4 s; with newcomers added beside learners, but promotions first, TestSilentVotersGoBeforeFurtherPromotions ends with 11 voters, two of them gone.

--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -322,36 +322,45 @@
 // reconcileMembers makes the next change of members that is due. A learner that has caught up
 // becomes a voter. A replica that sends hello from the address of an unreachable member replaces it,
 // because that member's disk is lost; the old member is removed when the new one has caught up. A
-// self-managed group also removes unreachable members and adds newcomers.
+// self-managed group also removes unreachable members, before it promotes further learners, and adds
+// newcomers.
 func (core *core) reconcileMembers(now time.Time) {
 	if !core.canChange() {
 		return
 	}
-	for _, member := range core.members() {
-		if member.Voter {
-			continue
+	if core.selfManaged {
+		if old, reason := core.removalCandidate(now); reason != "" {
+			core.changeMember(now, changeRemove, reason, old)
+			return
 		}
-		if progress := core.progress[member.ID]; progress == nil || progress.match < core.commit || !core.isUp(now, member.ID) {
+	}
+	if core.promoteLearner(now) || core.addReplacement(now) {
+		return
+	}
+	if core.selfManaged {
+		core.addNewcomer(now)
+	}
+}
+
+// promoteLearner promotes the first learner that has caught up, or removes the unreachable member that stands in its way. It
+// reports whether it changed the members or waits to.
+func (core *core) promoteLearner(now time.Time) bool {
+	for _, learner := range core.members() {
+		progress := core.progress[learner.ID]
+		if learner.Voter || progress == nil || progress.match < core.commit || !core.isUp(now, learner.ID) {
 			continue
 		}
-		if old, found := core.unreachableAt(now, member.Address, member.ID); found {
+		if old, found := core.unreachableAt(now, learner.Address, learner.ID); found {
 			if core.hasQuorumWithout(now, old.ID) {
 				core.changeMember(now, changeRemove, reasonReplaced, old)
 			}
-			return
+			return true
 		}
-		if core.promote(now, member) {
-			return
+		if core.promote(now, learner) {
+			return true
 		}
 	}
-	if core.addReplacement(now) || !core.selfManaged {
-		return
-	}
-	if old, reason := core.removalCandidate(now); reason != "" {
-		core.changeMember(now, changeRemove, reason, old)
-		return
-	}
-	core.addNewcomer(now)
+	return false
 }
 
 // addReplacement adds the first newcomer at the address of an unreachable member. It reports whether
--- a/internal/replica/promotion_test.go
+++ b/internal/replica/promotion_test.go
@@ -33,18 +33,49 @@
 	}
 }
 
+// newSelfManagedLeader returns the first of several voters, which leads and which all others have answered.
+func newSelfManagedLeader(now time.Time, ids ...string) *core {
+	leader := &core{id: ids[0], address: ids[0], random: rand.New(rand.NewPCG(1, 1)), sizes: defaultSizes(), diskVerified: true, selfManaged: true}
+	var members []member
+	for _, id := range ids {
+		members = append(members, member{ID: id, Address: id, Voter: true})
+	}
+	leader.start(now)
+	leader.adoptBootstrapEntry(now, entry{Index: 1, Term: 1, Kind: entryMembers, Data: encodeMembers(members)})
+	leader.Term = 2
+	leader.startLeading(now)
+	answerAppends(now, leader, ids...)
+	return leader
+}
+
+// Guards against a group that grows by several newcomers before it removes the voters that they replace: it then tolerates fewer
+// failures than before, until the delay for groups of an odd size.
+func TestSilentVotersGoBeforeFurtherPromotions(t *testing.T) {
+	now := time.Unix(1000, 0)
+	leader := newSelfManagedLeader(now, "a", "b", "c", "d", "e", "f", "g", "h", "i")
+	up := []string{"b", "c", "d", "e", "f", "g", "x", "y"}
+	run := func(span time.Duration) {
+		for end := now.Add(span); now.Before(end); {
+			now = now.Add(heartbeatInterval)
+			leader.step(now, ticked{})
+			answerAppends(now, leader, up...)
+		}
+	}
+	run(evenGroupRemovalDelay)
+	for _, id := range []string{"x", "y"} {
+		leader.newcomers[id] = newcomer{id: id, helloAt: now}
+	}
+	run(time.Second)
+	if voters, want := leader.voters(), []string{"a", "b", "c", "d", "e", "f", "g", "x", "y"}; !slices.Equal(voters, want) {
+		t.Errorf("voters %v a second after the newcomers' hello, want %v", voters, want)
+	}
+}
+
 // Guards against a group that a newcomer takes the quorum from: with one of three voters gone, a fourth voter that fails right after
 // its promotion would leave two of four.
 func TestPromotionKeepsQuorumWithoutLearner(t *testing.T) {
 	now := time.Unix(1000, 0)
-	leader := &core{id: "a", address: "a", random: rand.New(rand.NewPCG(1, 1)), sizes: defaultSizes(), diskVerified: true, selfManaged: true}
-	leader.start(now)
-	leader.adoptBootstrapEntry(now, entry{Index: 1, Term: 1, Kind: entryMembers, Data: encodeMembers([]member{
-		{ID: "a", Address: "a", Voter: true}, {ID: "b", Address: "b", Voter: true}, {ID: "c", Address: "c", Voter: true},
-	})})
-	leader.Term = 2
-	leader.startLeading(now)
-	answerAppends(now, leader, "b", "c")
+	leader := newSelfManagedLeader(now, "a", "b", "c")
 	var lists [][]string
 	for elapsed := time.Duration(0); elapsed < 6*time.Second; elapsed += heartbeatInterval {
 		now = now.Add(heartbeatInterval)
--- a/internal/replica/self_managed.go
+++ b/internal/replica/self_managed.go
@@ -104,14 +104,11 @@
 	return progress.since
 }
 
-// addNewcomer adds the first newcomer at an address that no member has. It adds one at a time, so
-// that each becomes a voter before the next is added.
+// addNewcomer adds the first newcomer at an address that no member has. It doesn't wait until earlier newcomers are voters: one
+// that can't catch up would keep out all others.
 func (core *core) addNewcomer(now time.Time) {
 	addresses := map[string]bool{}
 	for _, member := range core.members() {
-		if !member.Voter {
-			return
-		}
 		addresses[member.Address] = true
 	}
 	if len(addresses) >= maximumMembers {
--- a/internal/replica/self_managed_test.go
+++ b/internal/replica/self_managed_test.go
@@ -1,6 +1,7 @@
 package replica_test
 
 import (
+	"context"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -13,6 +14,10 @@
 	// replacementTimeout is the time within which a replacement must become a voter: the shortest
 	// that the platform sets, 4 s.
 	replacementTimeout = 4 * time.Second
+	// slowSync is the time of a sync that keeps a replica from answering a leader under load before the leader takes it for
+	// unreachable.
+	slowSync               = minimumElectionTimeout + 200*time.Millisecond
+	minimumElectionTimeout = 600 * time.Millisecond
 )
 
 // withSelfManagedGroup runs a spec on five replicas whose peer lists hold the addresses of the first
@@ -96,6 +101,28 @@
 		ginkgo.Entry("dark for 2.4 s", 2400*time.Millisecond),
 	)
 
+	// Guards against a newcomer that never catches up, here by a slow disk, and keeps out all that come after it.
+	ginkgo.It("takes in a newcomer beside another one that can't catch up", func() {
+		withSelfManagedGroup(func(expect gomega.Gomega, group *group) {
+			slow, sound := ipOf(5)+":90", ipOf(6)+":90"
+			group.disks[slow] = &standin.Disk{}
+			group.disks[slow].SetSyncTime(slowSync)
+			group.joinOnly[5], group.joinOnly[6] = true, true
+			group.takeMemberChanges()
+			group.start(5)
+			group.start(6)
+			leader := group.replicas[group.propose("two")]
+			for startedAt := time.Now(); time.Since(startedAt) < replacementTimeout; time.Sleep(20 * time.Millisecond) {
+				_, err := leader.Propose(context.Background(), []byte("load"))
+				expect.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			voters := group.voters()
+			expect.Expect(voters).To(gomega.ContainElement(sound))
+			expect.Expect(voters).NotTo(gomega.ContainElement(slow))
+			expect.Expect(group.takeMemberChanges()).To(gomega.ConsistOf("add new_address", "add new_address", "promote caught_up"))
+		})
+	})
+
 	ginkgo.It("adds a newcomer that knows only replicas that don't lead", func() {
 		withSelfManagedGroup(func(expect gomega.Gomega, group *group) {
 			for _, address := range group.peers {
