Ask for keys where the list of tenants is empty

Cause: an empty list of tenants counted as none, which asks for no key: in the translation of the operator's document, in the encodings of the tables (omitempty), in their updates, and in the index of tenants.

Change: the tables have require_keys. Builds that don't know it would drop it and open, so that it needs feature level 2, and such a change goes to the leader by a method of its own.

Why this works: a field that is set survives each encoding and copy; the encoding of tables without tenants, and so the digest of resent changes, stays as it was (golden tests unchanged). Public routes stay open and pass no key on.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -245,10 +245,7 @@
 
 // Change changes the tables. Sending it again with the same change ID is safe.
 func (client *Client) Change(ctx context.Context, change *operator.Change) (*operator.ChangeReply, error) {
-	method := MethodChange
-	if requiredLevel(changeTables{Change: *change}) > 0 {
-		method = MethodLeveledChange
-	}
+	method := changeMethod(requiredLevel(changeTables{Change: *change}))
 	return call[operator.Change, operator.ChangeReply](ctx, client, method, change, attemptTimeout)
 }
 
--- a/internal/control/feature_level.go
+++ b/internal/control/feature_level.go
@@ -30,10 +30,27 @@
 
 // tablesLevel returns the feature level that replicas and entries need to keep to the tables.
 func tablesLevel(tables *operator.Tables) int {
-	if len(tables.Tenants) > 0 {
+	switch {
+	case tables.RequireKeys:
+		return replica.LevelRequireKeys
+	case len(tables.Tenants) > 0:
 		return replica.LevelRollouts
+	default:
+		return 0
+	}
+}
+
+// changeMethod returns the method by which a change that needs a feature level is sent. Builds of lower levels lack it; they would
+// drop what they don't know and acknowledge the change.
+func changeMethod(level int) string {
+	switch level {
+	case 0:
+		return MethodChange
+	case replica.LevelRollouts:
+		return MethodLeveledChange
+	default:
+		return MethodRequireKeysChange
 	}
-	return 0
 }
 
 // checkEntryLevels returns the reason to refuse a command while entries that don't know its effect
--- a/internal/control/feature_level_test.go
+++ b/internal/control/feature_level_test.go
@@ -82,6 +82,66 @@
 	})
 }
 
+// Guards against an update, a stored command or a snapshot that loses the need for keys, and against builds of the level of rollouts, which
+// would drop it and let every caller in.
+func TestRequiredKeysAreKept(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		group := newGroup(1)
+		group.faultsEnded, group.featureLevel = true, replica.LevelRollouts
+		group.elect(0)
+		leader := group.replicas[0].service
+		change := &operator.Change{ID: "a", Tables: operator.Tables{RequireKeys: true}}
+		var refusal *fault.Error
+		_, err := leader.change(t.Context(), change)
+		expect.Expect(errors.As(err, &refusal)).To(gomega.BeTrue(), "%v", err)
+		expect.Expect(refusal.Kind).To(gomega.Equal(fault.Unavailable))
+		group.featureLevel = replica.LevelRequireKeys
+		renewal := Renewal{Member: membership.Member{ID: "entry", Incarnation: 1}, Level: replica.LevelRollouts}
+		_, err = leader.renew(t.Context(), &renewal)
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = leader.change(t.Context(), change)
+		expect.Expect(errors.As(err, &refusal)).To(gomega.BeTrue(), "%v", err)
+		time.Sleep(2 * LeaseDuration)
+		_, err = leader.change(t.Context(), change)
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = leader.renew(t.Context(), &renewal)
+		expect.Expect(errors.As(err, &refusal)).To(gomega.BeTrue(), "an entry that doesn't know the field got a lease: %v", err)
+
+		snapshot, err := leader.state.Snapshot()
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		restored := &State{}
+		expect.Expect(restored.Restore(snapshot)).To(gomega.Succeed())
+		newest := restored.Newest()
+		expect.Expect(newest.Tables.NeedKeys()).To(gomega.BeTrue())
+	})
+}
+
+// Guards against a change that an older leader acknowledges without the part of it that its build doesn't know.
+func TestRequiredKeysNeverReachOlderLeaders(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		network, server, changes := &standin.Network{}, &frame.Server{}, 0
+		for _, method := range []string{MethodChange, MethodLeveledChange} {
+			frame.Handle(server, method, func(context.Context, *operator.Change) (*reply[operator.ChangeReply], error) {
+				changes++
+				return &reply[operator.ChangeReply]{Body: &operator.ChangeReply{}}, nil
+			})
+		}
+		listener, err := network.Listen("10.0.0.1:90")
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		go func() { _ = server.Serve(listener) }()
+		defer server.Stop()
+		client := NewClient([]string{"10.0.0.1:90"}, network.Dialer("10.1.0.1"))
+		defer client.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = client.Change(ctx, &operator.Change{ID: "a", Tables: operator.Tables{RequireKeys: true}})
+		expect.Expect(err).To(gomega.HaveOccurred())
+		expect.Expect(changes).To(gomega.BeZero())
+	})
+}
+
 // TestOlderReplicasDontEndACall checks that a call of a method that older builds lack reaches a newer
 // leader past an older replica, fails with a retryable error if an older replica leads, and that
 // tables with tenants never reach an older replica, which would drop the tenants.
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -14,9 +14,11 @@
 	MethodRenew = "control.renew"
 	// MethodChange changes the tables.
 	MethodChange = "control.change"
-	// MethodLeveledChange changes the tables like MethodChange. Changes that need a feature level are
+	// MethodLeveledChange changes the tables like MethodChange. Changes that need replica.LevelRollouts are
 	// sent by it, because builds without feature levels would drop a part of them and lack the method.
 	MethodLeveledChange = "control.leveled_change"
+	// MethodRequireKeysChange changes the tables like MethodChange, for changes that need replica.LevelRequireKeys.
+	MethodRequireKeysChange = "control.require_keys_change"
 	// MethodTables reads one version of the tables.
 	MethodTables = "control.tables"
 	// MethodTablesUpdate reads an update of the tables in parts, from any replica.
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -116,6 +116,7 @@
 	handle(server, service.log, MethodRenew, service.renew)
 	handle(server, service.log, MethodChange, service.change)
 	handle(server, service.log, MethodLeveledChange, service.change)
+	handle(server, service.log, MethodRequireKeysChange, service.change)
 	handle(server, service.log, MethodTables, service.tables)
 	frame.HandleStream(server, MethodTablesUpdate, service.sendUpdate)
 	handle(server, service.log, MethodStatus, service.status)
--- a/internal/control/tables_update_test.go
+++ b/internal/control/tables_update_test.go
@@ -33,6 +33,7 @@
 	for _, number := range rapid.SliceOfN(rapid.IntRange(0, 4), 0, 5).Draw(t, label+" tenants") {
 		tables.Tenants = append(tables.Tenants, operator.Tenant{Name: fmt.Sprint(number), KeyDigests: []string{"digest"}, Priority: &number})
 	}
+	tables.RequireKeys = rapid.Bool().Draw(t, label+" require keys")
 	tables.FailureDomainsOut = rapid.SampledFrom([][]string{nil, {"nord"}}).Draw(t, label+" domains")
 	return tables
 }
--- a/internal/httpcaller/authenticate.go
+++ b/internal/httpcaller/authenticate.go
@@ -19,7 +19,7 @@
 // authenticate identifies the tenant. If it returns false, the request was refused and the response
 // has been written.
 func (call *call) authenticate(writer http.ResponseWriter, request *http.Request) bool {
-	if !call.routeIndex.tenants.Any() {
+	if !call.routeIndex.tenants.NeedKeys() {
 		return true
 	}
 	if key := bearerKey(request.Header.Values(call.server.options.Headers.Credential)); key != "" {
@@ -64,9 +64,9 @@
 }
 
 // replaceCredential removes the key from the headers for targets, and sets the tenant's name in place of
-// what the caller sent. Without tenants in the tables, both headers pass.
+// what the caller sent. Where the tables need no keys, both headers pass.
 func (call *call) replaceCredential(header http.Header) {
-	if !call.routeIndex.tenants.Any() {
+	if !call.routeIndex.tenants.NeedKeys() {
 		return
 	}
 	header.Del(call.server.options.Headers.Credential)
--- a/internal/policy/tenants.go
+++ b/internal/policy/tenants.go
@@ -11,13 +11,13 @@
 	Tenants struct {
 		byDigest map[string]*operator.Tenant
 		byName   map[string]*operator.Tenant
-		any      bool
+		needKeys bool
 	}
 )
 
 // NewTenants indexes the tenants of tables, which must not be changed afterwards.
 func NewTenants(tables *operator.Tables) *Tenants {
-	tenants := &Tenants{byDigest: map[string]*operator.Tenant{}, byName: map[string]*operator.Tenant{}, any: len(tables.Tenants) > 0}
+	tenants := &Tenants{byDigest: map[string]*operator.Tenant{}, byName: map[string]*operator.Tenant{}, needKeys: tables.NeedKeys()}
 	for index := range tables.Tenants {
 		tenants.byName[tables.Tenants[index].Name] = &tables.Tenants[index]
 		for _, digest := range tables.Tenants[index].KeyDigests {
@@ -29,7 +29,12 @@
 
 // Any reports whether the tables hold tenants.
 func (tenants *Tenants) Any() bool {
-	return tenants.any
+	return len(tenants.byName) > 0
+}
+
+// NeedKeys reports whether requests need the key of a tenant, unless their route is public. It may without any tenant.
+func (tenants *Tenants) NeedKeys() bool {
+	return tenants.needKeys
 }
 
 // ByName returns the tenant with a name, or nil.
--- a/internal/policy/tenants_test.go
+++ b/internal/policy/tenants_test.go
@@ -21,6 +21,22 @@
 	}
 }
 
+// Guards against tables without tenants that let every caller in although they ask for keys, and the reverse.
+func TestNeedForKeys(t *testing.T) {
+	for _, row := range []struct {
+		tables operator.Tables
+		needed bool
+	}{
+		{operator.Tables{}, false},
+		{operator.Tables{RequireKeys: true}, true},
+		{operator.Tables{Tenants: []operator.Tenant{{Name: "alpha"}}}, true},
+	} {
+		if tenants := policy.NewTenants(&row.tables); tenants.NeedKeys() != row.needed {
+			t.Errorf("%+v: keys needed: %t, want %t", row.tables, !row.needed, row.needed)
+		}
+	}
+}
+
 // Guards against a route's priority that outweighs a tenant's, and against tenants that change what requests
 // without a tenant's priority get.
 func TestTenantPriorityComesBeforeTheRoutes(t *testing.T) {
--- a/internal/replica/feature_level.go
+++ b/internal/replica/feature_level.go
@@ -9,9 +9,11 @@
 const (
 	// LevelRollouts is the level from which on a build knows rollouts and tables with tenants.
 	LevelRollouts = 1
+	// LevelRequireKeys is the level from which on a build knows tables that need keys without any tenant.
+	LevelRequireKeys = 2
 
 	// BuildLevel is the feature level of this build, of its replicas and its entries. Builds before feature levels have level 0.
-	BuildLevel = LevelRollouts
+	BuildLevel = LevelRequireKeys
 )
 
 // featureLevel returns the lowest feature level of all members, voters or not, as far as this leader
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -221,7 +221,7 @@
 			group.crash(first)
 			second := group.propose("two")
 			time.Sleep(time.Second)
-			expect.Expect(group.replicas[second].FeatureLevel()).To(gomega.Equal(replica.LevelRollouts))
+			expect.Expect(group.replicas[second].FeatureLevel()).To(gomega.Equal(replica.BuildLevel))
 		})
 	})
 
--- a/internal/verb/diff.go
+++ b/internal/verb/diff.go
@@ -70,6 +70,9 @@
 	if !slices.Equal(from.FailureDomainsOut, to.FailureDomainsOut) {
 		differences = append(differences, difference{Row: "failure_domains_out", From: encodeJSON(from.FailureDomainsOut), To: encodeJSON(to.FailureDomainsOut)})
 	}
+	if from.RequireKeys != to.RequireKeys {
+		differences = append(differences, difference{Row: "require_keys", From: encodeJSON(from.RequireKeys), To: encodeJSON(to.RequireKeys)})
+	}
 	differences = append(differences, compareRows("pool", from.Pools, to.Pools, func(pool operator.Pool) string { return pool.Name })...)
 	differences = append(differences, compareRows("tenant", from.Tenants, to.Tenants, func(tenant operator.Tenant) string { return tenant.Name })...)
 	return append(differences, compareRows("route", from.Routes, to.Routes, func(route operator.Route) string { return route.Kind })...)
--- a/pkg/operator/check.go
+++ b/pkg/operator/check.go
@@ -53,6 +53,9 @@
 	}
 	check.httpLimits(tables.HTTPLimits)
 	check.tenants(tables.Tenants)
+	if tables.Tenants != nil && len(tables.Tenants) == 0 && !tables.RequireKeys {
+		check.add("tenants", "an empty list names no tenant, and would let every caller in", "set require_keys to let none in, or leave the list out")
+	}
 	domainsOut := map[string]bool{}
 	for index, failureDomain := range tables.FailureDomainsOut {
 		check.name(fmt.Sprintf("failure_domains_out[%d]", index), failureDomain, domainsOut)
--- a/pkg/operator/check_tenants_test.go
+++ b/pkg/operator/check_tenants_test.go
@@ -11,6 +11,20 @@
 	"gitlab.com/comfreythread/comfreythread/pkg/operator"
 )
 
+// Guards against an empty list of tenants in the product's own document, which no encoding tells from none.
+func TestEmptyListOfTenantsIsRefused(t *testing.T) {
+	tables := validTables()
+	tables.Tenants = []operator.Tenant{}
+	var invalid *fault.Error
+	if !errors.As(tables.Check(), &invalid) || len(invalid.Problems) != 1 || invalid.Problems[0].Path != "tenants" {
+		t.Errorf("an empty list of tenants: %v, want one problem at tenants", invalid)
+	}
+	tables.RequireKeys = true
+	if err := tables.Check(); err != nil {
+		t.Errorf("an empty list of tenants beside require_keys: %v, want none", err)
+	}
+}
+
 // TestTenantRules guards against tables in force that identify the wrong tenant or break a limit. It breaks
 // one rule at a time and checks that exactly one problem is reported, with the path of the field.
 func TestTenantRules(t *testing.T) {
--- a/pkg/operator/tables.go
+++ b/pkg/operator/tables.go
@@ -40,9 +40,12 @@
 		// Rollouts holds the newest rollout of each pool that had one. Only
 		// control writes it: a change keeps the rollouts in force.
 		Rollouts []Rollout `json:"rollouts,omitempty" msgpack:",omitempty"`
-		// Tenants are the teams that may send HTTP requests; without any, every
-		// caller may.
+		// Tenants are the teams that may send HTTP requests; see NeedKeys.
 		Tenants []Tenant `json:"tenants,omitempty" msgpack:",omitempty"`
+		// RequireKeys makes HTTP requests need a key while there are no
+		// tenants, so that only public routes are served. It is a field of its
+		// own because an encoded list that is empty can't be told from none.
+		RequireKeys bool `json:"require_keys,omitempty" msgpack:",omitempty"`
 	}
 
 	// Tenant is a team that sends HTTP requests under keys of its own.
@@ -176,6 +179,12 @@
 	}
 )
 
+// NeedKeys reports whether HTTP requests need the key of a tenant, unless their
+// route is public.
+func (tables *Tables) NeedKeys() bool {
+	return tables.RequireKeys || len(tables.Tenants) > 0
+}
+
 // Route returns the route of a kind. It doesn't return HTTP routes.
 func (tables *Tables) Route(kind string) (Route, bool) {
 	for _, route := range tables.Routes {
