--- a/internal/replica/member_change.go
+++ b/internal/replica/member_change.go
@@ -41,7 +41,7 @@
 		kind   changeKind
 		reason changeReason
 		member member
-		// unreachableFor is the time since the member was last known to be up. It is 0 for an addition.
+		// unreachableFor is the time since the member was last known to be up. It is 0 for one that is added or up.
 		unreachableFor time.Duration
 		// match is the last index that is known to be durable on the member, and commit the leader's commit index.
 		match  uint64
@@ -64,7 +64,7 @@
 		members = append(members, changed)
 	case changeRemove:
 	}
-	if kind != changeAdd {
+	if kind != changeAdd && !core.isUp(now, changed.ID) {
 		change.unreachableFor = now.Sub(core.lastReachable(changed.ID))
 	}
 	core.out.memberChanges = append(core.out.memberChanges, change)
