Bind the end of a target to one start before it is acknowledged

A restarted registry sends the record again, and the entries bound it to the start that ran.

Change: the process that takes an end asks the other registries for the latest start that they know, and stores the end with that start before it acknowledges it. An end whose start can't be found is refused while a registry that may know it doesn't reply. One that no registry knows holds off announcements for 5 s and isn't sent to entries.

The spec "applies the end of a target from a registry without its record" of the directory had a registry bind no start; such ends aren't sent to entries any more. In its place one spec has the end with the start, and another one the end of an unknown start as an older build sends it.

--- a/internal/httptarget/announcements.go
+++ b/internal/httptarget/announcements.go
@@ -19,17 +19,18 @@
 	// Construct it with NewAnnouncementAPI.
 	AnnouncementAPI struct {
 		registry *Registry
+		group    *Group
 		inGroup  func() bool
 		pauses   *pause.Monitor
 	}
 )
 
-// NewAnnouncementAPI returns the interface to a process's registry. The function
+// NewAnnouncementAPI returns the interface to a process's registry, which belongs to a group. The function
 // inGroup reports whether the process belongs to the group of control replicas:
 // entries watch only the registries of the group, so others take no announcements.
 // A target's end is refused if it may have waited while the process was paused.
-func NewAnnouncementAPI(registry *Registry, inGroup func() bool, pauses *pause.Monitor) *AnnouncementAPI {
-	return &AnnouncementAPI{registry: registry, inGroup: inGroup, pauses: pauses}
+func NewAnnouncementAPI(registry *Registry, group *Group, inGroup func() bool, pauses *pause.Monitor) *AnnouncementAPI {
+	return &AnnouncementAPI{registry: registry, group: group, inGroup: inGroup, pauses: pauses}
 }
 
 // Register adds the routes for targets.
@@ -63,7 +64,7 @@
 	if err := announcementAPI.pauses.Check(); err != nil {
 		return err
 	}
-	if err := announcementAPI.registry.End(id); err != nil {
+	if err := announcementAPI.group.End(ctx, id); err != nil {
 		return err
 	}
 	return announcementAPI.registry.AwaitSaved(ctx, id)
--- a/internal/httptarget/announcements_test.go
+++ b/internal/httptarget/announcements_test.go
@@ -27,7 +27,7 @@
 	ginkgo.BeforeEach(func() {
 		registry, inGroup, sender = NewRegistry(1, zap.NewNop()), true, target.NewAnnouncer(nil)
 		engine := web.NewEngine()
-		NewAnnouncementAPI(registry, func() bool { return inGroup }, nil).Register(engine)
+		NewAnnouncementAPI(registry, NewGroup(registry, func() []string { return nil }, nil, zap.NewNop()), func() bool { return inGroup }, nil).Register(engine)
 		server = httptest.NewServer(engine)
 		ginkgo.DeferCleanup(server.Close)
 	})
--- /dev/null
+++ b/internal/httptarget/cluster_test.go
@@ -0,0 +1,152 @@
+package httptarget
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gitlab.com/comfreythread/comfreythread/internal/frame"
+	"gitlab.com/comfreythread/comfreythread/internal/standin"
+)
+
+const (
+	clusterDelay = 10 * time.Millisecond
+	// clusterSettleSpan is how long a cluster without faults takes until all know the same.
+	clusterSettleSpan = 3 * time.Second
+)
+
+type (
+	// cluster is a group of registries with the entries that watch them, on a network in memory. It must be
+	// used in a bubble.
+	cluster struct {
+		t       *testing.T
+		network standin.Network
+		nodes   []*clusterNode
+		entries []*clusterEntry
+	}
+
+	// clusterNode is a machine with a registry. Its process may be down.
+	clusterNode struct {
+		cluster *cluster
+		ip      string
+		disk    *standin.Disk
+		starts  uint64
+		// registry, api and stop are those of the running process; nil while it is down.
+		registry *Registry
+		api      *AnnouncementAPI
+		stop     func()
+	}
+
+	// clusterEntry is an entry's directory.
+	clusterEntry struct {
+		directory *Directory
+		stop      func()
+	}
+)
+
+// newCluster starts registries and an entry.
+func newCluster(t *testing.T, registries int) *cluster {
+	cluster := &cluster{t: t}
+	cluster.network.SetLatency(func(string, string) time.Duration { return clusterDelay })
+	for number := range registries {
+		cluster.nodes = append(cluster.nodes, &clusterNode{cluster: cluster, ip: fmt.Sprintf("10.0.0.%d", number+1), disk: &standin.Disk{}})
+	}
+	for _, node := range cluster.nodes {
+		node.start()
+	}
+	cluster.startEntry()
+	// Registries refuse ends in doubt only for some time after their start.
+	time.Sleep(unreachableSpan)
+	return cluster
+}
+
+// close stops everything and waits until it has ended.
+func (cluster *cluster) close() {
+	for _, node := range cluster.nodes {
+		node.kill()
+	}
+	for _, entry := range cluster.entries {
+		entry.stop()
+	}
+	time.Sleep(10 * time.Minute)
+}
+
+func (cluster *cluster) addresses() []string {
+	var addresses []string
+	for _, node := range cluster.nodes {
+		addresses = append(addresses, node.ip+":90")
+	}
+	return addresses
+}
+
+// startEntry starts an entry that knows nothing yet.
+func (cluster *cluster) startEntry() *clusterEntry {
+	ctx, cancel := context.WithCancel(context.Background())
+	entry := &clusterEntry{directory: NewDirectory(zap.NewNop()), stop: cancel}
+	ip := fmt.Sprintf("10.0.1.%d", len(cluster.entries)+1)
+	go NewWatcher(entry.directory, cluster.addresses, cluster.network.Dialer(ip), zap.NewNop()).Run(ctx)
+	cluster.entries = append(cluster.entries, entry)
+	return entry
+}
+
+// start starts the process of a node with what is on its disk.
+func (node *clusterNode) start() {
+	node.starts++
+	ctx, cancel := context.WithCancel(context.Background())
+	listener, err := node.cluster.network.Listen(node.ip + ":90")
+	if err != nil {
+		node.cluster.t.Fatal(err)
+	}
+	node.registry = NewRegistry(node.starts, zap.NewNop())
+	group := NewGroup(node.registry, func() []string {
+		var others []string
+		for _, other := range node.cluster.nodes {
+			if other != node {
+				others = append(others, other.ip+":90")
+			}
+		}
+		return others
+	}, node.cluster.network.Dialer(node.ip), zap.NewNop())
+	node.api = NewAnnouncementAPI(node.registry, group, func() bool { return true }, nil)
+	server := new(frame.Server)
+	node.registry.Register(server)
+	store := NewStore("registry", node.disk)
+	node.registry.Load(store)
+	go node.registry.Run(ctx)
+	go node.registry.Save(ctx, store)
+	go func() { _ = server.Serve(listener) }()
+	node.stop = func() {
+		cancel()
+		group.Close()
+		server.Stop()
+	}
+}
+
+// kill ends the process of a node, if it runs.
+func (node *clusterNode) kill() {
+	if node.stop == nil {
+		return
+	}
+	node.stop()
+	node.registry, node.api, node.stop = nil, nil, nil
+}
+
+// restart ends the process of a node and starts it again.
+func (node *clusterNode) restart() {
+	node.kill()
+	time.Sleep(300 * time.Millisecond)
+	node.start()
+}
+
+// wipe replaces the disk of a node that is down by an empty one.
+func (node *clusterNode) wipe() {
+	node.disk = &standin.Disk{}
+}
+
+// uses reports whether an entry may use a start of a target.
+func (entry *clusterEntry) uses(id string, startedAt int64) bool {
+	return entry.directory.Find(id, startedAt) != nil
+}
--- a/internal/httptarget/directory.go
+++ b/internal/httptarget/directory.go
@@ -243,9 +243,9 @@
 		record, reported := source.records[id]
 		switch {
 		case !reported:
-		case record.State == StateGone && record.StartedAt == 0:
-			// The registry had no record of the start that ended, so it is taken
-			// to be the one in this directory.
+		case record.isUnboundEnd():
+			// The registry runs an older build and had no record of the start that
+			// ended, so it is taken to be the one in this directory.
 			if target := directory.targets[id]; target != nil {
 				directory.markEnded(id, target.record.StartedAt)
 			}
--- a/internal/httptarget/directory_test.go
+++ b/internal/httptarget/directory_test.go
@@ -53,7 +53,7 @@
 	ginkgo.It("accepts an ended target again from its next start, but not from the start that ended", func() {
 		registry := NewRegistry(1, zap.NewNop())
 		gomega.Expect(registry.Announce(announcedRecord("t", "10.0.0.1:80", 5, 3, StateReady))).To(gomega.Succeed())
-		gomega.Expect(registry.End("t")).To(gomega.Succeed())
+		gomega.Expect(registry.End("t", registry.LatestStart("t"))).To(gomega.Succeed())
 		gomega.Expect(registry.Announce(announcedRecord("t", "10.0.0.1:80", 5, 4, StateReady))).To(gomega.Succeed())
 		records, _, _ := registry.changesSince(0)
 		gomega.Expect(records[0].State).To(gomega.Equal(StateGone))
@@ -183,10 +183,10 @@
 		gomega.Expect(usableIDs(directory)).To(gomega.BeEmpty())
 	})
 
-	ginkgo.It("applies the end of a target from a registry without its record, until its next start", func() {
+	ginkgo.It("applies the end of a target from a registry that hasn't its record, until its next start", func() {
 		gomega.Expect(first.Announce(announcedRecord("t", "10.0.0.1:80", 5, 3, StateReady))).To(gomega.Succeed())
 		applySnapshot(directory, "first", first)
-		gomega.Expect(second.End("t")).To(gomega.Succeed())
+		gomega.Expect(second.End("t", first.LatestStart("t"))).To(gomega.Succeed())
 		applySnapshot(directory, "second", second)
 		gomega.Expect(usableIDs(directory)).To(gomega.BeEmpty())
 		gomega.Expect(second.Announce(announcedRecord("t", "10.0.0.1:80", 6, 1, StateReady))).To(gomega.Succeed())
@@ -194,6 +194,16 @@
 		gomega.Expect(usableIDs(directory)).To(gomega.Equal([]string{"t"}))
 	})
 
+	ginkgo.It("applies the end of an unknown start, as a registry of an older build sends it, to the start that it holds", func() {
+		gomega.Expect(first.Announce(announcedRecord("t", "10.0.0.1:80", 5, 3, StateReady))).To(gomega.Succeed())
+		applySnapshot(directory, "first", first)
+		directory.apply("second", &WatchReply{Session: 2, Revision: 1, Records: []Record{{ID: "t", State: StateGone}}})
+		gomega.Expect(usableIDs(directory)).To(gomega.BeEmpty())
+		gomega.Expect(first.Announce(announcedRecord("t", "10.0.0.1:80", 6, 1, StateReady))).To(gomega.Succeed())
+		applySnapshot(directory, "first", first)
+		gomega.Expect(usableIDs(directory)).To(gomega.Equal([]string{"t"}))
+	})
+
 	ginkgo.It("uses only the target that started last at an address", func() {
 		gomega.Expect(first.Announce(announcedRecord("old", "10.0.0.1:80", 5, 30, StateReady))).To(gomega.Succeed())
 		gomega.Expect(first.Announce(announcedRecord("new", "10.0.0.1:80", 9, 1, StateReady))).To(gomega.Succeed())
--- /dev/null
+++ b/internal/httptarget/ended_starts_test.go
@@ -0,0 +1,147 @@
+package httptarget
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gitlab.com/comfreythread/comfreythread/internal/bubble"
+)
+
+const (
+	// pingInterval is the interval of the announcements of targets in these tests.
+	pingInterval = 1200 * time.Millisecond
+	// drainSpan is how long after its end was acknowledged a target may still be used.
+	drainSpan = 3 * time.Second
+)
+
+// ping announces a start of target t at a registry, and fails the test if it isn't taken.
+func (node *clusterNode) ping(startedAt int64, sequence uint64) {
+	record := announcedRecord("t", "10.0.2.1:80", startedAt, sequence, StateReady)
+	if err := node.api.Announce(context.Background(), &record); err != nil {
+		node.cluster.t.Errorf("announcement %d of start %d: %v", sequence, startedAt, err)
+	}
+}
+
+// pingFor announces a start of target t at a registry for a while.
+func (node *clusterNode) pingFor(span time.Duration, startedAt int64, sequence uint64) {
+	for until := time.Now().Add(span); time.Now().Before(until); sequence++ {
+		node.ping(startedAt, sequence)
+		time.Sleep(pingInterval)
+	}
+}
+
+// end ends target t at a registry, and fails the test if that isn't acknowledged.
+func (node *clusterNode) end() {
+	if err := node.api.Remove(context.Background(), "t"); err != nil {
+		node.cluster.t.Errorf("end of the target: %v", err)
+	}
+}
+
+// Guards against a registry that ends the running start of a target after its own restart, because it
+// has stored the end of an earlier start without naming that start (review/11).
+func TestRestartOfARegistryKeepsLaterStarts(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 3)
+		defer cluster.close()
+		announced, ended := cluster.nodes[0], cluster.nodes[1]
+		announced.pingFor(4*pingInterval, 100, 1)
+		ended.end()
+		time.Sleep(drainSpan)
+		if cluster.entries[0].uses("t", 100) {
+			t.Error("the start that has ended is used")
+		}
+		announced.pingFor(4*pingInterval, 200, 1)
+		if !cluster.entries[0].uses("t", 200) {
+			t.Error("the next start isn't used")
+		}
+		ended.restart()
+		announced.pingFor(4*pingInterval, 200, 9)
+		if !cluster.entries[0].uses("t", 200) {
+			t.Error("the running start isn't used after the restart of a registry")
+		}
+	})
+}
+
+// Guards against an end that only the entries which run at that moment connect with a start. An entry
+// that starts later used the target again (review/12).
+func TestEntryThatStartsLaterKnowsWhichStartHasEnded(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 3)
+		defer cluster.close()
+		announced, ended := cluster.nodes[0], cluster.nodes[1]
+		announced.pingFor(4*pingInterval, 100, 1)
+		ended.end()
+		endedAt := time.Now()
+		entry := cluster.startEntry()
+		time.Sleep(time.Second)
+		// The last announcement is late.
+		announced.ping(100, 9)
+		time.Sleep(time.Until(endedAt.Add(drainSpan)))
+		for range 10 {
+			if entry.uses("t", 100) {
+				t.Fatalf("the target is used %s after its end", time.Since(endedAt))
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// Guards against an end that is taken for that of an earlier start, which is the latest one that the
+// process knows (review/9).
+func TestEndConcernsTheLatestStartThatAnyRegistryKnows(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 3)
+		defer cluster.close()
+		first, second := cluster.nodes[0], cluster.nodes[1]
+		first.pingFor(4*pingInterval, 100, 1)
+		second.pingFor(4*pingInterval, 200, 1)
+		first.end()
+		time.Sleep(time.Second)
+		if cluster.entries[0].uses("t", 200) {
+			t.Error("the target is used after its end")
+		}
+	})
+}
+
+// Guards against an announcement that was sent before the end of its target and arrives after it, where
+// no registry has known the target, and against a target that is never used after that.
+func TestLateFirstAnnouncementOfAnEndedTarget(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 3)
+		defer cluster.close()
+		node := cluster.nodes[0]
+		node.end()
+		time.Sleep(drainSpan)
+		node.ping(100, 1)
+		time.Sleep(time.Second)
+		if cluster.entries[0].uses("t", 100) {
+			t.Error("the target is used after its end")
+		}
+		node.pingFor(4*pingInterval, 200, 1)
+		if !cluster.entries[0].uses("t", 200) {
+			t.Error("the next start isn't used")
+		}
+	})
+}
+
+// Guards against an acknowledged end without effect: the only registry that knows the target is down.
+func TestEndIsRefusedWhileItsStartCannotBeFound(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 3)
+		defer cluster.close()
+		announced, asked := cluster.nodes[0], cluster.nodes[1]
+		announced.ping(100, 1)
+		announced.kill()
+		if err := asked.api.Remove(context.Background(), "t"); err == nil {
+			t.Error("the end of an unknown target is acknowledged")
+		}
+		announced.start()
+		time.Sleep(time.Second)
+		asked.end()
+		time.Sleep(time.Second)
+		if cluster.entries[0].uses("t", 100) {
+			t.Error("the target is used after its end")
+		}
+	})
+}
--- a/internal/httptarget/record.go
+++ b/internal/httptarget/record.go
@@ -147,9 +147,22 @@
 	return "unknown"
 }
 
+// start returns the start that the record describes.
+func (record *Record) start() Start {
+	return Start{Pool: record.Pool, At: record.StartedAt}
+}
+
+// isUnboundEnd reports whether the record is the end of a target of which no start is known.
+func (record *Record) isUnboundEnd() bool {
+	return record.State == StateGone && !record.start().known()
+}
+
 // supersedes reports whether a record is newer than another one of the same ID.
 // Within one start, StateGone is final.
 func (record *Record) supersedes(current *Record) bool {
+	if current.isUnboundEnd() {
+		return true
+	}
 	if record.StartedAt != current.StartedAt {
 		return record.StartedAt > current.StartedAt
 	}
--- a/internal/httptarget/registry.go
+++ b/internal/httptarget/registry.go
@@ -23,6 +23,9 @@
 	// delayed announcement doesn't bring it back, and how long a target without
 	// announcements is kept. It is longer than any announcement is delayed.
 	retentionSpan = time.Minute
+	// lateAnnouncementSpan is how long announcements are ignored after the end of a target of which no
+	// start is known: they may have been sent before it. A target that goes on announcing itself has started again.
+	lateAnnouncementSpan = 5 * time.Second
 	// sweepInterval is the interval between checks for silent targets.
 	sweepInterval = 500 * time.Millisecond
 	// MaximumTargets bounds the number of targets in a registry.
@@ -81,6 +84,10 @@
 	if found && !record.supersedes(&registered.record) {
 		return nil
 	}
+	if found && registered.record.isUnboundEnd() && now.Sub(registered.lastHeardAt) < lateAnnouncementSpan {
+		registry.logger.Info("announcement ignored: it may have been sent before the target's end", zap.String("target", record.ID), zap.Int64("started_at", record.StartedAt))
+		return nil
+	}
 	if !found {
 		if len(registry.targets) >= MaximumTargets {
 			registry.logger.Warn("announcement dropped: the registry is full", zap.String("target", record.ID), zap.Int("targets", len(registry.targets)))
@@ -110,25 +117,41 @@
 	return before != after || record.ColdFor > previous.ColdFor
 }
 
-// End records that a target has ended or is about to end. The end of a target that
-// isn't in this registry is stored too, because entries may have its record from
-// another registry.
-func (registry *Registry) End(id string) error {
+// LatestStart returns the latest start of a target that this registry knows, or the zero value if it
+// knows none.
+func (registry *Registry) LatestStart(id string) Start {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
 	registered, found := registry.targets[id]
-	if found && registered.record.State == StateGone {
-		return nil
-	}
 	if !found {
+		return Start{}
+	}
+	return registered.record.start()
+}
+
+// End records that a start of a target has ended or is about to end; later ones aren't affected. An
+// unknown start is the one whose delayed announcements may still arrive.
+func (registry *Registry) End(id string, start Start) error {
+	registry.lock.Lock()
+	defer registry.lock.Unlock()
+	end := Record{ID: id, Pool: start.Pool, StartedAt: start.At, State: StateGone}
+	registered, found := registry.targets[id]
+	switch {
+	case !found:
 		if len(registry.targets) >= MaximumTargets {
 			registry.logger.Warn("end of a target dropped: the registry is full", zap.String("target", id))
 			return newFullError()
 		}
-		registered = &registeredTarget{record: Record{ID: id}}
+		registered = &registeredTarget{record: end}
 		registry.targets[id] = registered
+	case !end.supersedes(&registered.record):
+		return nil
+	case registered.record.start() == start:
+		registered.record.State = StateGone
+	default:
+		registered.record = end
 	}
-	registered.record.State, registered.lastHeardAt = StateGone, time.Now()
+	registered.lastHeardAt = time.Now()
 	registry.publish(registered)
 	return nil
 }
@@ -207,7 +230,7 @@
 }
 
 // changesSince returns the records that changed after a revision, the current
-// revision, and a channel that is closed at the next change.
+// revision, and a channel that is closed at the next change. They include unbound ends.
 func (registry *Registry) changesSince(revision uint64) ([]Record, uint64, <-chan struct{}) {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
--- a/internal/httptarget/store.go
+++ b/internal/httptarget/store.go
@@ -92,6 +92,11 @@
 			registry.logger.Warn("stored target ignored", zap.Stringer("state", records[index].State), zap.Error(err))
 			continue
 		}
+		// Delayed announcements have mostly arrived, and later starts must not be delayed by restarts.
+		if records[index].isUnboundEnd() {
+			ignored++
+			continue
+		}
 		if err := registry.Announce(records[index]); err != nil {
 			registry.logger.Warn("not all targets loaded", zap.Error(err))
 			break
--- a/internal/httptarget/store_test.go
+++ b/internal/httptarget/store_test.go
@@ -18,7 +18,7 @@
 	registry := NewRegistry(session, zap.NewNop())
 	registry.Load(store)
 	go registry.Save(ctx, store)
-	return registry, NewAnnouncementAPI(registry, func() bool { return true }, nil)
+	return registry, NewAnnouncementAPI(registry, NewGroup(registry, func() []string { return nil }, nil, zap.NewNop()), func() bool { return true }, nil)
 }
 
 // restartedState returns the state of target t in a registry that is loaded from a store.
@@ -67,7 +67,7 @@
 		bubble.Run(suite, func(expect gomega.Gomega) {
 			registry := NewRegistry(1, zap.NewNop())
 			registry.Load(NewStore("registry", &standin.Disk{}))
-			announcementAPI := NewAnnouncementAPI(registry, func() bool { return true }, nil)
+			announcementAPI := NewAnnouncementAPI(registry, NewGroup(registry, func() []string { return nil }, nil, zap.NewNop()), func() bool { return true }, nil)
 			expect.Expect(announcementAPI.Announce(context.Background(), &ready)).To(gomega.Succeed())
 			started := time.Now()
 			var typed *fault.Error
--- a/internal/httptarget/watch.go
+++ b/internal/httptarget/watch.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,9 +66,12 @@
 	}
 )
 
-// Register adds the peer method by which entries watch the registry.
+// Register adds the peer methods by which entries watch the registry and other registries ask it.
 func (registry *Registry) Register(server *frame.Server) {
 	frame.Handle(server, MethodWatch, registry.watch)
+	frame.Handle(server, MethodStart, func(_ context.Context, request *StartRequest) (*StartReply, error) {
+		return &StartReply{Start: registry.LatestStart(request.ID)}, nil
+	})
 }
 
 // watch replies at the next change after the request's revision, or without
@@ -82,6 +86,8 @@
 	defer timer.Stop()
 	for {
 		records, revision, changed := registry.changesSince(sinceRevision)
+		// Unbound ends concern registries only.
+		records = slices.DeleteFunc(records, func(record Record) bool { return record.isUnboundEnd() })
 		if full || revision > sinceRevision {
 			return &WatchReply{Session: registry.session, Revision: revision, Full: full, Records: records}, nil
 		}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -33,7 +33,7 @@
 		return fx.Options()
 	}
 	return fx.Module("control",
-		fx.Provide(newState, newReplica, newControlService, newRegistry, newAnnouncementAPI),
+		fx.Provide(newState, newReplica, newControlService, newRegistry, newRegistryGroup, newAnnouncementAPI),
 		fx.Invoke(registerControl, registerAnnouncementAPI, runRegistry),
 	)
 }
@@ -75,10 +75,23 @@
 	return httptarget.NewRegistry(rand.Uint64(), logger)
 }
 
+// newRegistryGroup returns the group of the registries of the control replicas.
+func newRegistryGroup(settings *settings.Settings, registry *httptarget.Registry, replica *replica.Replica, network Network, logger *zap.Logger) *httptarget.Group {
+	return httptarget.NewGroup(registry, func() []string {
+		var addresses []string
+		for _, member := range replica.Status().Replicas {
+			if member.Address != settings.PeerAddress {
+				addresses = append(addresses, member.Address)
+			}
+		}
+		return addresses
+	}, network.Dial, logger)
+}
+
 // newAnnouncementAPI returns the interface for announcements, which refuses them until the replica
 // belongs to a group, because entries watch only the registries of the group.
-func newAnnouncementAPI(registry *httptarget.Registry, replica *replica.Replica, pauses *pause.Monitor) *httptarget.AnnouncementAPI {
-	return httptarget.NewAnnouncementAPI(registry, func() bool { return len(replica.Status().Replicas) > 0 }, pauses)
+func newAnnouncementAPI(registry *httptarget.Registry, group *httptarget.Group, replica *replica.Replica, pauses *pause.Monitor) *httptarget.AnnouncementAPI {
+	return httptarget.NewAnnouncementAPI(registry, group, func() bool { return len(replica.Status().Replicas) > 0 }, pauses)
 }
 
 func registerAnnouncementAPI(announcementAPI *httptarget.AnnouncementAPI, engine *gin.Engine) {
@@ -87,7 +100,7 @@
 
 // runRegistry loads the registry, the list of announced targets, from the disk, and then keeps it up
 // to date and saves it until the process stops.
-func runRegistry(settings *settings.Settings, network Network, registry *httptarget.Registry, server *frame.Server, lifecycle fx.Lifecycle) {
+func runRegistry(settings *settings.Settings, network Network, registry *httptarget.Registry, group *httptarget.Group, server *frame.Server, lifecycle fx.Lifecycle) {
 	registry.Register(server)
 	store := httptarget.NewStore(filepath.Join(settings.Control.DataFolder, registryFolderName), network.FileSystem)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -95,7 +108,10 @@
 		registry.Load(store)
 		go registry.Run(ctx)
 		go registry.Save(ctx, store)
-	}, cancel))
+	}, func() {
+		cancel()
+		group.Close()
+	}))
 }
 
 func registerControl(service *control.Service, replica *replica.Replica, server *frame.Server, metrics *metrics.Metrics) {
