Share the ends of targets among the registries, and let them expire alike

What was left of the class: the end was kept by one registry, each entry kept its own copy for a time of its own, and an older known start hid that a later one was ending.

Change: the other registries are told of an end before it is acknowledged, and registries follow each other as entries do, so that one which was down, cut off or has lost its disk hears of ends and of targets that leave. What was heard from a registry counts while it can't be asked. A record carries the time since the end, so that it expires at the same moment wherever it is kept, files included; entries keep ends apart from records, and look at a target again as its end expires. An end of a target that announces itself nowhere holds off later starts for 5 s. A registry that didn't list the start doesn't wake its entries.

--- a/internal/httpcaller/fleet_test.go
+++ b/internal/httpcaller/fleet_test.go
@@ -208,6 +208,12 @@
 	}
 }
 
+// endTarget records the end of a target's latest start.
+func (fleet *fleet) endTarget(id string) error {
+	start, _ := fleet.registry.LatestStart(id)
+	return fleet.registry.End(id, start)
+}
+
 // setLinks cuts the links between an entry and all targets, or heals them. Bytes are held back while
 // they are cut.
 func (fleet *fleet) setLinks(entry *fleetEntry, up bool) {
--- a/internal/httpcaller/left_targets_test.go
+++ b/internal/httpcaller/left_targets_test.go
@@ -29,7 +29,7 @@
 			return fleet.registry.Announce(record)
 		},
 		"ended": func(fleet *fleet, record httptarget.Record) error {
-			return fleet.registry.End(record.ID, fleet.registry.LatestStart(record.ID))
+			return fleet.endTarget(record.ID)
 		},
 		"out of service": func(fleet *fleet, _ httptarget.Record) error {
 			fleet.tables.FailureDomainsOut = []string{leftDomain}
--- a/internal/httpcaller/releases_test.go
+++ b/internal/httpcaller/releases_test.go
@@ -152,7 +152,7 @@
 		fleet.loadAll(1, 3*time.Second, 40, 10)
 		expectArrivals(t, fleet.arrivals(shifted), func(got []int) bool { return got[0]+got[1] == 0 && got[2] > 100 }, "all belong to the third")
 		fleet.network.Down(fleet.targets[2].ip)
-		if err := fleet.registry.End("target-3", fleet.registry.LatestStart("target-3")); err != nil {
+		if err := fleet.endTarget("target-3"); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(learnSpan)
@@ -173,7 +173,7 @@
 		fleet.targets[1].setPause("2")
 		fleet.loadAll(2, time.Second, 40, 10)
 		expectArrivals(t, fleet.arrivals(completed), func(got []int) bool { return got[0] == 0 && got[1] > 20 }, "all belong to the second")
-		if err := fleet.registry.End("target-2", fleet.registry.LatestStart("target-2")); err != nil {
+		if err := fleet.endTarget("target-2"); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(learnSpan)
--- a/internal/httptarget/cluster_test.go
+++ b/internal/httptarget/cluster_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,6 +27,8 @@
 		t       *testing.T
 		network standin.Network
 		nodes   []*clusterNode
+
+		lock    sync.Mutex
 		entries []*clusterEntry
 	}
 
@@ -34,10 +38,11 @@
 		ip      string
 		disk    *standin.Disk
 		starts  uint64
-		// registry, api and stop are those of the running process; nil while it is down.
-		registry *Registry
-		api      *AnnouncementAPI
-		stop     func()
+
+		lock sync.Mutex
+		// api and stop are those of the running process; nil while it is down.
+		api  *AnnouncementAPI
+		stop func()
 	}
 
 	// clusterEntry is an entry's directory.
@@ -88,10 +93,19 @@
 	entry := &clusterEntry{directory: NewDirectory(zap.NewNop()), stop: cancel}
 	ip := fmt.Sprintf("10.0.1.%d", len(cluster.entries)+1)
 	go NewWatcher(entry.directory, cluster.addresses, cluster.network.Dialer(ip), zap.NewNop()).Run(ctx)
+	cluster.lock.Lock()
+	defer cluster.lock.Unlock()
 	cluster.entries = append(cluster.entries, entry)
 	return entry
 }
 
+// runningEntries returns all entries, in the order of their start.
+func (cluster *cluster) runningEntries() []*clusterEntry {
+	cluster.lock.Lock()
+	defer cluster.lock.Unlock()
+	return slices.Clone(cluster.entries)
+}
+
 // start starts the process of a node with what is on its disk.
 func (node *clusterNode) start() {
 	node.starts++
@@ -100,8 +114,8 @@
 	if err != nil {
 		node.cluster.t.Fatal(err)
 	}
-	node.registry = NewRegistry(node.starts, zap.NewNop())
-	group := NewGroup(node.registry, func() []string {
+	registry := NewRegistry(node.starts, zap.NewNop())
+	group := NewGroup(registry, func() []string {
 		var others []string
 		for _, other := range node.cluster.nodes {
 			if other != node {
@@ -110,14 +124,17 @@
 		}
 		return others
 	}, node.cluster.network.Dialer(node.ip), zap.NewNop())
-	node.api = NewAnnouncementAPI(node.registry, group, func() bool { return true }, nil)
 	server := new(frame.Server)
-	node.registry.Register(server)
+	registry.Register(server)
 	store := NewStore("registry", node.disk)
-	node.registry.Load(store)
-	go node.registry.Run(ctx)
-	go node.registry.Save(ctx, store)
+	registry.Load(store)
+	go registry.Run(ctx)
+	go group.Run(ctx)
+	go registry.Save(ctx, store)
 	go func() { _ = server.Serve(listener) }()
+	node.lock.Lock()
+	defer node.lock.Unlock()
+	node.api = NewAnnouncementAPI(registry, group, func() bool { return true }, nil)
 	node.stop = func() {
 		cancel()
 		group.Close()
@@ -125,13 +142,22 @@
 	}
 }
 
+// runningAPI returns the interface of the running process, or nil while it is down.
+func (node *clusterNode) runningAPI() *AnnouncementAPI {
+	node.lock.Lock()
+	defer node.lock.Unlock()
+	return node.api
+}
+
 // kill ends the process of a node, if it runs.
 func (node *clusterNode) kill() {
-	if node.stop == nil {
-		return
+	node.lock.Lock()
+	stop := node.stop
+	node.api, node.stop = nil, nil
+	node.lock.Unlock()
+	if stop != nil {
+		stop()
 	}
-	node.stop()
-	node.registry, node.api, node.stop = nil, nil, nil
 }
 
 // restart ends the process of a node and starts it again.
--- a/internal/httptarget/directory.go
+++ b/internal/httptarget/directory.go
@@ -21,8 +21,8 @@
 		sources map[string]*source
 		targets map[string]*Target
 		pools   map[string][]*Target
-		// ended holds the latest start of each target that has ended, by target ID, so
-		// that an outdated record of another registry doesn't bring the target back.
+		// ended holds the latest start of each target that has ended, by target ID, for
+		// retentionSpan. Records of that start and earlier ones are ignored, whichever registry has them.
 		ended map[string]endedStart
 		// releases holds the releases that the targets of each pool have, by pool and release.
 		releases map[string]map[string]*seenRelease
@@ -46,8 +46,8 @@
 	endedStart struct {
 		// startedAt is Record.StartedAt of that start.
 		startedAt int64
-		// recordedAt is when the end was recorded.
-		recordedAt time.Time
+		// endedAt is when the end was taken.
+		endedAt time.Time
 	}
 )
 
@@ -110,7 +110,7 @@
 		return
 	}
 	directory.logger.Info("target excluded: another target answers at its address", zap.String("target", target.record.ID), zap.String("address", target.record.Address))
-	directory.markEnded(target.record.ID, target.record.StartedAt)
+	directory.markEnded(target.record.ID, target.record.StartedAt, 0)
 	directory.merge(target.record.ID)
 	directory.rebuildPools()
 }
@@ -125,6 +125,7 @@
 		directory.sources[address] = existing
 	}
 	directory.synced = true
+	directory.expireEnds()
 	if len(reply.Records) == 0 && !reply.Full && !existing.stale {
 		return
 	}
@@ -145,9 +146,13 @@
 			continue
 		}
 		changed[record.ID] = true
-		if record.State == StateUnheard {
+		switch record.State {
+		case StateGone:
 			delete(existing.records, record.ID)
-		} else {
+			directory.applyEnd(&record)
+		case StateUnheard:
+			delete(existing.records, record.ID)
+		default:
 			existing.records[record.ID] = record
 		}
 	}
@@ -157,6 +162,19 @@
 	directory.rebuildPools()
 }
 
+// applyEnd applies the record of an end. The lock must be held.
+func (directory *Directory) applyEnd(end *Record) {
+	if !end.isUnboundEnd() {
+		directory.markEnded(end.ID, end.StartedAt, max(0, end.EndedFor))
+		return
+	}
+	// The registry runs an older build and had no record of the start that ended, so it is
+	// taken to be the one in this directory.
+	if target := directory.targets[end.ID]; target != nil {
+		directory.markEnded(end.ID, target.record.StartedAt, 0)
+	}
+}
+
 // markStale marks the records of an unreachable registry as stale, so that its
 // targets count as silent. If all registries are unreachable, this entry is probably
 // partitioned itself, and merge keeps using the records as last received.
@@ -212,9 +230,6 @@
 	if silent && !reportedFresh && !directory.anyFresh() {
 		silent = newest.Silent
 	}
-	if newest.State == StateGone {
-		directory.markEnded(id, newest.StartedAt)
-	}
 	if ended, ok := directory.ended[id]; ok && newest.StartedAt <= ended.startedAt {
 		directory.removeTarget(id)
 		return
@@ -233,9 +248,7 @@
 }
 
 // newest returns the merged record of the latest start of an ID, and whether there is
-// one. Its state is gone or leaving if any registry reports that. An end reported
-// without a start is moved from the registry's records to directory.ended. The lock
-// must be held.
+// one. Its state is leaving if any registry reports that. The lock must be held.
 func (directory *Directory) newest(id string) (Record, bool) {
 	var newest Record
 	found := false
@@ -243,13 +256,6 @@
 		record, reported := source.records[id]
 		switch {
 		case !reported:
-		case record.isUnboundEnd():
-			// The registry runs an older build and had no record of the start that
-			// ended, so it is taken to be the one in this directory.
-			if target := directory.targets[id]; target != nil {
-				directory.markEnded(id, target.record.StartedAt)
-			}
-			delete(source.records, id)
 		case !found || record.StartedAt > newest.StartedAt:
 			newest, found = record, true
 		case record.StartedAt == newest.StartedAt:
@@ -263,19 +269,29 @@
 	return newest, found
 }
 
-// markEnded records the end of a start, unless that of the same or a later start is
-// recorded, and removes records of ends that are older than retentionSpan. The lock must be held.
-func (directory *Directory) markEnded(id string, startedAt int64) {
-	now := time.Now()
+// markEnded records the end of a start that was taken some time ago, unless that of the same or a later start is
+// recorded. The lock must be held.
+func (directory *Directory) markEnded(id string, startedAt int64, age time.Duration) {
 	previous, found := directory.ended[id]
-	if !found || startedAt > previous.startedAt {
-		directory.ended[id] = endedStart{startedAt: startedAt, recordedAt: now}
+	if age < retentionSpan && (!found || startedAt > previous.startedAt) {
+		directory.ended[id] = endedStart{startedAt: startedAt, endedAt: time.Now().Add(-age)}
 	}
-	for other, ended := range directory.ended {
-		if now.Sub(ended.recordedAt) >= retentionSpan {
-			delete(directory.ended, other)
+}
+
+// expireEnds forgets the ends that are older than retentionSpan. A target that still announces itself is then
+// used again. The lock must be held.
+func (directory *Directory) expireEnds() {
+	now, expired := time.Now(), false
+	for id, ended := range directory.ended {
+		if now.Sub(ended.endedAt) >= retentionSpan {
+			delete(directory.ended, id)
+			directory.merge(id)
+			expired = true
 		}
 	}
+	if expired {
+		directory.rebuildPools()
+	}
 }
 
 // removeTarget removes a target, if present, and closes its idle connections. The
--- a/internal/httptarget/ended_starts_test.go
+++ b/internal/httptarget/ended_starts_test.go
@@ -145,3 +145,88 @@
 		}
 	})
 }
+
+// Guards against an end that only the registry has which took it: after that registry has lost its disk, an entry that
+// starts uses the target again, because another registry still lists it.
+func TestEndOutlastsTheRegistryThatTookIt(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 3)
+		defer cluster.close()
+		announced, ended := cluster.nodes[0], cluster.nodes[1]
+		announced.pingFor(4*pingInterval, 100, 1)
+		ended.end()
+		ended.kill()
+		ended.wipe()
+		entry := cluster.startEntry()
+		announced.ping(100, 9)
+		time.Sleep(drainSpan)
+		if entry.uses("t", 100) {
+			t.Error("the target is used after its end")
+		}
+	})
+}
+
+// Guards against an end that doesn't reach a registry which was down, and which lists the target again from its file.
+func TestEndReachesARegistryThatWasDown(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 3)
+		defer cluster.close()
+		announced, ended := cluster.nodes[0], cluster.nodes[1]
+		announced.pingFor(4*pingInterval, 100, 1)
+		announced.kill()
+		ended.end()
+		announced.start()
+		time.Sleep(time.Second)
+		ended.kill()
+		ended.wipe()
+		announced.ping(100, 9)
+		entry := cluster.startEntry()
+		time.Sleep(drainSpan)
+		if entry.uses("t", 100) {
+			t.Error("the target is used after its end")
+		}
+	})
+}
+
+// Guards against a target that announces itself again a minute after its end, and that only entries which started since
+// then use: the others kept the end for good.
+func TestEndIsForgottenAfterAMinuteByAllEntries(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 3)
+		defer cluster.close()
+		announced, ended := cluster.nodes[0], cluster.nodes[1]
+		announced.pingFor(4*pingInterval, 100, 1)
+		ended.end()
+		announced.pingFor(retentionSpan+clusterSettleSpan, 100, 5)
+		cluster.startEntry()
+		announced.pingFor(clusterSettleSpan, 100, 100)
+		for number, entry := range cluster.runningEntries() {
+			if !entry.uses("t", 100) {
+				t.Errorf("entry %d doesn't use the target", number)
+			}
+		}
+	})
+}
+
+// Guards against a target that leaves and is used again because the registry that it told so has lost its disk, and another
+// one still lists it as ready.
+func TestLeavingOutlastsTheRegistryThatTookIt(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 3)
+		defer cluster.close()
+		announced, told := cluster.nodes[0], cluster.nodes[1]
+		announced.pingFor(4*pingInterval, 100, 1)
+		leaving := announcedRecord("t", "10.0.2.1:80", 100, 9, StateLeaving)
+		if err := told.api.Announce(context.Background(), &leaving); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		told.kill()
+		told.wipe()
+		told.start()
+		time.Sleep(time.Second)
+		if cluster.entries[0].uses("t", 100) {
+			t.Error("the target is used although it leaves")
+		}
+	})
+}
--- a/internal/httptarget/group.go
+++ b/internal/httptarget/group.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 const (
 	// MethodStart is the peer method that asks a registry for the latest start of a target.
 	MethodStart = "httptarget.start"
+	// MethodEnd is the peer method that tells a registry of the end of a start. Its reply is that of MethodStart.
+	MethodEnd = "httptarget.end"
 
 	// groupTimeout limits a call to the other registries. Together with withdrawalTimeout it leaves a
 	// target time to end at another process instead.
@@ -38,9 +41,16 @@
 		ID string `msgpack:"i"`
 	}
 
-	// StartReply holds the latest start that a registry knows.
+	// EndRequest tells of the end of a target.
+	EndRequest struct {
+		End Record `msgpack:"e"`
+	}
+
+	// StartReply holds the latest start that a registry knows, before the end that it was told of. InUse is true
+	// if the target announces itself there.
 	StartReply struct {
 		Start Start `msgpack:"b"`
+		InUse bool  `msgpack:"u,omitempty"`
 	}
 
 	// Group is the group of registries as one of them sees it. Construct it with NewGroup.
@@ -50,18 +60,22 @@
 		others func() []string
 		dial   tcp.Dialer
 		logger *zap.Logger
-		// startedAt is when the group was constructed.
-		startedAt time.Time
 
 		lock    sync.Mutex
 		clients map[string]*frame.Client
+		// starts holds the starts that each other registry lists, by its peer address and the target's ID. It is
+		// kept while a registry is unreachable.
+		starts map[string]map[string]Start
+		// stale holds the registries that have been unreachable for unreachableSpan or longer. Their targets have
+		// announced themselves to others.
+		stale map[string]bool
 	}
 )
 
 // NewGroup returns the group of a registry. The function others returns the peer addresses of the other
 // control processes.
 func NewGroup(registry *Registry, others func() []string, dial tcp.Dialer, logger *zap.Logger) *Group {
-	return &Group{registry: registry, others: others, dial: dial, logger: logger, startedAt: time.Now(), clients: map[string]*frame.Client{}}
+	return &Group{registry: registry, others: others, dial: dial, logger: logger, clients: map[string]*frame.Client{}, starts: map[string]map[string]Start{}, stale: map[string]bool{}}
 }
 
 // Close closes the connections to the other registries.
@@ -79,22 +93,29 @@
 	return start.Pool != ""
 }
 
-// later returns the later of two starts.
-func (start Start) later(other Start) Start {
-	if !start.known() || other.known() && other.At > start.At {
+// merge returns the later of two starts, which is in use if a reply that has it says so.
+func (reply StartReply) merge(other StartReply) StartReply {
+	switch {
+	case !other.Start.known() || reply.Start.known() && reply.Start.At > other.Start.At:
+		return reply
+	case !reply.Start.known() || other.Start.At > reply.Start.At:
 		return other
 	}
-	return start
+	return StartReply{Start: reply.Start, InUse: reply.InUse || other.InUse}
+}
+
+// startReply returns the latest start of a target that the registry knows.
+func (registry *Registry) startReply(id string) *StartReply {
+	start, inUse := registry.LatestStart(id)
+	return &StartReply{Start: start, InUse: inUse}
 }
 
 // End records the end of the latest start of a target that any registry of the group knows, or returns a
 // fault.Error if that can't be determined.
 func (group *Group) End(ctx context.Context, id string) error {
-	start, missing := group.latestStart(ctx, id)
-	// The targets of a registry that is unreachable for longer have announced themselves to another one.
-	justStarted := time.Since(group.startedAt) < unreachableSpan
+	latest, missing, isComplete := group.latestStart(ctx, id)
 	switch {
-	case len(missing) > 0 && (justStarted || !start.known()):
+	case !isComplete:
 		group.logger.Warn("end of a target refused: a registry that may know its start can't be asked", zap.String("target", id), zap.Strings("registries", missing))
 		return fault.New(fault.Unavailable, "a control process that may know the target can't be asked", "send the end again, to another control process if possible")
 	case ctx.Err() != nil:
@@ -102,37 +123,136 @@
 		group.logger.Warn("end of a target dropped: its sender has left", zap.String("target", id))
 		return fault.New(fault.Unavailable, "the sender has closed the connection", "send the end again")
 	}
-	return group.registry.End(id, start)
+	// A second round is needed only if a registry has got the target's first announcement since it was asked.
+	for range 2 {
+		end := Record{ID: id, Pool: latest.Start.Pool, StartedAt: latest.Start.At, State: StateGone}
+		if !latest.InUse {
+			end.HoldsOffFor = lateAnnouncementSpan
+		}
+		if err := group.registry.takeEnd(&end); err != nil {
+			return err
+		}
+		newest := latest
+		for _, reply := range callEach(ctx, group, missing, MethodEnd, &EndRequest{End: end}) {
+			newest = newest.merge(*reply)
+		}
+		if newest.Start == latest.Start {
+			break
+		}
+		latest = newest
+	}
+	return nil
 }
 
-// latestStart returns the latest start of a target that any registry of the group knows, or the zero
-// value if none does, and the addresses of the registries that didn't reply.
-func (group *Group) latestStart(ctx context.Context, id string) (latest Start, missing []string) {
-	addresses := group.others()
-	replies := make([]*StartReply, len(addresses))
+// latestStart returns the latest start of a target that any registry of the group knows, and the
+// addresses of the registries that didn't reply. It isn't complete if one of these may know a later start.
+func (group *Group) latestStart(ctx context.Context, id string) (latest StartReply, missing []string, isComplete bool) {
+	replies := callEach(ctx, group, nil, MethodStart, &StartRequest{ID: id})
+	latest = *group.registry.startReply(id)
+	isFollowed, isComplete := true, true
+	for _, address := range group.others() {
+		if reply, replied := replies[address]; replied {
+			latest = latest.merge(*reply)
+			continue
+		}
+		missing = append(missing, address)
+		followed, wasFollowed, isStale := group.followedStart(address, id)
+		latest = latest.merge(StartReply{Start: followed, InUse: followed.known()})
+		isFollowed, isComplete = isFollowed && (isStale || wasFollowed), isComplete && isStale
+	}
+	return latest, missing, isComplete || isFollowed && latest.InUse
+}
+
+// followedStart returns the start of a target that another registry listed when it was last heard, whether it was
+// heard at all, and whether it is stale.
+func (group *Group) followedStart(address, id string) (start Start, wasFollowed, isStale bool) {
+	group.lock.Lock()
+	defer group.lock.Unlock()
+	starts, wasFollowed := group.starts[address]
+	return starts[id], wasFollowed, group.stale[address]
+}
+
+// callEach calls a method of all other registries but the given ones, and returns the replies by address.
+func callEach[In any](ctx context.Context, group *Group, except []string, method string, request *In) map[string]*StartReply {
+	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
+	defer cancel()
+	var lock sync.Mutex
 	var calls sync.WaitGroup
-	for index, address := range addresses {
+	replies := map[string]*StartReply{}
+	for _, address := range group.others() {
+		if slices.Contains(except, address) {
+			continue
+		}
 		calls.Go(func() {
-			callContext, cancel := context.WithTimeout(ctx, groupTimeout)
-			defer cancel()
-			reply, err := frame.Call[StartRequest, StartReply](callContext, group.client(address), MethodStart, &StartRequest{ID: id})
+			reply, err := frame.Call[In, StartReply](ctx, group.client(address), method, request)
 			if err != nil {
-				group.logger.Warn("registry not asked for the start of a target", zap.String("registry", address), zap.String("target", id), zap.Error(err))
+				group.logger.Warn("registry not reached", zap.String("registry", address), zap.String("method", method), zap.Error(err))
 				return
 			}
-			replies[index] = reply
+			lock.Lock()
+			defer lock.Unlock()
+			replies[address] = reply
 		})
 	}
 	calls.Wait()
-	latest = group.registry.LatestStart(id)
-	for index, reply := range replies {
-		if reply == nil {
-			missing = append(missing, addresses[index])
+	return replies
+}
+
+// Run follows the other registries until ctx ends, to hear of ends and of targets that leave, and to know the starts of
+// a registry that can't be asked.
+func (group *Group) Run(ctx context.Context) {
+	newWatcher(group, group.others, group.dial, group.logger).Run(ctx)
+}
+
+// apply implements follower.
+func (group *Group) apply(address string, reply *WatchReply) {
+	group.lock.Lock()
+	defer group.lock.Unlock()
+	delete(group.stale, address)
+	starts := group.starts[address]
+	if starts == nil || reply.Full {
+		starts = map[string]Start{}
+		group.starts[address] = starts
+	}
+	for index := range reply.Records {
+		record := &reply.Records[index]
+		if err := record.checkStored(); err != nil || record.isUnboundEnd() {
 			continue
 		}
-		latest = latest.later(reply.Start)
+		switch record.State {
+		case StateGone:
+			delete(starts, record.ID)
+			if err := group.registry.addEnd(record); err != nil {
+				group.logger.Warn("end of a target not kept", zap.String("target", record.ID), zap.Error(err))
+			}
+		case StateUnheard:
+			delete(starts, record.ID)
+		case StateLeaving:
+			starts[record.ID] = record.start()
+			group.registry.adoptLeaving(record)
+		default:
+			starts[record.ID] = record.start()
+		}
+	}
+}
+
+// markStale implements follower.
+func (group *Group) markStale(address string) {
+	group.lock.Lock()
+	defer group.lock.Unlock()
+	group.stale[address] = true
+}
+
+// removeSource implements follower.
+func (group *Group) removeSource(address string) {
+	group.lock.Lock()
+	defer group.lock.Unlock()
+	delete(group.starts, address)
+	delete(group.stale, address)
+	if client := group.clients[address]; client != nil {
+		client.Close()
+		delete(group.clients, address)
 	}
-	return latest, missing
 }
 
 // client returns the client of another registry.
--- a/internal/httptarget/odd_records_test.go
+++ b/internal/httptarget/odd_records_test.go
@@ -114,7 +114,7 @@
 	}
 	encoded = append([]byte{0x81}, encoded...)
 	encoded = append(encoded, bytes.Repeat([]byte{0x91}, depth)...)
-	if _, err := newStoreWith(t, encoded).read(time.Now()); err == nil {
+	if _, _, err := newStoreWith(t, encoded).read(time.Now()); err == nil {
 		t.Error("the file is read")
 	}
 }
--- a/internal/httptarget/record.go
+++ b/internal/httptarget/record.go
@@ -61,6 +61,11 @@
 		// ColdFor is how long the target stays in cold start, in which it gets requests
 		// at a limited rate, counted from when the record was created or last sent.
 		ColdFor time.Duration `msgpack:"w,omitempty"`
+		// EndedFor is the time since the end of a target was taken, counted until the record was last sent or saved.
+		EndedFor time.Duration `msgpack:"e,omitempty"`
+		// HoldsOffFor is how long announcements of later starts are still ignored after the end of a target, counted
+		// from when the record was created or last sent or saved.
+		HoldsOffFor time.Duration `msgpack:"h,omitempty"`
 	}
 )
 
--- a/internal/httptarget/registry.go
+++ b/internal/httptarget/registry.go
@@ -23,8 +23,8 @@
 	// delayed announcement doesn't bring it back, and how long a target without
 	// announcements is kept. It is longer than any announcement is delayed.
 	retentionSpan = time.Minute
-	// lateAnnouncementSpan is how long announcements are ignored after the end of a target of which no
-	// start is known: they may have been sent before it. A target that goes on announcing itself has started again.
+	// lateAnnouncementSpan is how long announcements are ignored after the end of a target that has no known start in
+	// use: they may have been sent before it. A target that announces itself later has started again.
 	lateAnnouncementSpan = 5 * time.Second
 	// sweepInterval is the interval between checks for silent targets.
 	sweepInterval = 500 * time.Millisecond
@@ -48,9 +48,10 @@
 		targets        map[string]*registeredTarget
 		// changed is closed and replaced at each change.
 		changed chan struct{}
-		// persistent is true if the registry is saved to a store. savedRevision is the last
-		// revision that was saved, and saved is closed and replaced at each save.
+		// persistent is true if the registry is saved to a store. saveDue is signalled at each change.
+		// savedRevision is the last revision that was saved, and saved is closed and replaced at each save.
 		persistent    bool
+		saveDue       chan struct{}
 		savedRevision uint64
 		saved         chan struct{}
 		// saveNow requests a save without the usual pause.
@@ -59,19 +60,23 @@
 
 	registeredTarget struct {
 		record Record
-		// revision is that of the latest change that was published to entries.
+		// revision is that of the latest change.
 		revision uint64
+		// unlisted is true for the end of a start that this registry never listed. It is sent in full replies only.
+		unlisted bool
 		// lastHeardAt is when the latest announcement arrived, or when the record became
 		// StateGone or StateUnheard. Run resets it after a pause of the process.
 		lastHeardAt time.Time
 		coldUntil   time.Time
+		// heldOffUntil is the time before which announcements of starts after the one that has ended are ignored.
+		heldOffUntil time.Time
 	}
 )
 
 // NewRegistry returns an empty registry. The session must differ from that of
 // each earlier process at the same address.
 func NewRegistry(session uint64, logger *zap.Logger) *Registry {
-	return &Registry{logger: logger, session: session, targets: map[string]*registeredTarget{}, changed: make(chan struct{}), saved: make(chan struct{}), saveNow: make(chan struct{}, 1)}
+	return &Registry{logger: logger, session: session, targets: map[string]*registeredTarget{}, changed: make(chan struct{}), saveDue: make(chan struct{}, 1), saved: make(chan struct{}), saveNow: make(chan struct{}, 1)}
 }
 
 // Announce stores an announcement that has passed Record.Check. One that is older
@@ -84,7 +89,7 @@
 	if found && !record.supersedes(&registered.record) {
 		return nil
 	}
-	if found && registered.record.isUnboundEnd() && now.Sub(registered.lastHeardAt) < lateAnnouncementSpan {
+	if found && now.Before(registered.heldOffUntil) {
 		registry.logger.Info("announcement ignored: it may have been sent before the target's end", zap.String("target", record.ID), zap.Int64("started_at", record.StartedAt))
 		return nil
 	}
@@ -97,7 +102,8 @@
 		registry.targets[record.ID] = registered
 	}
 	visible := !found || changesTarget(&registered.record, &record)
-	registered.record, registered.lastHeardAt, registered.coldUntil = record, now, now.Add(record.ColdFor)
+	registered.record, registered.unlisted, registered.lastHeardAt, registered.coldUntil = record, false, now, now.Add(record.ColdFor)
+	registered.heldOffUntil = time.Time{}
 	if visible {
 		registry.publish(registered)
 	}
@@ -118,48 +124,93 @@
 }
 
 // LatestStart returns the latest start of a target that this registry knows, or the zero value if it
-// knows none.
-func (registry *Registry) LatestStart(id string) Start {
+// knows none, and whether the target announces itself here.
+func (registry *Registry) LatestStart(id string) (start Start, inUse bool) {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
 	registered, found := registry.targets[id]
 	if !found {
-		return Start{}
+		return Start{}, false
 	}
-	return registered.record.start()
+	record := &registered.record
+	return record.start(), !record.Silent && (record.State == StateReady || record.State == StateLeaving)
 }
 
-// End records that a start of a target has ended or is about to end; later ones aren't affected. An
-// unknown start is the one whose delayed announcements may still arrive.
+// End records that a start of a target has ended or is about to end; later ones aren't affected.
 func (registry *Registry) End(id string, start Start) error {
+	return registry.takeEnd(&Record{ID: id, Pool: start.Pool, StartedAt: start.At, State: StateGone})
+}
+
+// takeEnd stores an end and publishes it.
+func (registry *Registry) takeEnd(end *Record) error {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
-	end := Record{ID: id, Pool: start.Pool, StartedAt: start.At, State: StateGone}
-	registered, found := registry.targets[id]
+	return registry.storeEnd(end, true)
+}
+
+// addEnd stores an end that another registry has taken or that was saved.
+func (registry *Registry) addEnd(end *Record) error {
+	registry.lock.Lock()
+	defer registry.lock.Unlock()
+	return registry.storeEnd(end, false)
+}
+
+// storeEnd stores the end of a start unless the same end or a later start is known. An end of a start that
+// isn't listed is published only if requested. The lock must be held.
+func (registry *Registry) storeEnd(end *Record, publish bool) error {
+	age, now := max(0, end.EndedFor), time.Now()
+	if age >= retentionSpan {
+		return nil
+	}
+	heldOffUntil := now.Add(end.HoldsOffFor)
+	registered, found := registry.targets[end.ID]
 	switch {
 	case !found:
 		if len(registry.targets) >= MaximumTargets {
-			registry.logger.Warn("end of a target dropped: the registry is full", zap.String("target", id))
+			registry.logger.Warn("end of a target dropped: the registry is full", zap.String("target", end.ID))
 			return newFullError()
 		}
-		registered = &registeredTarget{record: end}
-		registry.targets[id] = registered
+		registered = &registeredTarget{record: *end, unlisted: !publish}
+		registry.targets[end.ID] = registered
+	case registered.record.State == StateGone && registered.record.start() == end.start():
+		if heldOffUntil.After(registered.heldOffUntil) {
+			registered.heldOffUntil = heldOffUntil
+			registry.markChanged(registered)
+		}
+		return nil
 	case !end.supersedes(&registered.record):
 		return nil
-	case registered.record.start() == start:
+	case registered.record.start() == end.start():
 		registered.record.State = StateGone
 	default:
-		registered.record = end
+		registered.record = *end
+	}
+	registered.record.EndedFor, registered.record.HoldsOffFor = 0, 0
+	registered.lastHeardAt, registered.heldOffUntil = now.Add(-age), heldOffUntil
+	if registered.unlisted {
+		registry.markChanged(registered)
+	} else {
+		registry.publish(registered)
 	}
-	registered.lastHeardAt = time.Now()
-	registry.publish(registered)
 	return nil
 }
 
+// adoptLeaving applies a newer announcement that another registry has of a start, if it says that the target is leaving
+// and this registry lists that start as ready.
+func (registry *Registry) adoptLeaving(record *Record) {
+	registry.lock.Lock()
+	defer registry.lock.Unlock()
+	registered, found := registry.targets[record.ID]
+	if !found || registered.record.State != StateReady || registered.record.start() != record.start() || !record.supersedes(&registered.record) {
+		return
+	}
+	registered.record.State, registered.record.Revision = StateLeaving, record.Revision
+	registry.publish(registered)
+}
+
 // publish makes a change visible to watchers. The lock must be held.
 func (registry *Registry) publish(registered *registeredTarget) {
-	registry.revision++
-	registered.revision = registry.revision
+	registry.markChanged(registered)
 	close(registry.changed)
 	registry.changed = make(chan struct{})
 	registry.logger.Info("target", zap.String("target", registered.record.ID), zap.String("pool", registered.record.Pool), zap.String("address", registered.record.Address),
@@ -167,6 +218,16 @@
 		zap.Duration("cold_for", registered.record.ColdFor), zap.Uint64("revision", registered.revision))
 }
 
+// markChanged assigns a change its revision, so that it is saved. The lock must be held.
+func (registry *Registry) markChanged(registered *registeredTarget) {
+	registry.revision++
+	registered.revision = registry.revision
+	select {
+	case registry.saveDue <- struct{}{}:
+	default:
+	}
+}
+
 // Run marks silent targets and removes ended ones until ctx ends.
 func (registry *Registry) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
@@ -201,7 +262,9 @@
 		switch {
 		case ended && silentFor >= retentionSpan:
 			delete(registry.targets, id)
-			registry.prunedRevision = max(registry.prunedRevision, registered.revision)
+			if !registered.unlisted {
+				registry.prunedRevision = max(registry.prunedRevision, registered.revision)
+			}
 		case !ended && silentFor >= retentionSpan:
 			registered.record.State, registered.lastHeardAt = StateUnheard, now
 			registry.publish(registered)
@@ -212,12 +275,14 @@
 	}
 }
 
-// resetSilence restarts the silence timeout of every target.
+// resetSilence restarts the silence timeout of every target that hasn't ended.
 func (registry *Registry) resetSilence(now time.Time) {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
 	for _, registered := range registry.targets {
-		registered.lastHeardAt = now
+		if registered.record.State != StateGone {
+			registered.lastHeardAt = now
+		}
 	}
 }
 
@@ -230,18 +295,22 @@
 }
 
 // changesSince returns the records that changed after a revision, the current
-// revision, and a channel that is closed at the next change. They include unbound ends.
+// revision, and a channel that is closed at the next change that is published. After
+// revision 0 these are all records, unbound and unlisted ends included.
 func (registry *Registry) changesSince(revision uint64) ([]Record, uint64, <-chan struct{}) {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
 	now := time.Now()
 	var records []Record
 	for _, registered := range registry.targets {
-		if registered.revision <= revision {
+		if revision > 0 && (registered.revision <= revision || registered.unlisted) {
 			continue
 		}
 		record := registered.record
 		record.ColdFor = max(0, registered.coldUntil.Sub(now))
+		if record.State == StateGone {
+			record.EndedFor, record.HoldsOffFor = now.Sub(registered.lastHeardAt), max(0, registered.heldOffUntil.Sub(now))
+		}
 		records = append(records, record)
 	}
 	return records, registry.revision, registry.changed
--- a/internal/httptarget/store.go
+++ b/internal/httptarget/store.go
@@ -76,7 +76,7 @@
 	registry.lock.Lock()
 	registry.persistent = true
 	registry.lock.Unlock()
-	records, err := store.read(time.Now())
+	records, age, err := store.read(time.Now())
 	if errors.Is(err, fs.ErrNotExist) {
 		registry.logger.Info("no targets loaded: the targets file doesn't exist yet", zap.String("folder", store.folder))
 		return
@@ -92,12 +92,7 @@
 			registry.logger.Warn("stored target ignored", zap.Stringer("state", records[index].State), zap.Error(err))
 			continue
 		}
-		// Delayed announcements have mostly arrived, and later starts must not be delayed by restarts.
-		if records[index].isUnboundEnd() {
-			ignored++
-			continue
-		}
-		if err := registry.Announce(records[index]); err != nil {
+		if err := registry.restore(&records[index], age); err != nil {
 			registry.logger.Warn("not all targets loaded", zap.Error(err))
 			break
 		}
@@ -105,40 +100,54 @@
 	registry.logger.Info("targets loaded", zap.Int("targets", len(records)-ignored), zap.Int("ignored", ignored))
 }
 
+// restore adds a record that was saved some time ago.
+func (registry *Registry) restore(record *Record, age time.Duration) error {
+	switch {
+	case record.State != StateGone:
+		return registry.Announce(*record)
+	case record.isUnboundEnd() && record.HoldsOffFor <= age:
+		return nil
+	}
+	record.EndedFor += age
+	record.HoldsOffFor = max(0, record.HoldsOffFor-age)
+	return registry.addEnd(record)
+}
+
 // Save writes the registry to the store until ctx ends: after changes, at most once in
 // saveInterval, at once after withdrawals, and at least once in resaveInterval. A failed
 // write is logged and repeated.
 func (registry *Registry) Save(ctx context.Context, store *Store) {
 	var lastSave time.Time
 	for lastRevision := uint64(0); ; {
-		records, revision, changed := registry.changesSince(0)
+		records, revision, _ := registry.changesSince(0)
+		failed := false
 		if revision != lastRevision || revision > 0 && time.Since(lastSave) >= resaveInterval {
 			if err := store.write(records, time.Now()); err != nil {
 				registry.logger.Warn("targets not saved", zap.String("folder", store.folder), zap.Error(err))
-				changed = nil
+				failed = true
 			} else {
 				lastRevision = revision
 				registry.markSaved(revision)
 			}
 			lastSave = time.Now()
 		}
-		if !registry.awaitSaveTime(ctx, changed, lastSave) {
+		if !registry.awaitSaveTime(ctx, failed, lastSave) {
 			return
 		}
 	}
 }
 
-// awaitSaveTime waits until the registry must be saved again. It returns false once ctx has
-// ended. A nil changed means that the last write failed.
-func (registry *Registry) awaitSaveTime(ctx context.Context, changed <-chan struct{}, lastSave time.Time) bool {
-	if changed != nil {
+// awaitSaveTime waits until the registry must be saved again, which is after the pause if the
+// last write failed. It returns false once ctx has ended.
+func (registry *Registry) awaitSaveTime(ctx context.Context, failed bool, lastSave time.Time) bool {
+	if !failed {
 		resave := time.NewTimer(resaveInterval)
 		defer resave.Stop()
 		select {
 		case <-ctx.Done():
 			return false
 		case <-resave.C:
-		case <-changed:
+		case <-registry.saveDue:
 		}
 	}
 	pause := time.NewTimer(time.Until(lastSave.Add(saveInterval)))
@@ -202,23 +211,24 @@
 	return registry.saved
 }
 
-// read returns the stored records, unless the file is outdated at now.
-func (store *Store) read(now time.Time) ([]Record, error) {
+// read returns the stored records and their age, unless the file is outdated at now.
+func (store *Store) read(now time.Time) ([]Record, time.Duration, error) {
 	data, err := store.fileSystem.Read(filepath.Join(store.folder, storeName))
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	if len(data) < checksumBytes || binary.BigEndian.Uint64(data) != xxhash.Sum64(data[checksumBytes:]) {
-		return nil, errStoreDamaged
+		return nil, 0, errStoreDamaged
 	}
 	var stored storedTargets
 	if err := frame.Unmarshal(data[checksumBytes:], &stored); err != nil {
-		return nil, errors.Wrap(err, "decode the targets file")
+		return nil, 0, errors.Wrap(err, "decode the targets file")
 	}
-	if now.Sub(stored.SavedAt) >= retentionSpan {
-		return nil, errStoreOutdated
+	age := max(0, now.Sub(stored.SavedAt))
+	if age >= retentionSpan {
+		return nil, 0, errStoreOutdated
 	}
-	return stored.Records, nil
+	return stored.Records, age, nil
 }
 
 // write replaces the file atomically: at any moment it holds either the previous or
--- a/internal/httptarget/watch.go
+++ b/internal/httptarget/watch.go
@@ -52,10 +52,19 @@
 		Records  []Record `msgpack:"c,omitempty"`
 	}
 
-	// Watcher keeps a Directory up to date with all registries. Construct it with
-	// NewWatcher.
+	// follower keeps what registries have replied.
+	follower interface {
+		// apply applies a registry's reply.
+		apply(address string, reply *WatchReply)
+		// markStale is called for a registry that has been unreachable for unreachableSpan.
+		markStale(address string)
+		// removeSource is called for a registry whose process has left the group.
+		removeSource(address string)
+	}
+
+	// Watcher keeps a follower up to date with all registries. Construct it with NewWatcher.
 	Watcher struct {
-		directory *Directory
+		follower follower
 		// addresses returns the peer addresses of the control processes.
 		addresses func() []string
 		dial      tcp.Dialer
@@ -70,7 +79,14 @@
 func (registry *Registry) Register(server *frame.Server) {
 	frame.Handle(server, MethodWatch, registry.watch)
 	frame.Handle(server, MethodStart, func(_ context.Context, request *StartRequest) (*StartReply, error) {
-		return &StartReply{Start: registry.LatestStart(request.ID)}, nil
+		return registry.startReply(request.ID), nil
+	})
+	frame.Handle(server, MethodEnd, func(_ context.Context, request *EndRequest) (*StartReply, error) {
+		reply := registry.startReply(request.End.ID)
+		if err := request.End.checkStored(); err != nil {
+			return nil, err
+		}
+		return reply, registry.addEnd(&request.End)
 	})
 }
 
@@ -86,11 +102,12 @@
 	defer timer.Stop()
 	for {
 		records, revision, changed := registry.changesSince(sinceRevision)
-		// Unbound ends concern registries only.
+		// Unbound ends concern the registries that were told of them.
 		records = slices.DeleteFunc(records, func(record Record) bool { return record.isUnboundEnd() })
-		if full || revision > sinceRevision {
+		if full || len(records) > 0 {
 			return &WatchReply{Session: registry.session, Revision: revision, Full: full, Records: records}, nil
 		}
+		sinceRevision = revision
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -103,7 +120,11 @@
 
 // NewWatcher returns a watcher that updates a directory.
 func NewWatcher(directory *Directory, addresses func() []string, dial tcp.Dialer, logger *zap.Logger) *Watcher {
-	return &Watcher{directory: directory, addresses: addresses, dial: dial, logger: logger, watches: map[string]context.CancelFunc{}}
+	return newWatcher(directory, addresses, dial, logger)
+}
+
+func newWatcher(follower follower, addresses func() []string, dial tcp.Dialer, logger *zap.Logger) *Watcher {
+	return &Watcher{follower: follower, addresses: addresses, dial: dial, logger: logger, watches: map[string]context.CancelFunc{}}
 }
 
 // Run watches the registries until ctx ends.
@@ -148,7 +169,7 @@
 func (watcher *Watcher) follow(ctx context.Context, address string) {
 	client := frame.NewClient(address, watcher.dial)
 	defer client.Close()
-	defer watcher.directory.removeSource(address)
+	defer watcher.follower.removeSource(address)
 	var position WatchRequest
 	connected, lostAt := false, time.Now()
 	retryDelay := firstWatchRetryDelay
@@ -159,7 +180,7 @@
 				connected = true
 				watcher.logger.Info("registry reached", zap.String("registry", address), zap.Uint64("session", reply.Session))
 			}
-			watcher.directory.apply(address, reply)
+			watcher.follower.apply(address, reply)
 			position = WatchRequest{Session: reply.Session, Revision: reply.Revision}
 			retryDelay = firstWatchRetryDelay
 			continue
@@ -169,7 +190,7 @@
 			watcher.logger.Warn("registry lost", zap.String("registry", address), zap.Error(err))
 		}
 		if time.Since(lostAt) >= unreachableSpan {
-			watcher.directory.markStale(address)
+			watcher.follower.markStale(address)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -107,6 +107,7 @@
 	lifecycle.Append(fx.StartStopHook(func() {
 		registry.Load(store)
 		go registry.Run(ctx)
+		go group.Run(ctx)
 		go registry.Save(ctx, store)
 	}, func() {
 		cancel()
