Count the rest of a cold start from when it was heard

An entry counted the rest of a target's cold start anew whenever it merged the record with those of other registries, and a registry counted it anew after its restart, so that a warm target got few requests for as long again.

Change: an entry keeps the end of the cold start by its own clock with the record that it received, and a registry takes the time since its file was saved off the rest.

--- a/internal/httptarget/cluster_test.go
+++ b/internal/httptarget/cluster_test.go
@@ -18,6 +18,12 @@
 	clusterDelay = 10 * time.Millisecond
 	// clusterSettleSpan is how long a cluster without faults takes until all know the same.
 	clusterSettleSpan = 3 * time.Second
+	// coldRate is the rate of cold targets in these tests, in requests a second.
+	coldRate = 4
+	// learnSpan is how long after the acknowledgement of an announcement entries know it.
+	learnSpan = 100 * time.Millisecond
+	// warmSlack is how long after its cold start has ended a target may still get requests at the rate of cold ones.
+	warmSlack = 300 * time.Millisecond
 )
 
 type (
--- a/internal/httptarget/directory.go
+++ b/internal/httptarget/directory.go
@@ -36,12 +36,18 @@
 
 	// source is the state of one registry as last received.
 	source struct {
-		records map[string]Record
+		records map[string]receivedRecord
 		// stale is true while the registry has been unreachable for
 		// unreachableSpan or longer; its records then count as silent.
 		stale bool
 	}
 
+	// receivedRecord is a record with the end of its cold start by this process's clock.
+	receivedRecord struct {
+		Record
+		coldUntil time.Time
+	}
+
 	// endedStart is the latest start of a target that has ended.
 	endedStart struct {
 		// startedAt is Record.StartedAt of that start.
@@ -121,7 +127,7 @@
 	defer directory.lock.Unlock()
 	existing := directory.sources[address]
 	if existing == nil {
-		existing = &source{records: map[string]Record{}}
+		existing = &source{records: map[string]receivedRecord{}}
 		directory.sources[address] = existing
 	}
 	directory.synced = true
@@ -136,9 +142,10 @@
 		}
 	}
 	if reply.Full {
-		existing.records = map[string]Record{}
+		existing.records = map[string]receivedRecord{}
 	}
 	existing.stale = false
+	now := time.Now()
 	for _, record := range reply.Records {
 		if err := record.checkStored(); err != nil {
 			directory.ignoredRecords++
@@ -153,7 +160,7 @@
 		case StateUnheard:
 			delete(existing.records, record.ID)
 		default:
-			existing.records[record.ID] = record
+			existing.records[record.ID] = receivedRecord{Record: record, coldUntil: now.Add(record.ColdFor)}
 		}
 	}
 	for id := range changed {
@@ -249,8 +256,8 @@
 
 // newest returns the merged record of the latest start of an ID, and whether there is
 // one. Its state is leaving if any registry reports that. The lock must be held.
-func (directory *Directory) newest(id string) (Record, bool) {
-	var newest Record
+func (directory *Directory) newest(id string) (receivedRecord, bool) {
+	var newest receivedRecord
 	found := false
 	for _, source := range directory.sources {
 		record, reported := source.records[id]
@@ -306,14 +313,14 @@
 
 // update adds a target or applies a newer record to it. If the record describes
 // another target with the same ID, that one replaces it. The lock must be held.
-func (directory *Directory) update(record *Record, silent bool) {
+func (directory *Directory) update(record *receivedRecord, silent bool) {
 	target := directory.targets[record.ID]
-	if target != nil && !target.matches(record) {
+	if target != nil && !target.matches(&record.Record) {
 		directory.removeTarget(record.ID)
 		target = nil
 	}
 	if target == nil {
-		target = newTarget(record)
+		target = newTarget(&record.Record)
 		directory.targets[record.ID] = target
 		directory.logger.Info("target found", zap.String("target", record.ID), zap.String("pool", record.Pool), zap.String("address", record.Address), zap.Stringer("state", record.State))
 	} else if target.record.State != record.State || target.silent != silent {
--- a/internal/httptarget/directory_test.go
+++ b/internal/httptarget/directory_test.go
@@ -266,7 +266,7 @@
 			record := announcedRecord("t", "10.0.0.1:80", 5, 3, StateReady)
 			record.ColdFor = 3 * time.Second
 			target := newTarget(&record)
-			target.update(&record, false)
+			target.update(&receivedRecord{Record: record, coldUntil: time.Now().Add(record.ColdFor)}, false)
 			expect.Expect(target.Limit(2.5, time.Now()).PerSecond()).To(gomega.Equal(2.5))
 			expect.Expect(target.Limit(0, time.Now()).Named()).To(gomega.BeFalse())
 			target.setLimit(1.5, time.Now())
--- a/internal/httptarget/store.go
+++ b/internal/httptarget/store.go
@@ -104,6 +104,7 @@
 func (registry *Registry) restore(record *Record, age time.Duration) error {
 	switch {
 	case record.State != StateGone:
+		record.ColdFor = max(0, record.ColdFor-age)
 		return registry.Announce(*record)
 	case record.isUnboundEnd() && record.HoldsOffFor <= age:
 		return nil
--- a/internal/httptarget/target.go
+++ b/internal/httptarget/target.go
@@ -188,14 +188,13 @@
 }
 
 // update applies a newer record of the same start.
-func (target *Target) update(record *Record, silent bool) {
+func (target *Target) update(record *receivedRecord, silent bool) {
 	target.lock.Lock()
 	defer target.lock.Unlock()
-	now := time.Now()
 	target.record.State, target.record.Slots, target.record.Revision = record.State, record.Slots, record.Revision
 	target.silent = silent
-	if until := now.Add(record.ColdFor); record.ColdFor > 0 && until.After(target.coldUntil) {
-		target.coldUntil = until
+	if record.coldUntil.After(target.coldUntil) {
+		target.coldUntil = record.coldUntil
 	}
 }
 
