Compare the ends of cold starts, not their rests

Cause: a registry told entries of a longer cold start only if the rest in an announcement was greater than the rest in the one before. 2.9 s at the second announcement are less than the 3.0 s of the first, but entries counted 1.8 s by then. No later announcement told them either, as each names less than the one before. Any second cold start whose rest was less than the last reported one was lost, not only one of equal length.

Change: a registry keeps the end that it has told entries and publishes a later one. The end is told with a margin of 100 ms, so that announcements which name the same end, later by their transit, aren't changes.

Evidence: TestSecondColdStartReachesEntries failed before ("the target is taken for warm before it is").

--- a/internal/httptarget/registry.go
+++ b/internal/httptarget/registry.go
@@ -26,6 +26,9 @@
 	// lateAnnouncementSpan is how long announcements are ignored after the end of a target that has no known start in
 	// use: they may have been sent before it. A target that announces itself later has started again.
 	lateAnnouncementSpan = 5 * time.Second
+	// coldStartMargin is added to the end of a cold start, so that the announcements that name the same end again,
+	// a little later for their transit, aren't changes.
+	coldStartMargin = 100 * time.Millisecond
 	// sweepInterval is the interval between checks for silent targets.
 	sweepInterval = 500 * time.Millisecond
 	// MaximumTargets bounds the number of targets in a registry.
@@ -67,7 +70,8 @@
 		// lastHeardAt is when the latest announcement arrived, or when the record became
 		// StateGone or StateUnheard. Run resets it after a pause of the process.
 		lastHeardAt time.Time
-		coldUntil   time.Time
+		// coldUntil is the end of the cold start as entries know it. Within one start it is never set back.
+		coldUntil time.Time
 		// heldOffUntil is the time before which announcements of starts after the one that has ended are ignored.
 		heldOffUntil time.Time
 	}
@@ -102,8 +106,14 @@
 		registry.targets[record.ID] = registered
 	}
 	visible := !found || changesTarget(&registered.record, &record)
-	registered.record, registered.unlisted, registered.lastHeardAt, registered.coldUntil = record, false, now, now.Add(record.ColdFor)
-	registered.heldOffUntil = time.Time{}
+	if !found || record.StartedAt != registered.record.StartedAt {
+		registered.coldUntil = time.Time{}
+	}
+	if coldUntil := now.Add(record.ColdFor); record.ColdFor > 0 && coldUntil.After(registered.coldUntil) {
+		registered.coldUntil = coldUntil.Add(coldStartMargin)
+		visible = true
+	}
+	registered.record, registered.unlisted, registered.lastHeardAt, registered.heldOffUntil = record, false, now, time.Time{}
 	if visible {
 		registry.publish(registered)
 	}
@@ -114,13 +124,12 @@
 	return fault.New(fault.Unavailable, fmt.Sprintf("this process knows %d targets and takes no more", MaximumTargets), "announce to another control process")
 }
 
-// changesTarget reports whether a newer record must be published to entries.
+// changesTarget reports whether a newer record must be published to entries, whatever the end of its cold start.
 func changesTarget(previous, record *Record) bool {
 	before, after := *previous, *record
 	before.Revision, after.Revision = 0, 0
-	// The rest of the cold start decreases with time; only an increase is a change.
 	before.ColdFor, after.ColdFor = 0, 0
-	return before != after || record.ColdFor > previous.ColdFor
+	return before != after
 }
 
 // LatestStart returns the latest start of a target that this registry knows, or the zero value if it
