Reuse what the group knows of older builds, and log the start that has ended

The end of a target now logs the start that it concerns, whether that was in use and which registries weren't told. A registry of an older build, which can't be asked, counts with the starts that it lists.

--- a/internal/httpcaller/fleet_test.go
+++ b/internal/httpcaller/fleet_test.go
@@ -208,10 +208,10 @@
 	}
 }
 
-// endTarget records the end of a target's latest start.
+// endTarget records the end of a target.
 func (fleet *fleet) endTarget(id string) error {
-	start, _ := fleet.registry.LatestStart(id)
-	return fleet.registry.End(id, start)
+	group := httptarget.NewGroup(fleet.registry, func() []string { return nil }, nil, zap.NewNop())
+	return group.End(context.Background(), id)
 }
 
 // setLinks cuts the links between an entry and all targets, or heals them. Bytes are held back while
--- a/internal/httptarget/directory.go
+++ b/internal/httptarget/directory.go
@@ -159,7 +159,7 @@
 			directory.applyEnd(&record)
 		case StateUnheard:
 			delete(existing.records, record.ID)
-		default:
+		case StateReady, StateLeaving:
 			existing.records[record.ID] = receivedRecord{Record: record, coldUntil: now.Add(record.ColdFor)}
 		}
 	}
--- a/internal/httptarget/directory_test.go
+++ b/internal/httptarget/directory_test.go
@@ -25,6 +25,12 @@
 	return ids
 }
 
+// endAt records the end of the start of a target that another registry knows, or the same one.
+func endAt(registry, known *Registry, id string) error {
+	start := known.startReply(id).Start
+	return registry.takeEnd(&Record{ID: id, Pool: start.Pool, StartedAt: start.At, State: StateGone})
+}
+
 // applyChanges applies a registry's changes after a revision to a directory, and
 // advances the revision.
 func applyChanges(directory *Directory, name string, registry *Registry, sinceRevision *uint64) {
@@ -53,7 +59,7 @@
 	ginkgo.It("accepts an ended target again from its next start, but not from the start that ended", func() {
 		registry := NewRegistry(1, zap.NewNop())
 		gomega.Expect(registry.Announce(announcedRecord("t", "10.0.0.1:80", 5, 3, StateReady))).To(gomega.Succeed())
-		gomega.Expect(registry.End("t", registry.startReply("t").Start)).To(gomega.Succeed())
+		gomega.Expect(endAt(registry, registry, "t")).To(gomega.Succeed())
 		gomega.Expect(registry.Announce(announcedRecord("t", "10.0.0.1:80", 5, 4, StateReady))).To(gomega.Succeed())
 		records, _, _ := registry.changesSince(0)
 		gomega.Expect(records[0].State).To(gomega.Equal(StateGone))
@@ -186,7 +192,7 @@
 	ginkgo.It("applies the end of a target from a registry that hasn't its record, until its next start", func() {
 		gomega.Expect(first.Announce(announcedRecord("t", "10.0.0.1:80", 5, 3, StateReady))).To(gomega.Succeed())
 		applySnapshot(directory, "first", first)
-		gomega.Expect(second.End("t", first.startReply("t").Start)).To(gomega.Succeed())
+		gomega.Expect(endAt(second, first, "t")).To(gomega.Succeed())
 		applySnapshot(directory, "second", second)
 		gomega.Expect(usableIDs(directory)).To(gomega.BeEmpty())
 		gomega.Expect(second.Announce(announcedRecord("t", "10.0.0.1:80", 6, 1, StateReady))).To(gomega.Succeed())
--- a/internal/httptarget/group.go
+++ b/internal/httptarget/group.go
@@ -104,12 +104,6 @@
 	return StartReply{Start: reply.Start, InUse: reply.InUse || other.InUse}
 }
 
-// startReply returns the latest start of a target that the registry knows.
-func (registry *Registry) startReply(id string) *StartReply {
-	start, inUse := registry.LatestStart(id)
-	return &StartReply{Start: start, InUse: inUse}
-}
-
 // End records the end of the latest start of a target that any registry of the group knows, or returns a
 // fault.Error if that can't be determined.
 func (group *Group) End(ctx context.Context, id string) error {
@@ -132,6 +126,7 @@
 		if err := group.registry.takeEnd(&end); err != nil {
 			return err
 		}
+		group.logger.Info("end of a target taken", zap.String("target", id), zap.String("pool", end.Pool), zap.Int64("started_at", end.StartedAt), zap.Bool("in_use", latest.InUse), zap.Strings("not_told", missing))
 		newest := latest
 		for _, reply := range callEach(ctx, group, missing, MethodEnd, &EndRequest{End: end}) {
 			newest = newest.merge(*reply)
@@ -151,12 +146,12 @@
 	latest = *group.registry.startReply(id)
 	isFollowed, isComplete := true, true
 	for _, address := range group.others() {
+		followed, wasFollowed, isStale := group.followedStart(address, id)
 		if reply, replied := replies[address]; replied {
-			latest = latest.merge(*reply)
+			latest = latest.merge(*reply).merge(StartReply{Start: followed})
 			continue
 		}
 		missing = append(missing, address)
-		followed, wasFollowed, isStale := group.followedStart(address, id)
 		latest = latest.merge(StartReply{Start: followed, InUse: followed.known()})
 		isFollowed, isComplete = isFollowed && (isStale || wasFollowed), isComplete && isStale
 	}
@@ -185,6 +180,10 @@
 		}
 		calls.Go(func() {
 			reply, err := frame.Call[In, StartReply](ctx, group.client(address), method, request)
+			if frame.IsUnknownMethod(err, method) {
+				// The starts that a registry of an older build lists are known by following it.
+				reply, err = &StartReply{}, nil
+			}
 			if err != nil {
 				group.logger.Warn("registry not reached", zap.String("registry", address), zap.String("method", method), zap.Error(err))
 				return
@@ -227,11 +226,9 @@
 			}
 		case StateUnheard:
 			delete(starts, record.ID)
-		case StateLeaving:
+		case StateReady, StateLeaving:
 			starts[record.ID] = record.start()
 			group.registry.adoptLeaving(record)
-		default:
-			starts[record.ID] = record.start()
 		}
 	}
 }
--- a/internal/httptarget/registry.go
+++ b/internal/httptarget/registry.go
@@ -132,22 +132,16 @@
 	return before != after
 }
 
-// LatestStart returns the latest start of a target that this registry knows, or the zero value if it
-// knows none, and whether the target announces itself here.
-func (registry *Registry) LatestStart(id string) (start Start, inUse bool) {
+// startReply returns the latest start of a target that this registry knows.
+func (registry *Registry) startReply(id string) *StartReply {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
 	registered, found := registry.targets[id]
 	if !found {
-		return Start{}, false
+		return &StartReply{}
 	}
 	record := &registered.record
-	return record.start(), !record.Silent && (record.State == StateReady || record.State == StateLeaving)
-}
-
-// End records that a start of a target has ended or is about to end; later ones aren't affected.
-func (registry *Registry) End(id string, start Start) error {
-	return registry.takeEnd(&Record{ID: id, Pool: start.Pool, StartedAt: start.At, State: StateGone})
+	return &StartReply{Start: record.start(), InUse: !record.Silent && (record.State == StateReady || record.State == StateLeaving)}
 }
 
 // takeEnd stores an end and publishes it.
@@ -210,7 +204,7 @@
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
 	registered, found := registry.targets[record.ID]
-	if !found || registered.record.State != StateReady || registered.record.start() != record.start() || !record.supersedes(&registered.record) {
+	if !found || record.State != StateLeaving || registered.record.State != StateReady || registered.record.start() != record.start() || !record.supersedes(&registered.record) {
 		return
 	}
 	registered.record.State, registered.record.Revision = StateLeaving, record.Revision
--- a/internal/httptarget/release_test.go
+++ b/internal/httptarget/release_test.go
@@ -94,7 +94,7 @@
 		directory.announce(t, "1", "v1", 100)
 		directory.announce(t, "2", "v2", 100)
 		directory.expectFresh(t)
-		if err := directory.registry.End("2", directory.registry.startReply("2").Start); err != nil {
+		if err := endAt(directory.registry, directory.registry, "2"); err != nil {
 			t.Fatal(err)
 		}
 		directory.expectFresh(t)
