Pass the request line on as it was sent

Cause: the path was given to net/http as the opaque part of a URL, and URL.RequestURI puts the empty scheme and a colon before an opaque part that begins with two slashes.

Change: the request line is written from the method and the URI as received, and only the fields after it by net/http. A URI that is empty or has a space or a control character is refused.

Evidence: FuzzRequestLine compares the line byte for byte with the one that a server has read. Before, six of its seeds failed, all with two slashes at the beginning ("GET // HTTP/1.1" is passed on as "GET :// HTTP/1.1"); no other form did. It passes, also 11 s of fuzzing. TestRequestLineWithControlCharactersIsRefused failed for a space and for an empty URI.

--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -10,7 +10,9 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -566,8 +568,11 @@
 	if header.Get("User-Agent") == "" {
 		header["User-Agent"] = []string{""}
 	}
+	if request.URI == "" || strings.ContainsFunc(request.URI, isSeparator) {
+		return errors.New("write the request: its URI is empty or has a space or a control character")
+	}
 	message := http.Request{
-		Method: request.Method, URL: &url.URL{Opaque: request.URI}, Host: request.Host, Header: header,
+		Method: request.Method, URL: &url.URL{Path: "/"}, Host: request.Host, Header: header,
 		ContentLength: int64(len(body)), Body: http.NoBody,
 	}
 	if len(body) > 0 {
@@ -577,11 +582,18 @@
 	if err := message.Write(&writer); err != nil {
 		return errors.Wrap(err, "write the request")
 	}
-	request.head = bytes.TrimSuffix(writer.head, []byte(lineEnd))
+	// The writer of net/http would change some request lines, such as one whose path begins with two slashes.
+	_, fields, _ := bytes.Cut(bytes.TrimSuffix(writer.head, []byte(lineEnd)), []byte(lineEnd))
+	request.head = slices.Concat([]byte(request.Method+" "+request.URI+" HTTP/1.1"+lineEnd), fields)
 	request.body = body
 	return nil
 }
 
+// isSeparator reports whether a character would end the URI in a request line.
+func isSeparator(character rune) bool {
+	return character <= ' ' || character == 0x7f
+}
+
 // Write implements io.Writer.
 func (headWriter *headWriter) Write(text []byte) (int, error) {
 	if headWriter.ended {
