Pass bodies only to entries in regions that the request allows

Cause: an attempt whose connection is refused is sent through other entries, whole. These were ranked by their distance, and neither the relay nor the sender knew the regions that the route or the tenant allows. Targets were checked against them, entries on the way not.

Change: a request says which regions it may be passed to, by the route and the tenant that it began with and those in force. Other entries are left out before they are ranked, so that they take no place of allowed ones. The region of the entry itself isn't allowed by itself, as callers of other regions connect there too. The question whether an entry has a link to a target, which has no body, goes to all.

--- a/internal/httpcaller/dispatch.go
+++ b/internal/httpcaller/dispatch.go
@@ -196,9 +196,14 @@
 // request may outlast a change. The regions that it began with hold as well.
 func (call *call) isEligible(target *httptarget.Target) bool {
 	domain := target.FailureDomain()
-	region := call.server.options.Regions[domain]
 	current := call.server.currentRouteIndex()
-	if current == nil || current.tables.IsOut(domain) || !allowsRegions(call.route, call.tenant, region) {
+	return current != nil && !current.tables.IsOut(domain) && call.allowsRegion(call.server.options.Regions[domain])
+}
+
+// allowsRegion reports whether the request may be sent to targets and entries in a region.
+func (call *call) allowsRegion(region string) bool {
+	current := call.server.currentRouteIndex()
+	if current == nil || !allowsRegions(call.route, call.tenant, region) {
 		return false
 	}
 	if current == call.routeIndex {
--- a/internal/httpcaller/server.go
+++ b/internal/httpcaller/server.go
@@ -374,7 +374,7 @@
 	call.limitReading(writer, request, 0)
 	call.fingerprint = blackboard.NewFingerprint(request.Method+" "+request.Host+request.RequestURI, body)
 	call.request.Method, call.request.URI, call.request.Host = request.Method, request.RequestURI, request.Host
-	call.request.Repeatable = !call.route.NeverRepeat
+	call.request.Repeatable, call.request.AllowsRegion = !call.route.NeverRepeat, call.allowsRegion
 	header := endToEnd(request.Header)
 	// Each attempt sets these two by its target and the time that is left then.
 	header.Del(call.server.options.Headers.Deadline)
--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -96,6 +96,8 @@
 		// URI is the path and query as the caller sent them.
 		URI  string
 		Host string
+		// AllowsRegion reports whether the request may be passed to an entry in a region; nil means any.
+		AllowsRegion func(region string) bool
 		// head and body are the encoded message, without the headers that differ by
 		// target.
 		head []byte
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -65,10 +65,11 @@
 // target's failure domain, which keep most connections to it, then those near this entry, and last
 // those that are avoided. Among equally near ones, those with connections to lend come first, in random order. Pinned
 // candidates are those of the target's region first, in an order that differs between entries but stays the same for one.
+// Entries in regions that aren't allowed are left out; a nil allowsRegion allows all.
 //
 // Only the first maximumEntries are put in order, because no attempt goes further: a query of an entry without links asks for
 // the candidates of each shard.
-func (relay *Relay) candidates(targetDomain string, pinned bool) []*membership.Member {
+func (relay *Relay) candidates(targetDomain string, pinned bool, allowsRegion func(region string) bool) []*membership.Member {
 	ranking := relay.rankingFor(targetDomain)
 	avoided := relay.entries.avoided(time.Now())
 	groups := ranking.near
@@ -83,6 +84,7 @@
 			// Those behind the first maximumEntries aren't tried, but the first ones of a group are drawn from all of it.
 			matters := start < maximumEntries && !pinned || len(candidates) < maximumEntries
 			switch {
+			case allowsRegion != nil && !allowsRegion(member.Region):
 			case avoided[member.PeerAddress]:
 				last = append(last, member)
 			case matters && relay.isSpare != nil && relay.isSpare(member.ID):
--- a/internal/relay/choose_test.go
+++ b/internal/relay/choose_test.go
@@ -34,8 +34,8 @@
 	first := map[string]bool{}
 	for number := range 60 {
 		relay := &Relay{board: board, options: Options{Self: fmt.Sprint("caller-", number), FailureDomain: "nord-a", Region: "nord", Regions: map[string]string{"nord-a": "nord", nearDomain: "sud", "sud-b": "sud"}}}
-		candidates := relay.candidates(nearDomain, true)
-		if again := relay.candidates(nearDomain, true); !slices.Equal(candidates, again) {
+		candidates := relay.candidates(nearDomain, true, nil)
+		if again := relay.candidates(nearDomain, true, nil); !slices.Equal(candidates, again) {
 			t.Fatal("the order changes between two attempts")
 		}
 		if candidates[0].FailureDomain != nearDomain || candidates[4].FailureDomain != "sud-b" || candidates[8].FailureDomain != "nord-a" {
@@ -43,7 +43,7 @@
 		}
 		first[candidates[0].ID] = true
 		relay.entries.begin(candidates[0].PeerAddress)(avoidEntry)
-		if next := relay.candidates(nearDomain, true); next[0] != candidates[1] || next[11] != candidates[0] {
+		if next := relay.candidates(nearDomain, true, nil); next[0] != candidates[1] || next[11] != candidates[0] {
 			t.Fatal("an entry without a reply isn't passed over")
 		}
 	}
@@ -63,7 +63,7 @@
 	relay.isSpare = func(id string) bool { return !active[id] }
 	first := map[string]bool{}
 	for range 100 {
-		candidates := relay.candidates(nearDomain, false)
+		candidates := relay.candidates(nearDomain, false, nil)
 		if len(candidates) != 59 {
 			t.Fatalf("%d candidates", len(candidates))
 		}
@@ -82,7 +82,7 @@
 			relay.entries.begin(member.PeerAddress)(avoidEntry)
 		}
 	}
-	candidates := relay.candidates(nearDomain, false)
+	candidates := relay.candidates(nearDomain, false, nil)
 	if active[candidates[0].ID] || candidates[0].FailureDomain != nearDomain || !active[candidates[58].ID] {
 		t.Error("entries that are avoided don't come last")
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -97,7 +97,7 @@
 func (relay *Relay) Send(ctx context.Context, target *httptarget.Target, request *httptarget.Request, deadline time.Time, pinned bool) (httptarget.Outcome, bool) {
 	attempt := newAttempt(target, request)
 	outOfReach := 0
-	candidates := relay.candidates(target.FailureDomain(), pinned)
+	candidates := relay.candidates(target.FailureDomain(), pinned, request.AllowsRegion)
 	var busy httptarget.Outcome
 	for _, entry := range candidates[:min(len(candidates), maximumEntries)] {
 		// Those that are avoided stand last.
@@ -179,7 +179,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reachTimeout)
 	defer cancel()
 	question := &Question{TargetID: target.ID(), StartedAt: target.StartedAt()}
-	candidates := relay.candidates(target.FailureDomain(), false)
+	candidates := relay.candidates(target.FailureDomain(), false, nil)
 	links := make(chan bool, reachEntries)
 	asked := candidates[:min(len(candidates), reachEntries)]
 	for _, entry := range asked {
