Publish an end where the registry has an earlier one from another registry

A registry that is told of an end of a start which it doesn't list keeps it without waking its entries. When it took the end of a later start of that target itself, it kept to that, so that entries heard of the end only from others; if these were down, the target was used until they counted as stale.

TestEndOfALaterStartReachesEntries failed before ("the target is used after its end").

--- a/internal/httptarget/ended_starts_test.go
+++ b/internal/httptarget/ended_starts_test.go
@@ -166,6 +166,27 @@
 	})
 }
 
+// Guards against an end that its registry doesn't tell entries, because it has the end of an earlier start of the target from
+// another registry.
+func TestEndOfALaterStartReachesEntries(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 3)
+		defer cluster.close()
+		announced, told, ended := cluster.nodes[0], cluster.nodes[1], cluster.nodes[2]
+		announced.pingFor(4*pingInterval, 100, 1)
+		ended.end()
+		time.Sleep(drainSpan)
+		announced.pingFor(4*pingInterval, 200, 1)
+		announced.kill()
+		ended.kill()
+		told.end()
+		time.Sleep(time.Second)
+		if cluster.entries[0].uses("t", 200) {
+			t.Error("the target is used after its end")
+		}
+	})
+}
+
 // Guards against an end that doesn't reach a registry which was down, and which lists the target again from its file.
 func TestEndReachesARegistryThatWasDown(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
--- a/internal/httptarget/registry.go
+++ b/internal/httptarget/registry.go
@@ -165,7 +165,7 @@
 	if age >= retentionSpan {
 		return nil
 	}
-	heldOffUntil := now.Add(end.HoldsOffFor)
+	endedAt, heldOffUntil := now.Add(-age), now.Add(end.HoldsOffFor)
 	registered, found := registry.targets[end.ID]
 	switch {
 	case !found:
@@ -173,14 +173,16 @@
 			registry.logger.Warn("end of a target dropped: the registry is full", zap.String("target", end.ID))
 			return newFullError()
 		}
-		registered = &registeredTarget{record: *end, unlisted: !publish}
+		registered = &registeredTarget{record: *end, unlisted: true}
 		registry.targets[end.ID] = registered
 	case registered.record.State == StateGone && registered.record.start() == end.start():
-		if heldOffUntil.After(registered.heldOffUntil) {
-			registered.heldOffUntil = heldOffUntil
-			registry.markChanged(registered)
+		if !heldOffUntil.After(registered.heldOffUntil) && (!publish || !registered.unlisted) {
+			return nil
+		}
+		endedAt = registered.lastHeardAt
+		if heldOffUntil.Before(registered.heldOffUntil) {
+			heldOffUntil = registered.heldOffUntil
 		}
-		return nil
 	case !end.supersedes(&registered.record):
 		return nil
 	case registered.record.start() == end.start():
@@ -189,7 +191,8 @@
 		registered.record = *end
 	}
 	registered.record.EndedFor, registered.record.HoldsOffFor = 0, 0
-	registered.lastHeardAt, registered.heldOffUntil = now.Add(-age), heldOffUntil
+	registered.lastHeardAt, registered.heldOffUntil = endedAt, heldOffUntil
+	registered.unlisted = registered.unlisted && !publish
 	if registered.unlisted {
 		registry.markChanged(registered)
 	} else {
