Publish an end once

Cause: an end that holds off later starts carried the time left. Each registry counted it from when the record arrived, so that it ended later by the transit; the one that had sent it then took this for a later end, published it, and so on for good.

Change: what a registry hears of a known end by following others changes nothing. Only a further call of the target does, here or at a registry that tells this one.

--- a/internal/httptarget/directory_test.go
+++ b/internal/httptarget/directory_test.go
@@ -28,7 +28,7 @@
 // endAt records the end of the start of a target that another registry knows, or the same one.
 func endAt(registry, known *Registry, id string) error {
 	start := known.startReply(id).Start
-	return registry.takeEnd(&Record{ID: id, Pool: start.Pool, StartedAt: start.At, State: StateGone})
+	return registry.takeEnd(&Record{ID: id, Pool: start.Pool, StartedAt: start.At, State: StateGone}, true)
 }
 
 // applyChanges applies a registry's changes after a revision to a directory, and
--- a/internal/httptarget/ended_starts_test.go
+++ b/internal/httptarget/ended_starts_test.go
@@ -251,3 +251,26 @@
 		}
 	})
 }
+
+// Guards against registries that tell each other of the same end without end, because the time for which it holds off later
+// starts grows by the transit of each message.
+func TestEndIsPublishedOnce(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 3)
+		defer cluster.close()
+		for _, node := range cluster.nodes {
+			node.ping(100, 1)
+			time.Sleep(pingInterval)
+		}
+		time.Sleep(SilenceSpan)
+		before := cluster.revisions()
+		cluster.nodes[0].end()
+		time.Sleep(time.Second)
+		cluster.nodes[1].end()
+		time.Sleep(lateAnnouncementSpan)
+		// Each registry that lists the start publishes its end, and stores that it was called twice.
+		if published := cluster.revisions() - before; published > 6 {
+			t.Errorf("%d changes were published for an end", published)
+		}
+	})
+}
--- a/internal/httptarget/generated_ends_test.go
+++ b/internal/httptarget/generated_ends_test.go
@@ -23,6 +23,9 @@
 	callSpan = time.Second
 	// maximumPingDelay is how late an announcement may arrive.
 	maximumPingDelay = 4 * time.Second
+	// maximumCalmChanges is how many changes registries may publish in a minute in which targets only announce themselves.
+	// Those of which announcements are late may become silent in between.
+	maximumCalmChanges = 100
 	// sampleInterval is the interval at which the entries are looked at.
 	sampleInterval = 100 * time.Millisecond
 )
@@ -145,8 +148,12 @@
 	time.Sleep(4 * (9*time.Second + drainSpan + 5*time.Second + 12*callSpan))
 	for range 2 {
 		run.checkAgreement()
+		revisions := run.cluster.revisions()
 		// A minute later the ends are forgotten.
 		time.Sleep(retentionSpan + maximumPingDelay + clusterSettleSpan)
+		if published := run.cluster.revisions() - revisions; published > maximumCalmChanges {
+			run.failures = append(run.failures, fmt.Sprintf("%d changes were published although nothing has changed", published))
+		}
 	}
 	run.checkAgreement()
 	cancel()
--- a/internal/httptarget/group.go
+++ b/internal/httptarget/group.go
@@ -123,7 +123,7 @@
 		if !latest.InUse {
 			end.HoldsOffFor = lateAnnouncementSpan
 		}
-		if err := group.registry.takeEnd(&end); err != nil {
+		if err := group.registry.takeEnd(&end, true); err != nil {
 			return err
 		}
 		group.logger.Info("end of a target taken", zap.String("target", id), zap.String("pool", end.Pool), zap.Int64("started_at", end.StartedAt), zap.Bool("in_use", latest.InUse), zap.Strings("not_told", missing))
--- a/internal/httptarget/registry.go
+++ b/internal/httptarget/registry.go
@@ -144,28 +144,45 @@
 	return &StartReply{Start: record.start(), InUse: !record.Silent && (record.State == StateReady || record.State == StateLeaving)}
 }
 
-// takeEnd stores an end and publishes it.
-func (registry *Registry) takeEnd(end *Record) error {
+// takeEnd stores an end that a target has called, here or, with publish false, at another registry that tells this one.
+func (registry *Registry) takeEnd(end *Record, publish bool) error {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
-	return registry.storeEnd(end, true)
+	registered, found := registry.targets[end.ID]
+	if found && registered.record.State == StateGone && registered.record.start() == end.start() {
+		registry.repeatEnd(registered, end, publish)
+		return nil
+	}
+	return registry.storeEnd(end, publish)
 }
 
-// addEnd stores an end that another registry has taken or that was saved.
+// repeatEnd applies a further call of a known end, which may concern a later start. The lock must be held.
+func (registry *Registry) repeatEnd(registered *registeredTarget, end *Record, publish bool) {
+	if heldOffUntil := time.Now().Add(end.HoldsOffFor); heldOffUntil.After(registered.heldOffUntil) {
+		registered.heldOffUntil = heldOffUntil
+		registry.markChanged(registered)
+	}
+	if publish && registered.unlisted {
+		registered.unlisted = false
+		registry.publish(registered)
+	}
+}
+
+// addEnd stores an end that another registry has sent to its followers, or that was saved. A known end stays as it is:
+// the messages between registries would otherwise prolong it by their transit, time and again.
 func (registry *Registry) addEnd(end *Record) error {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
 	return registry.storeEnd(end, false)
 }
 
-// storeEnd stores the end of a start unless the same end or a later start is known. An end of a start that
+// storeEnd stores the end of a start unless that end or a later start is known. An end of a start that
 // isn't listed is published only if requested. The lock must be held.
 func (registry *Registry) storeEnd(end *Record, publish bool) error {
 	age, now := max(0, end.EndedFor), time.Now()
 	if age >= retentionSpan {
 		return nil
 	}
-	endedAt, heldOffUntil := now.Add(-age), now.Add(end.HoldsOffFor)
 	registered, found := registry.targets[end.ID]
 	switch {
 	case !found:
@@ -175,14 +192,6 @@
 		}
 		registered = &registeredTarget{record: *end, unlisted: true}
 		registry.targets[end.ID] = registered
-	case registered.record.State == StateGone && registered.record.start() == end.start():
-		if !heldOffUntil.After(registered.heldOffUntil) && (!publish || !registered.unlisted) {
-			return nil
-		}
-		endedAt = registered.lastHeardAt
-		if heldOffUntil.Before(registered.heldOffUntil) {
-			heldOffUntil = registered.heldOffUntil
-		}
 	case !end.supersedes(&registered.record):
 		return nil
 	case registered.record.start() == end.start():
@@ -191,7 +200,7 @@
 		registered.record = *end
 	}
 	registered.record.EndedFor, registered.record.HoldsOffFor = 0, 0
-	registered.lastHeardAt, registered.heldOffUntil = endedAt, heldOffUntil
+	registered.lastHeardAt, registered.heldOffUntil = now.Add(-age), now.Add(end.HoldsOffFor)
 	registered.unlisted = registered.unlisted && !publish
 	if registered.unlisted {
 		registry.markChanged(registered)
--- a/internal/httptarget/watch.go
+++ b/internal/httptarget/watch.go
@@ -86,7 +86,7 @@
 		if err := request.End.checkStored(); err != nil {
 			return nil, err
 		}
-		return reply, registry.addEnd(&request.End)
+		return reply, registry.takeEnd(&request.End, false)
 	})
 }
 
