Tell registries of ends that name no start, and of repeated ones

What callers saw: a target that had ended was used again for seconds, by all entries, where a registry was down as its end was taken and its first announcement was late.

Cause: the end of a target that no registry knows names no start. It was told to the registries that replied; those that followed it left it out, as entries do. A registry that was down then took the late announcement for that of a new start. The same held for the end of a known start that is called again: followers ignored that it holds off later starts for longer.

Change: registries ask for ends without a start as they follow each other, and let a known end hold off for longer. They don't pass that on, so that the messages between them can't prolong it for good. The process that takes a repeated end publishes it. Entries get nothing new, nor do older builds.

Both new tests failed before ("the target is used after its end").

--- a/internal/httptarget/ended_starts_test.go
+++ b/internal/httptarget/ended_starts_test.go
@@ -209,6 +209,55 @@
 	})
 }
 
+// Guards against a late announcement that brings a target back, at a registry that was down when the end was taken and
+// isn't told of it, because no registry knew the start.
+func TestEndOfAnUnknownStartReachesARegistryThatWasDown(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 3)
+		defer cluster.close()
+		down, ended := cluster.nodes[0], cluster.nodes[1]
+		down.kill()
+		time.Sleep(unreachableSpan + clusterSettleSpan)
+		ended.end()
+		down.checkLateAnnouncement(100)
+	})
+}
+
+// Guards against the same where the registry that was down knows the end of an earlier start, which holds off this one.
+func TestRepeatedEndReachesARegistryThatWasDown(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 3)
+		defer cluster.close()
+		down, ended := cluster.nodes[0], cluster.nodes[1]
+		ended.pingFor(4*pingInterval, 100, 1)
+		ended.end()
+		time.Sleep(drainSpan)
+		down.kill()
+		time.Sleep(unreachableSpan + clusterSettleSpan)
+		ended.end()
+		down.checkLateAnnouncement(200)
+	})
+}
+
+// checkLateAnnouncement starts a registry right after the end of target t was taken elsewhere, and checks that an announcement
+// of the start that has ended isn't used there, and later ones are.
+func (node *clusterNode) checkLateAnnouncement(startedAt int64) {
+	node.cluster.t.Helper()
+	node.start()
+	time.Sleep(time.Second)
+	node.ping(startedAt, 1)
+	time.Sleep(time.Second)
+	if node.cluster.entries[0].uses("t", startedAt) {
+		node.cluster.t.Error("the target is used after its end")
+	}
+	time.Sleep(lateAnnouncementSpan)
+	node.ping(startedAt, 2)
+	time.Sleep(time.Second)
+	if !node.cluster.entries[0].uses("t", startedAt) {
+		node.cluster.t.Error("the target isn't used although it goes on announcing itself")
+	}
+}
+
 // Guards against a target that announces itself again a minute after its end, and that only entries which started since
 // then use: the others kept the end for good.
 func TestEndIsForgottenAfterAMinuteByAllEntries(t *testing.T) {
--- a/internal/httptarget/group.go
+++ b/internal/httptarget/group.go
@@ -200,7 +200,8 @@
 // Run follows the other registries until ctx ends, to hear of ends and of targets that leave, and to know the starts of
 // a registry that can't be asked.
 func (group *Group) Run(ctx context.Context) {
-	newWatcher(group, group.others, group.dial, group.logger).Run(ctx)
+	watcher := &Watcher{follower: group, addresses: group.others, dial: group.dial, logger: group.logger, unboundEnds: true, watches: map[string]context.CancelFunc{}}
+	watcher.Run(ctx)
 }
 
 // apply implements follower.
@@ -215,7 +216,7 @@
 	}
 	for index := range reply.Records {
 		record := &reply.Records[index]
-		if err := record.checkStored(); err != nil || record.isUnboundEnd() {
+		if err := record.checkStored(); err != nil {
 			continue
 		}
 		switch record.State {
--- a/internal/httptarget/registry.go
+++ b/internal/httptarget/registry.go
@@ -149,7 +149,7 @@
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
 	registered, found := registry.targets[end.ID]
-	if found && registered.record.State == StateGone && registered.record.start() == end.start() {
+	if found && registered.hasEnd(end) {
 		registry.repeatEnd(registered, end, publish)
 		return nil
 	}
@@ -158,24 +158,45 @@
 
 // repeatEnd applies a further call of a known end, which may concern a later start. The lock must be held.
 func (registry *Registry) repeatEnd(registered *registeredTarget, end *Record, publish bool) {
-	if heldOffUntil := time.Now().Add(end.HoldsOffFor); heldOffUntil.After(registered.heldOffUntil) {
-		registered.heldOffUntil = heldOffUntil
-		registry.markChanged(registered)
-	}
-	if publish && registered.unlisted {
+	holdsOffLonger := registered.holdOff(end)
+	switch {
+	case publish && (holdsOffLonger || registered.unlisted):
 		registered.unlisted = false
 		registry.publish(registered)
+	case holdsOffLonger:
+		registry.markChanged(registered)
 	}
 }
 
-// addEnd stores an end that another registry has sent to its followers, or that was saved. A known end stays as it is:
-// the messages between registries would otherwise prolong it by their transit, time and again.
+// addEnd stores an end that another registry has sent to its followers, or that was saved. That a known end holds off later
+// starts for longer isn't a change: otherwise registries would tell each other of it for good, because the time that is left
+// grows by the transit of each message.
 func (registry *Registry) addEnd(end *Record) error {
 	registry.lock.Lock()
 	defer registry.lock.Unlock()
+	if registered, found := registry.targets[end.ID]; found && registered.hasEnd(end) {
+		registered.holdOff(end)
+		return nil
+	}
 	return registry.storeEnd(end, false)
 }
 
+// hasEnd reports whether the record is that of the same start's end.
+func (registered *registeredTarget) hasEnd(end *Record) bool {
+	return registered.record.State == StateGone && registered.record.start() == end.start()
+}
+
+// holdOff prolongs the time in which announcements of later starts are ignored by that of an end, and reports whether it
+// is longer than before.
+func (registered *registeredTarget) holdOff(end *Record) bool {
+	until := time.Now().Add(end.HoldsOffFor)
+	if end.HoldsOffFor <= 0 || !until.After(registered.heldOffUntil) {
+		return false
+	}
+	registered.heldOffUntil = until
+	return true
+}
+
 // storeEnd stores the end of a start unless that end or a later start is known. An end of a start that
 // isn't listed is published only if requested. The lock must be held.
 func (registry *Registry) storeEnd(end *Record, publish bool) error {
--- a/internal/httptarget/watch.go
+++ b/internal/httptarget/watch.go
@@ -41,6 +41,8 @@
 	WatchRequest struct {
 		Session  uint64 `msgpack:"s"`
 		Revision uint64 `msgpack:"r"`
+		// UnboundEnds asks for the ends of targets of which no start is known, too. Registries set it.
+		UnboundEnds bool `msgpack:"u,omitempty"`
 	}
 
 	// WatchReply holds the changed records. Full is true if it holds all records,
@@ -69,6 +71,8 @@
 		addresses func() []string
 		dial      tcp.Dialer
 		logger    *zap.Logger
+		// unboundEnds is WatchRequest.UnboundEnds.
+		unboundEnds bool
 
 		lock    sync.Mutex
 		watches map[string]context.CancelFunc
@@ -102,8 +106,9 @@
 	defer timer.Stop()
 	for {
 		records, revision, changed := registry.changesSince(sinceRevision)
-		// Unbound ends concern the registries that were told of them.
-		records = slices.DeleteFunc(records, func(record Record) bool { return record.isUnboundEnd() })
+		if !request.UnboundEnds {
+			records = slices.DeleteFunc(records, func(record Record) bool { return record.isUnboundEnd() })
+		}
 		if full || len(records) > 0 {
 			return &WatchReply{Session: registry.session, Revision: revision, Full: full, Records: records}, nil
 		}
@@ -120,11 +125,7 @@
 
 // NewWatcher returns a watcher that updates a directory.
 func NewWatcher(directory *Directory, addresses func() []string, dial tcp.Dialer, logger *zap.Logger) *Watcher {
-	return newWatcher(directory, addresses, dial, logger)
-}
-
-func newWatcher(follower follower, addresses func() []string, dial tcp.Dialer, logger *zap.Logger) *Watcher {
-	return &Watcher{follower: follower, addresses: addresses, dial: dial, logger: logger, watches: map[string]context.CancelFunc{}}
+	return &Watcher{follower: directory, addresses: addresses, dial: dial, logger: logger, watches: map[string]context.CancelFunc{}}
 }
 
 // Run watches the registries until ctx ends.
@@ -170,7 +171,7 @@
 	client := frame.NewClient(address, watcher.dial)
 	defer client.Close()
 	defer watcher.follower.removeSource(address)
-	var position WatchRequest
+	position := WatchRequest{UnboundEnds: watcher.unboundEnds}
 	connected, lostAt := false, time.Now()
 	retryDelay := firstWatchRetryDelay
 	for ctx.Err() == nil {
@@ -181,7 +182,7 @@
 				watcher.logger.Info("registry reached", zap.String("registry", address), zap.Uint64("session", reply.Session))
 			}
 			watcher.follower.apply(address, reply)
-			position = WatchRequest{Session: reply.Session, Revision: reply.Revision}
+			position.Session, position.Revision = reply.Session, reply.Revision
 			retryDelay = firstWatchRetryDelay
 			continue
 		}
