Take a start for ended if any registry has its end

What callers saw: a target that had ended was used again, where a registry was down, and the target's first announcement was late.

Cause: a registry that can't be asked counts with the starts that it listed last. One of these whose end other registries had counted as in use all the same, so that a further end of the target, of a start that no registry knew yet, was bound to the ended one and held off nothing.

Change: the registries reply whether they have the end of the start, and such a start isn't in use.

--- a/internal/httptarget/ended_starts_test.go
+++ b/internal/httptarget/ended_starts_test.go
@@ -146,6 +146,30 @@
 	})
 }
 
+// Guards against an end that is taken for that of an earlier start, which has ended, because a registry that is down was last
+// heard to list that one.
+func TestEndedStartOfAnUnreachableRegistryIsNotInUse(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 3)
+		defer cluster.close()
+		announced, ended, other := cluster.nodes[0], cluster.nodes[1], cluster.nodes[2]
+		announced.pingFor(4*pingInterval, 100, 1)
+		announced.kill()
+		ended.end()
+		time.Sleep(drainSpan)
+		// The first announcement of the next start is late.
+		for other.api.Remove(context.Background(), "t") != nil {
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		other.ping(200, 1)
+		time.Sleep(time.Second)
+		if cluster.entries[0].uses("t", 200) {
+			t.Error("the target is used after its end")
+		}
+	})
+}
+
 // Guards against an end that only the registry has which took it: after that registry has lost its disk, an entry that
 // starts uses the target again, because another registry still lists it.
 func TestEndOutlastsTheRegistryThatTookIt(t *testing.T) {
--- a/internal/httptarget/group.go
+++ b/internal/httptarget/group.go
@@ -46,11 +46,13 @@
 		End Record `msgpack:"e"`
 	}
 
-	// StartReply holds the latest start that a registry knows, before the end that it was told of. InUse is true
-	// if the target announces itself there.
+	// StartReply holds the latest start that a registry knows, before the end that it was told of.
 	StartReply struct {
 		Start Start `msgpack:"b"`
-		InUse bool  `msgpack:"u,omitempty"`
+		// Announced is true if the target announces itself there.
+		Announced bool `msgpack:"u,omitempty"`
+		// Ended is true if the registry has the end of the start.
+		Ended bool `msgpack:"e,omitempty"`
 	}
 
 	// Group is the group of registries as one of them sees it. Construct it with NewGroup.
@@ -93,7 +95,13 @@
 	return start.Pool != ""
 }
 
-// merge returns the later of two starts, which is in use if a reply that has it says so.
+// inUse reports whether the target announces itself and hasn't ended. A registry that hasn't heard of the end yet, or is
+// down, may still list the start.
+func (reply StartReply) inUse() bool {
+	return reply.Announced && !reply.Ended
+}
+
+// merge returns the later of two starts, or what both replies say of the same one.
 func (reply StartReply) merge(other StartReply) StartReply {
 	switch {
 	case !other.Start.known() || reply.Start.known() && reply.Start.At > other.Start.At:
@@ -101,7 +109,7 @@
 	case !reply.Start.known() || other.Start.At > reply.Start.At:
 		return other
 	}
-	return StartReply{Start: reply.Start, InUse: reply.InUse || other.InUse}
+	return StartReply{Start: reply.Start, Announced: reply.Announced || other.Announced, Ended: reply.Ended || other.Ended}
 }
 
 // End records the end of the latest start of a target that any registry of the group knows, or returns a
@@ -120,13 +128,13 @@
 	// A second round is needed only if a registry has got the target's first announcement since it was asked.
 	for range 2 {
 		end := Record{ID: id, Pool: latest.Start.Pool, StartedAt: latest.Start.At, State: StateGone}
-		if !latest.InUse {
+		if !latest.inUse() {
 			end.HoldsOffFor = lateAnnouncementSpan
 		}
 		if err := group.registry.takeEnd(&end, true); err != nil {
 			return err
 		}
-		group.logger.Info("end of a target taken", zap.String("target", id), zap.String("pool", end.Pool), zap.Int64("started_at", end.StartedAt), zap.Bool("in_use", latest.InUse), zap.Strings("not_told", missing))
+		group.logger.Info("end of a target taken", zap.String("target", id), zap.String("pool", end.Pool), zap.Int64("started_at", end.StartedAt), zap.Bool("in_use", latest.inUse()), zap.Strings("not_told", missing))
 		newest := latest
 		for _, reply := range callEach(ctx, group, missing, MethodEnd, &EndRequest{End: end}) {
 			newest = newest.merge(*reply)
@@ -152,10 +160,10 @@
 			continue
 		}
 		missing = append(missing, address)
-		latest = latest.merge(StartReply{Start: followed, InUse: followed.known()})
+		latest = latest.merge(StartReply{Start: followed, Announced: followed.known()})
 		isFollowed, isComplete = isFollowed && (isStale || wasFollowed), isComplete && isStale
 	}
-	return latest, missing, isComplete || isFollowed && latest.InUse
+	return latest, missing, isComplete || isFollowed && latest.inUse()
 }
 
 // followedStart returns the start of a target that another registry listed when it was last heard, whether it was
--- a/internal/httptarget/registry.go
+++ b/internal/httptarget/registry.go
@@ -141,7 +141,11 @@
 		return &StartReply{}
 	}
 	record := &registered.record
-	return &StartReply{Start: record.start(), InUse: !record.Silent && (record.State == StateReady || record.State == StateLeaving)}
+	return &StartReply{
+		Start:     record.start(),
+		Announced: !record.Silent && (record.State == StateReady || record.State == StateLeaving),
+		Ended:     record.State == StateGone,
+	}
 }
 
 // takeEnd stores an end that a target has called, here or, with publish false, at another registry that tells this one.
