--- a/internal/httptarget/ended_starts_test.go
+++ b/internal/httptarget/ended_starts_test.go
@@ -125,6 +125,28 @@
 	})
 }
 
+// Guards against an acknowledged end without effect: the target's first announcement arrives at a registry after that was asked
+// for the target's start, and before it is told of the end.
+func TestEndConcernsAStartThatIsAnnouncedMeanwhile(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 3)
+		defer cluster.close()
+		announced, ended := cluster.nodes[0], cluster.nodes[1]
+		// Without a connection to be opened, the two calls arrive one and three delays after the end.
+		ended.end()
+		time.Sleep(lateAnnouncementSpan)
+		go func() {
+			time.Sleep(2 * clusterDelay)
+			announced.ping(100, 1)
+		}()
+		ended.end()
+		time.Sleep(time.Second)
+		if cluster.entries[0].uses("t", 100) {
+			t.Error("the target is used after its end")
+		}
+	})
+}
+
 // Guards against an acknowledged end without effect: the only registry that knows the target is down.
 func TestEndIsRefusedWhileItsStartCannotBeFound(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
