Take a context whose deadline has come for ended

What callers saw: 503 no_link although another entry had links to the targets.

Cause: an attempt whose deadline is that of its context opens connections with a derived context, which has a timer of its own for the same instant. If that one fires first, the attempt's context hasn't ended yet, and the attempt counts as a failure of the link: the link is taken for lost, and an entry without links for three targets refuses to lend any.

Change: at or after its deadline a context counts as ended, whichever timer fires first: for links, for attempts that are withheld and relayed, and for the entries through which they go.

--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -256,7 +256,7 @@
 	if relayed, sent := sender.sendThroughEntry(ctx, target, request, deadline, true); sent {
 		return relayed
 	}
-	if unreachable || ctx.Err() != nil {
+	if unreachable || ContextError(ctx) != nil {
 		return &Refused{Reason: Unreachable, Cause: errNoLink}
 	}
 	return sender.SendDirectly(ctx, target, request, deadline, 1)
@@ -267,7 +267,7 @@
 // be slow, and has no room for more.
 func wantsRelay(ctx context.Context, outcome Outcome) bool {
 	refused, isRefused := outcome.(*Refused)
-	return isRefused && refused.Reason == Unreachable && ctx.Err() == nil
+	return isRefused && refused.Reason == Unreachable && ContextError(ctx) == nil
 }
 
 // sendThroughEntry sends an attempt through another entry. It returns false if none has a link to the
@@ -368,10 +368,10 @@
 	now := time.Now()
 	sender.links.abandon(target.ID(), now)
 	switch {
-	case errors.Is(err, ErrBusy), errors.Is(err, errLate) && ctx.Err() == nil:
+	case errors.Is(err, ErrBusy), errors.Is(err, errLate) && ContextError(ctx) == nil:
 		reason = Busy
 		target.recordUncounted(startedAt)
-	case ctx.Err() != nil:
+	case ContextError(ctx) != nil:
 		target.recordAbandoned(startedAt, now)
 	case sender.relay != nil:
 		// The target is at fault only if other entries can't reach it either.
--- a/internal/httptarget/link_test.go
+++ b/internal/httptarget/link_test.go
@@ -57,6 +57,33 @@
 	})
 }
 
+// Guards against a link that is taken for lost because the caller's time ended while a connection was being opened, which depended
+// on the order of two timers.
+func TestLinkIsNotLostWhenTheCallerLeaves(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		sender := NewSender(dialect.Default(), func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		sender.UseRelay(noRelay{})
+		lost := 0
+		for range 300 {
+			target := newTarget(&Record{ID: "t", Address: "10.0.0.1:80"})
+			request := NewEncoded("q", http.MethodGet, true, []byte("GET / HTTP/1.1\r\n"), nil)
+			deadline := time.Now().Add(50 * time.Millisecond)
+			ctx, cancel := context.WithDeadline(t.Context(), deadline)
+			sender.SendDirectly(ctx, target, request, deadline, 2)
+			cancel()
+			if target.linkDown() {
+				lost++
+			}
+		}
+		if lost > 0 {
+			t.Errorf("the link was taken for lost %d of 300 times", lost)
+		}
+	})
+}
+
 // Guards against a link that is never used again, or tried by each request, after it was lost.
 func TestLostLinkIsTriedInTheBackground(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
--- a/internal/httptarget/unwanted.go
+++ b/internal/httptarget/unwanted.go
@@ -29,6 +29,18 @@
 	return nil
 }
 
+// ContextError returns the error of a context that has ended or whose deadline has come, or nil. At a deadline, the timer of a
+// context that was derived with the same one may fire first.
+func ContextError(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if deadline, hasDeadline := ctx.Deadline(); hasDeadline && !time.Now().Before(deadline) {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
 // Withhold returns the outcome of an attempt that nobody waits for, before it takes a permit, or nil.
 func (sender *Sender) Withhold(ctx context.Context, target *Target, request *Request) Outcome {
 	return sender.withhold(ctx, target, request, wayOpen)
@@ -37,7 +49,7 @@
 // withhold returns the outcome of an attempt that is given up before anything was sent, because ctx has ended or the time to
 // begin has passed, or nil.
 func (sender *Sender) withhold(ctx context.Context, target *Target, request *Request, way string) Outcome {
-	cause := ctx.Err()
+	cause := ContextError(ctx)
 	if cause == nil && !request.startBy.IsZero() && time.Now().After(request.startBy) {
 		cause = errLateStart
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -149,14 +149,14 @@
 	case err == nil:
 		end(keepEntry)
 		return reply.outcome(), true, true
-	case ctx.Err() != nil && errors.Is(err, frame.ErrNotSent):
+	case httptarget.ContextError(ctx) != nil && errors.Is(err, frame.ErrNotSent):
 		// The caller has left, which says nothing about the entry.
 		end(ignoreEntry)
 		return nil, false, false
 	case errors.Is(err, frame.ErrNotSent), isRejected(err):
 		end(avoidEntry)
 		return nil, false, false
-	case ctx.Err() != nil, errors.Is(err, context.DeadlineExceeded):
+	case httptarget.ContextError(ctx) != nil, errors.Is(err, context.DeadlineExceeded):
 		// The target may have been slow.
 		end(ignoreEntry)
 	default:
