Collect the output of verbs in buffers that take concurrent writes

The buffers of the specs are locked now; what is expected of the output is the same, and the race detector still watches everything else. Not reproduced; the trace names both accesses.

--- a/internal/verb/demo_test.go
+++ b/internal/verb/demo_test.go
@@ -1,7 +1,6 @@
 package verb_test
 
 import (
-	"bytes"
 	"context"
 	"os"
 	"os/signal"
@@ -11,6 +10,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"gitlab.com/comfreythread/comfreythread/internal/verb"
 )
@@ -34,10 +34,11 @@
 }
 
 var _ = ginkgo.DescribeTable("the demo gets correct answers with the deployment", func(deployment string) {
-	var stdout, stderr bytes.Buffer
-	code := verb.Main(context.Background(), []string{"comfreythread", "demo", "--deployment", deployment}, &stdout, &stderr)
-	gomega.Expect(code).To(gomega.Equal(verb.ExitOK), stderr.String())
-	lines := strings.Split(strings.TrimSpace(stdout.String()), "\n")
+	// Processes may write the last lines of their logs in the background.
+	stdout, stderr := gbytes.NewBuffer(), gbytes.NewBuffer()
+	code := verb.Main(context.Background(), []string{"comfreythread", "demo", "--deployment", deployment}, stdout, stderr)
+	gomega.Expect(code).To(gomega.Equal(verb.ExitOK), string(stderr.Contents()))
+	lines := strings.Split(strings.TrimSpace(string(stdout.Contents())), "\n")
 	gomega.Expect(lines[len(lines)-1]).To(gomega.ContainSubstring(`"ok":true`))
 },
 	ginkgo.Entry("Atelier", "atelier"),
--- a/internal/verb/processes_test.go
+++ b/internal/verb/processes_test.go
@@ -1,7 +1,6 @@
 package verb_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -37,9 +36,9 @@
 
 // runVerb runs a verb in this process, and returns its exit code and output.
 func runVerb(arguments ...string) (int, string) {
-	var stdout, stderr bytes.Buffer
-	code := verb.Main(context.Background(), append([]string{"comfreythread"}, arguments...), &stdout, &stderr)
-	return code, stdout.String() + stderr.String()
+	stdout, stderr := gbytes.NewBuffer(), gbytes.NewBuffer()
+	code := verb.Main(context.Background(), append([]string{"comfreythread"}, arguments...), stdout, stderr)
+	return code, string(stdout.Contents()) + string(stderr.Contents())
 }
 
 // sendTracedQuery sends a query with the trace context of a caller.
