Construct watchers in one place; compute the end of a context once

Read through of the change: Group.Run repeated the literal of NewWatcher, and handleConnectError asked twice whether the context has ended. Behaviour is unchanged.

Format, lint and vet passed, and the tests of internal/relay.

--- a/internal/httptarget/attempt.go
+++ b/internal/httptarget/attempt.go
@@ -367,11 +367,12 @@
 	reason := Unreachable
 	now := time.Now()
 	sender.links.abandon(target.ID(), now)
+	hasEnded := ContextError(ctx) != nil
 	switch {
-	case errors.Is(err, ErrBusy), errors.Is(err, errLate) && ContextError(ctx) == nil:
+	case errors.Is(err, ErrBusy), errors.Is(err, errLate) && !hasEnded:
 		reason = Busy
 		target.recordUncounted(startedAt)
-	case ContextError(ctx) != nil:
+	case hasEnded:
 		target.recordAbandoned(startedAt, now)
 	case sender.relay != nil:
 		// The target is at fault only if other entries can't reach it either.
--- a/internal/httptarget/group.go
+++ b/internal/httptarget/group.go
@@ -208,7 +208,8 @@
 // Run follows the other registries until ctx ends, to hear of ends and of targets that leave, and to know the starts of
 // a registry that can't be asked.
 func (group *Group) Run(ctx context.Context) {
-	watcher := &Watcher{follower: group, addresses: group.others, dial: group.dial, logger: group.logger, unboundEnds: true, watches: map[string]context.CancelFunc{}}
+	watcher := newWatcher(group, group.others, group.dial, group.logger)
+	watcher.unboundEnds = true
 	watcher.Run(ctx)
 }
 
--- a/internal/httptarget/watch.go
+++ b/internal/httptarget/watch.go
@@ -125,7 +125,11 @@
 
 // NewWatcher returns a watcher that updates a directory.
 func NewWatcher(directory *Directory, addresses func() []string, dial tcp.Dialer, logger *zap.Logger) *Watcher {
-	return &Watcher{follower: directory, addresses: addresses, dial: dial, logger: logger, watches: map[string]context.CancelFunc{}}
+	return newWatcher(directory, addresses, dial, logger)
+}
+
+func newWatcher(follower follower, addresses func() []string, dial tcp.Dialer, logger *zap.Logger) *Watcher {
+	return &Watcher{follower: follower, addresses: addresses, dial: dial, logger: logger, watches: map[string]context.CancelFunc{}}
 }
 
 // Run watches the registries until ctx ends.
