Keep an announcement from the other registries in its test

TestEndIsRefusedWhileItsStartCannotBeFound failed in 21 of 800 runs ("the end of an unknown target is acknowledged"): the announcement and the stop of its registry are at one instant, and where another registry had heard of the target by then, it rightly took the end. The link is cut until the refusal now; the checks are the same.

--- a/internal/httptarget/ended_starts_test.go
+++ b/internal/httptarget/ended_starts_test.go
@@ -153,11 +153,18 @@
 		cluster := newCluster(t, 3)
 		defer cluster.close()
 		announced, asked := cluster.nodes[0], cluster.nodes[1]
+		// The others hear nothing of the announcement.
+		for _, other := range cluster.nodes[1:] {
+			cluster.network.Cut(announced.ip, other.ip)
+		}
 		announced.ping(100, 1)
 		announced.kill()
 		if err := asked.api.Remove(context.Background(), "t"); err == nil {
 			t.Error("the end of an unknown target is acknowledged")
 		}
+		for _, other := range cluster.nodes[1:] {
+			cluster.network.Heal(announced.ip, other.ip)
+		}
 		announced.start()
 		time.Sleep(time.Second)
 		asked.end()
